--- /dev/null
+++ b/examples/demo.cpp
@@ -0,0 +1,187 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The main job, shown: two entries, three agents in two halls, and the failures that they live through.
+#include <trailjunction/testkit/cluster.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <string>
+
+using namespace trailjunction;
+using namespace trailjunction::testkit;
+
+namespace
+{
+	/// Prints each step and remembers whether all of them held.
+	class stage
+	{
+	public:
+		void step(const std::string& what, bool held, const std::string& outcome)
+		{
+			std::cout << (held ? "  ok    " : "  FAILED ") << what << ": " << outcome << "\n";
+			all_held_ = all_held_ && held;
+		}
+		[[nodiscard]] bool all_held() const noexcept
+		{
+			return all_held_;
+		}
+
+	private:
+		bool all_held_{true};
+	};
+
+	std::string message_of(const command_answer& answer)
+	{
+		for (const auto* name : {"message", "error"})
+			if (const auto* text = answer.body.if_contains(name); text != nullptr && text->is_string())
+				return std::string{text->get_string()};
+		return answer.text;
+	}
+
+	void show_requests(stage& stage, cluster& system)
+	{
+		int done = 0;
+		constexpr int checks = 40;
+		for (int i = 0; i < checks; ++i)
+		{
+			const auto job = "check-" + std::to_string(i);
+			const auto result = system.request(i % 2, {"GET", "/tally/check?ms=2", {{"X-Job", job}}, ""});
+			if (result.reached == delivery::answered && result.response.body.rfind(job + " ", 0) == 0)
+				++done;
+		}
+		stage.step("quick species checks through both entries", done == checks,
+				   std::to_string(done) + " of " + std::to_string(checks) +
+					   " got the whole answer to their own request");
+	}
+
+	void show_command(stage& stage, cluster& system, const std::string& what, const std::string& command)
+	{
+		const auto answer = system.command(0, command);
+		stage.step(what, answer.status == 200, message_of(answer));
+	}
+
+	void show_tasks(stage& stage, cluster& system)
+	{
+		show_command(stage, system, "create the service tally-api with 2 replicas",
+					 "submit service tally-api replicas 2 team sirr cpu 500 memory 256 command forever");
+		show_command(stage, system, "submit a merge, which may never run twice",
+					 "submit task merge-1 team sirr kind merge command \"work 400\" repeatable no");
+		show_command(stage, system, "submit a watcher for the season",
+					 "submit task watcher-1 team sirr kind watcher command forever");
+		const bool merged =
+			cluster::wait_until([&] { return system.task_field("merge-1", "phase") == "finished"; }, millis{10'000});
+		stage.step("the merge finishes", merged, "merge-1 is " + system.task_field("merge-1", "phase"));
+		const bool watching =
+			cluster::wait_until([&] { return !system.task_field("watcher-1", "checkpoint").empty(); }, millis{10'000});
+		stage.step("the watcher runs and is checkpointed", watching,
+				   "on " + system.task_field("watcher-1", "worker") + ", checkpoint " +
+					   system.task_field("watcher-1", "checkpoint"));
+		const auto why = system.command(1, "why task watcher-1");
+		stage.step("ask why, at the other entry", why.status == 200, message_of(why));
+	}
+
+	void show_drain(stage& stage, cluster& system)
+	{
+		const auto from = system.task_field("watcher-1", "worker");
+		show_command(stage, system, "drain the watcher's worker", "drain worker " + from);
+		const bool moved = cluster::wait_until(
+			[&]
+			{
+				const auto to = system.task_field("watcher-1", "worker");
+				return !to.empty() && to != from && system.task_field("watcher-1", "run") == "2";
+			},
+			millis{15'000});
+		stage.step("it is checkpointed, moved and resumed once", moved,
+				   "run " + system.task_field("watcher-1", "run") + " on " + system.task_field("watcher-1", "worker"));
+		show_command(stage, system, "undrain it", "undrain worker " + from);
+	}
+
+	void show_configuration(stage& stage, cluster& system)
+	{
+		const auto changed = system.command(0, "set /requests/slots 6");
+		stage.step("change the configuration", changed.status == 200, message_of(changed));
+		const auto version = std::to_string(changed.body.at("version").to_number<std::int64_t>());
+		const bool everywhere = cluster::wait_until(
+			[&]
+			{
+				const auto answer = system.command(1, "show workers where config >= " + version);
+				return answer.status == 200 && answer.body.at("table").at("rows").as_array().size() ==
+												   static_cast<std::size_t>(system.workers());
+			},
+			millis{5'000});
+		stage.step("it is in force on every agent", everywhere, "version " + version + " on all workers within 5 s");
+		const auto racing = system.command(1, "set /requests/slots 7 if version 1");
+		stage.step("an operator who looked at an old version is refused", racing.status == 409, message_of(racing));
+	}
+
+	void show_agent_death(stage& stage, cluster& system)
+	{
+		const auto on = system.task_field("watcher-1", "worker");
+		system.worker(on).agent.kill();
+		const bool resumed = cluster::wait_until(
+			[&]
+			{
+				const auto to = system.task_field("watcher-1", "worker");
+				return to != on && !to.empty() && system.task_field("watcher-1", "run") == "3" &&
+					   system.task_field("watcher-1", "phase") == "running";
+			},
+			millis{20'000});
+		stage.step("kill -9 the watcher's agent", resumed,
+				   "fenced, waited for, and resumed once as run " + system.task_field("watcher-1", "run") + " on " +
+					   system.task_field("watcher-1", "worker"));
+		int answered = 0;
+		constexpr int checks = 20;
+		for (int i = 0; i < checks; ++i)
+			if (system.request(i % 2, {"GET", "/tally/check", {}, ""}).response.status == 200)
+				++answered;
+		stage.step("checks go on at the workers that are left", answered == checks,
+				   std::to_string(answered) + " of " + std::to_string(checks) + " answered");
+	}
+
+	void show_entry_death(stage& stage, cluster& system)
+	{
+		system.entry(0).process.kill();
+		const auto began = std::chrono::steady_clock::now();
+		const bool accepted = cluster::wait_until(
+			[&] {
+				return system.command(1, "submit task urgent-1 team sirr urgency urgent command \"work 100\"").status ==
+					   200;
+			},
+			millis{10'000});
+		const bool finished =
+			accepted &&
+			cluster::wait_until([&] { return system.task_field("urgent-1", "phase") == "finished"; }, millis{10'000});
+		const auto took = std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - began).count();
+		stage.step("kill -9 an entry; the other one takes its shards over", finished,
+				   "an urgent task ran " + std::to_string(took) + " ms after the kill");
+	}
+}
+
+int main()
+{
+	std::cout << "trailjunction: 2 entries, 3 agents in 2 halls, stand-ins for the platform and the upstreams\n";
+	cluster_options options;
+	options.programs = TRAILJUNCTION_PROGRAMS;
+	cluster system{options};
+	stage stage;
+	stage.step("start everything", system.wait_ready(), "all processes are ready");
+	if (!stage.all_held())
+	{
+		std::cout << system.logs();
+		return 1;
+	}
+	show_requests(stage, system);
+	show_tasks(stage, system);
+	show_drain(stage, system);
+	show_configuration(stage, system);
+	show_agent_death(stage, system);
+	show_entry_death(stage, system);
+	const auto violations = system.violations();
+	stage.step("no task ran in two places, no worker carried more than it holds", violations.empty(),
+			   violations.empty() ? "the platform saw no violation" : violations.front());
+	std::cout << (stage.all_held() ? "everything held\n" : "NOT everything held\n");
+	if (!stage.all_held())
+		std::cout << system.logs();
+	return stage.all_held() ? 0 : 1;
+}
--- /dev/null
+++ b/packages/agent/src/main.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The program `trailjunction-agent`.
+#include <trailjunction/agent.hpp>
+#include <trailjunction/core/event.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+namespace po = boost::program_options;
+using trailjunction::exit_code;
+
+namespace
+{
+	int run(int argc, char** argv)
+	{
+		po::options_description options{"Usage: trailjunction-agent --settings FILE\n\nOptions"};
+		options.add_options()("settings", po::value<std::string>(), "JSON settings of this agent")(
+			"check", "only check the settings")("help", "print this text")("version", "print the version");
+		po::variables_map given;
+		try
+		{
+			po::store(po::parse_command_line(argc, argv, options), given);
+		}
+		catch (const po::error& fault)
+		{
+			std::cerr << "trailjunction-agent: " << fault.what() << "\n";
+			return static_cast<int>(exit_code::usage);
+		}
+		if (given.count("help") != 0)
+		{
+			std::cout << options;
+			return static_cast<int>(exit_code::ok);
+		}
+		if (given.count("version") != 0)
+		{
+			std::cout << "trailjunction-agent " << TRAILJUNCTION_VERSION << "\n";
+			return static_cast<int>(exit_code::ok);
+		}
+		if (given.count("settings") == 0)
+		{
+			std::cerr << "trailjunction-agent: --settings FILE is wanted\n";
+			return static_cast<int>(exit_code::usage);
+		}
+		const auto path = given["settings"].as<std::string>();
+		const auto file = trailjunction::read_settings_file(path);
+		if (!file.ok())
+		{
+			std::cerr << "trailjunction-agent: " << file.status().message() << "\n";
+			return static_cast<int>(exit_code::usage);
+		}
+		const auto settings = trailjunction::read_agent_settings(*file);
+		if (!settings.ok())
+		{
+			std::cerr << "trailjunction-agent: " << path << ":\n" << settings.status().message() << "\n";
+			return static_cast<int>(exit_code::usage);
+		}
+		if (given.count("check") != 0)
+		{
+			std::cout << path << ": ok\n";
+			return static_cast<int>(exit_code::ok);
+		}
+		trailjunction::start_log("trailjunction-agent");
+		return static_cast<int>(trailjunction::run_agent(*settings));
+	}
+}
+
+int main(int argc, char** argv)
+{
+	try
+	{
+		return run(argc, argv);
+	}
+	catch (const std::exception& fault)
+	{
+		std::cerr << "trailjunction-agent: " << fault.what() << "\n";
+		return static_cast<int>(exit_code::failed);
+	}
+}
--- /dev/null
+++ b/packages/agent/src/process/agent_process.cpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+#include "../request/request_duty.hpp"
+#include "control_duty.hpp"
+
+#include <trailjunction/agent/agent_process.hpp>
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/core/random.hpp>
+#include <trailjunction/net/program.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <thread>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto stop_check = millis{50};
+		constexpr auto notice_time = millis{1'500}; ///< For entries to hear that the worker leaves.
+
+		/// Waits until nothing of the system is left on the worker.
+		asio::awaitable<void> wait_until_idle(asio::io_context& io, const control_duty& control,
+											  const request_duty& requests, millis most)
+		{
+			const auto began = std::chrono::steady_clock::now();
+			while (true)
+			{
+				asio::steady_timer timer{io, stop_check};
+				(void)co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+				const auto waited = std::chrono::steady_clock::now() - began;
+				const bool idle = control.active_runs() == 0 && requests.held() == 0;
+				if ((idle && waited >= notice_time) || waited >= most)
+					break;
+			}
+			io.stop();
+		}
+	}
+
+	exit_code run_agent(const agent_settings& settings)
+	{
+		asio::io_context control_io{1};
+		asio::io_context request_io{1};
+		process_metrics metrics;
+		span_exporter spans{"trailjunction-agent/" + settings.worker.str(), settings.collector};
+		// Positive as a signed number, since messages carry it as one.
+		const incarnation life{(random_u64() >> 1U) | 1U};
+		request_duty requests{request_io, settings, life, metrics, spans};
+		control_duty control{control_io, settings, life, metrics, requests.rules()};
+		requests.report_to(control.summaries());
+		for (const auto& status : {requests.listen(), control.listen()})
+		{
+			if (status.ok())
+				continue;
+			log_event(event::listen_failed, {{"reason", std::string{status.message()}}});
+			return exit_code::failed;
+		}
+		log_event(event::process_started, {{"worker", settings.worker.str()}, {"incarnation", life.value}});
+		on_stop_signal(control_io,
+					   [&]
+					   {
+						   log_event(event::process_stopping, {{"worker", settings.worker.str()}});
+						   control.leave();
+						   asio::co_spawn(control_io,
+										  wait_until_idle(control_io, control, requests, settings.stop_within),
+										  asio::detached);
+					   });
+		std::thread request_thread{[&]
+								   {
+									   request_io.run();
+								   }};
+		control_io.run();
+		request_io.stop();
+		request_thread.join();
+		log_event(event::process_stopped, {{"worker", settings.worker.str()}});
+		return exit_code::ok;
+	}
+}
--- /dev/null
+++ b/packages/agent/src/process/control_duty.cpp
@@ -0,0 +1,737 @@
+// SPDX-License-Identifier: MIT
+#include "control_duty.hpp"
+
+#include <trailjunction/core/event.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
+		constexpr std::size_t ring_capacity = 64;
+		constexpr std::size_t samples_kept = 4;
+		constexpr auto lease_check = millis{50};
+		constexpr auto retry_pause = millis{150};
+		constexpr auto call_time = millis{1'000};
+		constexpr double throttled_share = 0.25;
+
+		instant now()
+		{
+			return std::chrono::steady_clock::now();
+		}
+
+		asio::awaitable<void> pause_for(asio::io_context& io, millis time)
+		{
+			asio::steady_timer timer{io, time};
+			(void)co_await timer.async_wait(as_result);
+		}
+
+		wire::amounts to_wire(const resources& amounts)
+		{
+			wire::amounts out;
+			out.cpu_milli = amounts.cpu_milli;
+			out.memory_mib = amounts.memory_mib;
+			out.accelerators = amounts.accelerators;
+			return out;
+		}
+
+		resources from_wire(const wire::amounts& amounts)
+		{
+			return {amounts.cpu_milli, amounts.memory_mib, amounts.accelerators};
+		}
+
+		wire::run_state to_wire(const agent_run& run)
+		{
+			switch (run.state)
+			{
+			case agent_run_state::starting:
+				return wire::run_state::starting;
+			case agent_run_state::running:
+				return wire::run_state::running;
+			case agent_run_state::paused:
+				return wire::run_state::paused;
+			case agent_run_state::stopping:
+				return wire::run_state::stopping;
+			case agent_run_state::ended:
+				break;
+			}
+			switch (run.how)
+			{
+			case run_end::finished:
+				return wire::run_state::finished;
+			case run_end::failed:
+				return wire::run_state::failed;
+			case run_end::evicted:
+				return wire::run_state::evicted;
+			case run_end::refused:
+				return wire::run_state::refused;
+			case run_end::stopped:
+			case run_end::lost:
+				break;
+			}
+			return wire::run_state::stopped;
+		}
+
+		start_order order_of(const wire::start_run& message)
+		{
+			return {task_id{message.task},
+					{static_cast<std::uint64_t>(message.run)},
+					{static_cast<std::uint64_t>(message.shard)},
+					{static_cast<std::uint64_t>(message.epoch)},
+					from_millis(message.stamp_ms),
+					{static_cast<std::uint64_t>(message.incarnation)},
+					kind_id{message.kind},
+					from_wire(message.claim),
+					message.replica,
+					checkpoint_id{message.checkpoint},
+					message.command,
+					message.adopt};
+		}
+	}
+
+	control_duty::control_duty(asio::io_context& io, const agent_settings& settings, incarnation life,
+							   process_metrics& metrics, ring<request_rules>& rules)
+		: io_{io},
+		  settings_{settings},
+		  metrics_{metrics},
+		  rules_{rules},
+		  summaries_{io.get_executor(), ring_capacity,
+					 [this](request_summary&& summary)
+					 {
+						 take_summary(summary);
+					 }},
+		  acceptor_{io},
+		  admin_{io, http_limits{},
+				 [this](http_request request)
+				 {
+					 return answer(std::move(request));
+				 }},
+		  platform_{io, *settings.platform, settings.worker},
+		  runs_gauge_{metrics.gauge("runs", "Runs on the worker")},
+		  paused_{metrics.counter("runs_paused", "Runs paused since their lease lapsed")},
+		  refused_{metrics.counter("starts_refused", "Starts that were refused or ignored")},
+		  bytes_sent_{metrics.counter("control_bytes", "Bytes sent on control links")}
+	{
+		table_.life = life;
+		table_.room.capacity = settings.capacity;
+	}
+
+	absl::Status control_duty::listen()
+	{
+		boost::system::error_code error;
+		const auto where = *settings_.control;
+		acceptor_.open(where.protocol(), error);
+		if (!error)
+			acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
+		if (!error)
+			acceptor_.bind(where, error);
+		if (!error)
+			acceptor_.listen(asio::socket_base::max_listen_connections, error);
+		if (error)
+			return absl::UnavailableError(absl::StrCat("cannot listen on ", to_string(where), ": ", error.message()));
+		if (const auto admin = admin_.listen(*settings_.admin); !admin.ok())
+			return admin.status();
+		asio::co_spawn(io_, accept_links(), asio::detached);
+		asio::co_spawn(io_, renew_leases(), asio::detached);
+		asio::co_spawn(io_, send_heartbeats(), asio::detached);
+		asio::co_spawn(io_, watch_leases(), asio::detached);
+		asio::co_spawn(io_, take_checkpoints(), asio::detached);
+		return absl::OkStatus();
+	}
+
+	std::string control_duty::not_ready() const
+	{
+		if (stopping_)
+			return "stopping";
+		return table_.ready ? "" : "the platform has not said yet what runs on the worker";
+	}
+
+	std::size_t control_duty::active_runs() const noexcept
+	{
+		return static_cast<std::size_t>(std::count_if(table_.runs.begin(), table_.runs.end(),
+													  [](const auto& item)
+													  { return item.second.state != agent_run_state::ended; }));
+	}
+
+	asio::awaitable<http_response> control_duty::answer(http_request request)
+	{
+		auto page = answer_health(request, metrics_, [this] { return not_ready(); });
+		co_return page ? std::move(*page) : error_response(404, "no such page");
+	}
+
+	// ------------------------------------------------------------------ links
+
+	asio::awaitable<void> control_duty::accept_links()
+	{
+		while (acceptor_.is_open())
+		{
+			auto [error, socket] = co_await acceptor_.async_accept(as_result);
+			if (error)
+				continue;
+			const auto connection = std::make_shared<link>(std::move(socket), link_limits{});
+			const std::weak_ptr<link> weak = connection;
+			connection->start([this, weak](wire::envelope&& message) { take(weak.lock(), std::move(message)); },
+							  [this, weak](const std::string& reason)
+							  {
+								  log_event(event::link_closed, {{"reason", reason}});
+								  std::erase_if(peers_,
+												[&](const peer& one) {
+													return one.connection == weak.lock() || !one.connection->is_open();
+												});
+							  });
+			peers_.push_back({connection, ""});
+			wire::envelope greeting;
+			greeting.__isset.hi = true;
+			greeting.hi.version = wire_version;
+			greeting.hi.process = settings_.worker.str();
+			greeting.hi.incarnation = static_cast<std::int64_t>(table_.life.value);
+			(void)connection->send(greeting);
+			send_heartbeat(connection); // at once: an entry that has just come routes and confirms the sooner
+		}
+	}
+
+	void control_duty::take(const std::shared_ptr<link>& from, wire::envelope&& message)
+	{
+		if (message.__isset.hi)
+		{
+			for (auto& one : peers_)
+				if (one.connection == from)
+					one.process = message.hi.process;
+		}
+		else if (message.__isset.start)
+		{
+			take_start(message.start);
+		}
+		else if (message.__isset.order)
+		{
+			take_order(message.order);
+		}
+		else if (message.__isset.lease)
+		{
+			take_grant(from, message.lease);
+		}
+		else if (message.__isset.conf)
+		{
+			take_config(message.conf);
+		}
+	}
+
+	bool control_duty::reports_to(const std::shared_ptr<link>& to, shard_id shard, instant now) const
+	{
+		const auto found = owners_.find(shard);
+		if (found == owners_.end() || found->second.connection.lock() == to)
+			return true;
+		// The owner has gone silent: whoever has taken over must hear of the run.
+		return now - found->second.confirmed > 2 * settings_.times.heartbeat;
+	}
+
+	wire::heartbeat control_duty::make_heartbeat(const std::shared_ptr<link>& to, instant now)
+	{
+		wire::heartbeat beat;
+		beat.stamp_ms = to_millis(now);
+		beat.incarnation = static_cast<std::int64_t>(table_.life.value);
+		beat.ready = table_.ready;
+		beat.leaving = table_.leaving;
+		beat.capacity = to_wire(settings_.capacity);
+		beat.claimed = to_wire(claimed(table_));
+		beat.used = to_wire(status_.used);
+		beat.foreign_use = to_wire(status_.foreign);
+		beat.config_version = static_cast<std::int64_t>(config_.version.value);
+		beat.hall = settings_.hall.str();
+		beat.rack = settings_.rack.str();
+		beat.service_name = settings_.service.str();
+		for (const auto& [task, run] : table_.runs)
+		{
+			if (!reports_to(to, run.shard, now))
+				continue;
+			wire::run_report report;
+			report.task = task.str();
+			report.run = static_cast<std::int64_t>(run.run.value);
+			report.shard = static_cast<std::int32_t>(run.shard.value);
+			report.state = to_wire(run);
+			report.checkpoint = run.checkpoint.str();
+			report.reason = run.reason;
+			report.throttled = run.throttled;
+			beat.runs.push_back(std::move(report));
+		}
+		beat.kinds = count_kinds();
+		for (const auto& past : samples_)
+		{
+			wire::service_sample sample;
+			sample.service_name = settings_.service.str();
+			const auto middle = past.summary.from + (past.summary.to - past.summary.from) / 2;
+			sample.age_ms = std::chrono::duration_cast<millis>(now - middle).count();
+			sample.count = past.summary.count;
+			sample.p50_us = past.summary.p50_us;
+			sample.p99_us = past.summary.p99_us;
+			sample.beside = past.beside;
+			beat.samples.push_back(std::move(sample));
+		}
+		return beat;
+	}
+
+	std::vector<wire::kind_amount> control_duty::count_kinds() const
+	{
+		std::vector<wire::kind_amount> kinds;
+		for (const auto& [task, run] : table_.runs)
+		{
+			if (run.state == agent_run_state::ended || run.throttled)
+				continue;
+			const auto found =
+				std::find_if(kinds.begin(), kinds.end(), [&](const auto& one) { return one.kind == run.kind.str(); });
+			if (found != kinds.end())
+			{
+				++found->count;
+				continue;
+			}
+			wire::kind_amount one;
+			one.kind = run.kind.str();
+			one.count = 1;
+			one.replica = run.replica;
+			kinds.push_back(std::move(one));
+		}
+		return kinds;
+	}
+
+	void control_duty::send_heartbeat(const std::shared_ptr<link>& to)
+	{
+		wire::envelope message;
+		message.__isset.beat = true;
+		message.beat = make_heartbeat(to, now());
+		const auto before = to->pending_bytes();
+		(void)to->send(message);
+		bytes_sent_.Increment(static_cast<double>(to->pending_bytes() - before));
+	}
+
+	asio::awaitable<void> control_duty::send_heartbeats()
+	{
+		while (true)
+		{
+			co_await pause_for(io_, settings_.times.heartbeat);
+			runs_gauge_.Set(static_cast<double>(active_runs()));
+			for (const auto& one : peers_)
+				send_heartbeat(one.connection);
+			samples_.clear();
+			forget_old_numbers(now());
+		}
+	}
+
+	// ------------------------------------------------------------------ what owners say
+
+	void control_duty::take_start(const wire::start_run& message)
+	{
+		auto order = order_of(message);
+		const auto decision = accept_start(table_, order, settings_.times, now());
+		if (decision.what == start_end::accepted)
+		{
+			asio::co_spawn(io_, start_run(std::move(order)), asio::detached);
+		}
+		else if (decision.what != start_end::known)
+		{
+			refused_.Increment();
+			log_event(event::start_refused,
+					  {{"task", message.task}, {"run", message.run}, {"reason", decision.reason}});
+		}
+	}
+
+	void control_duty::take_order(const wire::order_run& message)
+	{
+		const shard_id shard{static_cast<std::uint64_t>(message.shard)};
+		if (!accept_epoch(table_, shard, {static_cast<std::uint64_t>(message.epoch)}))
+			return;
+		const task_id task{message.task};
+		auto* run = find_run(task, {static_cast<std::uint64_t>(message.run)});
+		if (run == nullptr || run->state == agent_run_state::stopping || run->state == agent_run_state::ended)
+			return;
+		switch (message.what)
+		{
+		case wire::run_order::evict:
+			if (run->state == agent_run_state::starting)
+				return; // the owner repeats the order
+			run->state = agent_run_state::stopping;
+			run->reason = message.reason;
+			asio::co_spawn(io_, evict_run(task, run->run), asio::detached);
+			break;
+		case wire::run_order::stop:
+			run->state = agent_run_state::stopping;
+			run->reason = message.reason;
+			asio::co_spawn(io_, stop_run(task, run->run), asio::detached);
+			break;
+		case wire::run_order::release:
+			asio::co_spawn(io_, release_run(task, run->run), asio::detached);
+			break;
+		case wire::run_order::throttle:
+		case wire::run_order::unthrottle:
+			run->throttled = message.what == wire::run_order::throttle;
+			if (run->state == agent_run_state::running)
+				asio::co_spawn(io_, throttle_run(task, run->run, run->throttled ? throttled_share : 1.0),
+							   asio::detached);
+			break;
+		}
+	}
+
+	void control_duty::take_grant(const std::shared_ptr<link>& from, const wire::grant& message)
+	{
+		const auto at = now();
+		for (const auto& confirmed : message.runs)
+		{
+			const run_grant grant{task_id{confirmed.task},
+								  {static_cast<std::uint64_t>(confirmed.run)},
+								  {static_cast<std::uint64_t>(confirmed.shard)},
+								  {static_cast<std::uint64_t>(confirmed.epoch)},
+								  from_millis(message.stamp_ms),
+								  {static_cast<std::uint64_t>(message.incarnation)}};
+			const auto end = apply_grant(table_, grant, settings_.times, at);
+			if (end == grant_end::renewed || end == grant_end::resumed)
+				owners_[grant.shard] = {from, at};
+			else if (end != grant_end::no_run)
+				log_event(event::grant_refused,
+						  {{"task", confirmed.task}, {"run", confirmed.run}, {"why", static_cast<int>(end)}});
+			if (end != grant_end::resumed)
+				continue;
+			const auto* run = find_run(grant.task, grant.run);
+			asio::co_spawn(io_, throttle_run(grant.task, grant.run, run->throttled ? throttled_share : 1.0),
+						   asio::detached);
+		}
+		for (const auto& known : message.acknowledged)
+			forget_run(task_id{known.task}, {static_cast<std::uint64_t>(known.run)});
+	}
+
+	void control_duty::take_config(const wire::config& message)
+	{
+		const config_version version{static_cast<std::uint64_t>(message.version)};
+		if (version <= config_.version)
+			return;
+		auto document = parse_config(message.document, version);
+		if (!document.ok())
+		{
+			log_event(event::config_refused,
+					  {{"version", message.version}, {"reason", std::string{document.status().message()}}});
+			return;
+		}
+		config_ = *std::move(document);
+		config_text_ = message.document;
+		const auto mine = config_.workers.find(settings_.worker);
+		table_.room.reserved = mine == config_.workers.end() ? resources{} : mine->second.reserved;
+		log_event(event::config_applied, {{"version", message.version}});
+		update_leaving();
+		push_rules();
+	}
+
+	void control_duty::update_leaving()
+	{
+		const auto mine = config_.workers.find(settings_.worker);
+		const bool drained = mine != config_.workers.end() && mine->second.drained;
+		const bool leaving = stopping_ || drained || status_.leaving;
+		if (leaving == table_.leaving)
+			return;
+		table_.leaving = leaving;
+		log_event(event::worker_leaving, {{"worker", settings_.worker.str()}, {"leaving", leaving}});
+		push_rules();
+	}
+
+	void control_duty::push_rules()
+	{
+		(void)rules_.push({config_.requests.slots, config_.requests.queue, table_.leaving});
+	}
+
+	void control_duty::leave()
+	{
+		stopping_ = true;
+		update_leaving();
+	}
+
+	void control_duty::take_summary(const request_summary& summary)
+	{
+		if (summary.count == 0)
+			return;
+		past_sample sample{summary, {}};
+		for (const auto& [task, run] : table_.runs)
+			if (run.state == agent_run_state::running && !run.replica && !run.throttled)
+				sample.beside.push_back(run.kind.str());
+		samples_.push_back(std::move(sample));
+		if (samples_.size() > samples_kept)
+			samples_.pop_front();
+	}
+
+	// ------------------------------------------------------------------ what the platform says
+
+	asio::awaitable<void> control_duty::renew_leases()
+	{
+		while (true)
+		{
+			const auto asked = now();
+			const auto status =
+				co_await platform_.renew(renewable(table_, asked), settings_.times.platform_lease, asked + call_time);
+			if (status.ok())
+			{
+				renewed_ = asked;
+				take_status(*status, asked);
+			}
+			co_await pause_for(io_, settings_.times.heartbeat);
+		}
+	}
+
+	void control_duty::take_status(const worker_status& status, instant asked)
+	{
+		status_ = status;
+		table_.room.foreign = status.foreign;
+		absl::flat_hash_map<task_id, run_number> seen;
+		for (const auto& run : status.runs)
+		{
+			seen[run.task] = run.run;
+			take_platform_run(run);
+		}
+		for (auto& [task, run] : table_.runs)
+		{
+			const bool was_there = run.state == agent_run_state::running || run.state == agent_run_state::paused;
+			if (was_there && !seen.contains(task) && run.started < asked)
+				end_run(run, run_end::stopped, "the platform does not know the run any more");
+		}
+		if (!table_.ready)
+			log_event(event::process_ready, {{"runs", active_runs()}});
+		table_.ready = true;
+		update_leaving();
+	}
+
+	void control_duty::take_platform_run(const platform_run& seen)
+	{
+		const bool over = seen.state == platform_run_state::finished || seen.state == platform_run_state::failed ||
+						  seen.state == platform_run_state::stopped;
+		const auto how = seen.state == platform_run_state::finished ? run_end::finished
+						 : seen.state == platform_run_state::failed ? run_end::failed
+																	: run_end::stopped;
+		auto* run = find_run(seen.task, seen.run);
+		if (run == nullptr && table_.runs.contains(seen.task))
+			return; // an older run of a task that has a newer one here
+		if (run == nullptr)
+		{
+			// Left by an earlier life of this agent: it goes on only if an owner confirms it.
+			agent_run found;
+			found.task = seen.task;
+			found.run = seen.run;
+			found.shard = seen.shard;
+			found.kind = seen.kind;
+			found.claim = seen.claim;
+			found.replica = seen.replica;
+			found.state = agent_run_state::running;
+			found.unconfirmed = !seen.replica;
+			found.lease_end = now() + settings_.times.platform_lease;
+			table_.last_runs[seen.task] = std::max(table_.last_runs[seen.task], seen.run);
+			run = &(table_.runs[seen.task] = std::move(found));
+			if (!over)
+				log_event(event::run_adopted, {{"task", seen.task.str()}, {"run", seen.run.value}});
+		}
+		if (!seen.checkpoint.empty() && run->state != agent_run_state::ended)
+			run->checkpoint = seen.checkpoint;
+		if (over && run->state != agent_run_state::ended)
+		{
+			const bool evicted = how == run_end::stopped && run->evicting;
+			end_run(*run, evicted ? run_end::evicted : how, seen.reason.empty() ? run->reason : seen.reason);
+		}
+		else if (!over && run->state == agent_run_state::starting)
+		{
+			run->state = agent_run_state::running;
+		}
+	}
+
+	// ------------------------------------------------------------------ runs
+
+	agent_run* control_duty::find_run(const task_id& task, run_number run)
+	{
+		const auto found = table_.runs.find(task);
+		return found == table_.runs.end() || found->second.run != run ? nullptr : &found->second;
+	}
+
+	void control_duty::end_run(agent_run& run, run_end how, const std::string& reason)
+	{
+		run.state = agent_run_state::ended;
+		run.how = how;
+		run.reason = reason;
+		run.evicting = false;
+	}
+
+	asio::awaitable<void> control_duty::start_run(start_order order)
+	{
+		bool maybe_sent = false;
+		while (true)
+		{
+			const auto* before = find_run(order.task, order.run);
+			if (before == nullptr || before->state != agent_run_state::starting)
+				co_return;
+			if (!before->replica && now() >= before->lease_end)
+				break;
+			const auto result = co_await platform_.start(order, settings_.times.platform_lease, now() + call_time);
+			auto* run = find_run(order.task, order.run);
+			if (run == nullptr || run->state != agent_run_state::starting)
+				co_return;
+			if (result.reached == delivery::answered && result.response.status == 200)
+			{
+				run->state = agent_run_state::running;
+				run->started = now();
+				co_return;
+			}
+			const bool refused = result.reached == delivery::answered && result.response.status == 409;
+			if (refused && !maybe_sent)
+			{
+				end_run(*run, run_end::refused, result.response.body);
+				co_return;
+			}
+			maybe_sent = maybe_sent || result.reached != delivery::not_sent;
+			co_await pause_for(io_, retry_pause);
+		}
+		auto* run = find_run(order.task, order.run);
+		if (run == nullptr || run->state != agent_run_state::starting)
+			co_return;
+		if (!maybe_sent)
+		{
+			end_run(*run, run_end::refused, "the platform was not reached");
+			co_return;
+		}
+		run->state = agent_run_state::stopping;
+		run->reason = "the start was not answered before its lease was over";
+		co_await stop_run(order.task, order.run);
+	}
+
+	asio::awaitable<void> control_duty::evict_run(task_id task, run_number number)
+	{
+		const auto checkpoint = co_await platform_.checkpoint(task, number, now() + call_time);
+		auto* run = find_run(task, number);
+		if (run == nullptr || run->state != agent_run_state::stopping)
+			co_return;
+		if (!checkpoint.ok())
+		{
+			run->state = agent_run_state::running; // nothing was lost: the owner repeats the order
+			co_return;
+		}
+		run->checkpoint = *checkpoint;
+		run->evicting = true;
+		co_await stop_run(task, number);
+	}
+
+	asio::awaitable<void> control_duty::stop_run(task_id task, run_number number)
+	{
+		const auto began = now();
+		while (true)
+		{
+			const auto status = co_await platform_.stop(task, number, now() + call_time);
+			auto* run = find_run(task, number);
+			if (run == nullptr || run->state == agent_run_state::ended)
+				co_return;
+			// Not renewed for P: then the platform itself has stopped the run. A stopping run is still renewed while
+			// its lease is held, so the wait counts from the later of both.
+			const auto gone =
+				std::max({began, run->lease_end, renewed_}) + settings_.times.platform_lease + settings_.times.margin;
+			if (status.ok() || status.code() == absl::StatusCode::kNotFound || now() >= gone)
+			{
+				log_event(event::run_stopped, {{"task", task.str()}, {"run", number.value}, {"reason", run->reason}});
+				end_run(*run, run->evicting ? run_end::evicted : run_end::stopped, run->reason);
+				co_return;
+			}
+			co_await pause_for(io_, retry_pause);
+		}
+	}
+
+	asio::awaitable<void> control_duty::throttle_run(task_id task, run_number run, double share)
+	{
+		(void)co_await platform_.throttle(std::move(task), run, share, now() + call_time);
+	}
+
+	asio::awaitable<void> control_duty::release_run(task_id task, run_number number)
+	{
+		const auto status = co_await platform_.release(task, number, now() + call_time);
+		auto* run = find_run(task, number);
+		if (status.ok() && run != nullptr && run->state != agent_run_state::ended)
+			end_run(*run, run_end::stopped, "left to the operators' scripts");
+	}
+
+	asio::awaitable<void> control_duty::pause_run(task_id task, run_number number)
+	{
+		while (true)
+		{
+			const auto status = co_await platform_.throttle(task, number, 0, now() + call_time);
+			auto* run = find_run(task, number);
+			if (run == nullptr || run->state != agent_run_state::paused)
+				co_return;
+			run->pause_held = status.ok();
+			if (status.ok())
+				co_return;
+			co_await pause_for(io_, retry_pause);
+		}
+	}
+
+	asio::awaitable<void> control_duty::checkpoint_run(task_id task, run_number number)
+	{
+		const auto checkpoint = co_await platform_.checkpoint(task, number, now() + call_time);
+		auto* run = find_run(task, number);
+		if (checkpoint.ok() && run != nullptr && run->state == agent_run_state::running)
+			run->checkpoint = *checkpoint;
+	}
+
+	asio::awaitable<void> control_duty::take_checkpoints()
+	{
+		while (true)
+		{
+			co_await pause_for(io_, settings_.checkpoint_every);
+			for (const auto& [task, run] : table_.runs)
+				if (run.state == agent_run_state::running && !run.replica)
+					asio::co_spawn(io_, checkpoint_run(task, run.run), asio::detached);
+		}
+	}
+
+	asio::awaitable<void> control_duty::watch_leases()
+	{
+		while (true)
+		{
+			co_await pause_for(io_, lease_check);
+			const auto turn = lapse(table_, settings_.times, now());
+			for (const auto& task : turn.pause)
+			{
+				paused_.Increment();
+				const auto run = table_.runs.at(task).run;
+				log_event(event::run_paused, {{"task", task.str()}, {"run", run.value}});
+				asio::co_spawn(io_, pause_run(task, run), asio::detached);
+			}
+			for (const auto& task : turn.stop)
+				asio::co_spawn(io_, stop_run(task, table_.runs.at(task).run), asio::detached);
+		}
+	}
+
+	void control_duty::forget_run(const task_id& task, run_number number)
+	{
+		const auto* run = find_run(task, number);
+		if (run == nullptr || run->state != agent_run_state::ended)
+			return;
+		table_.runs.erase(task);
+		ended_.push_back({now(), task});
+		asio::co_spawn(
+			io_,
+			[](control_duty& self, task_id gone, run_number last) -> asio::awaitable<void>
+			{
+				(void)co_await self.platform_.forget(std::move(gone), last, now() + call_time);
+			}(*this, task, number),
+			asio::detached);
+	}
+
+	void control_duty::forget_old_numbers(instant at)
+	{
+		// A start that is older than L is ignored for its age, so the number has done its duty by then.
+		while (!ended_.empty() && at - ended_.front().ended > 2 * settings_.times.run_lease)
+		{
+			if (!table_.runs.contains(ended_.front().task))
+				table_.last_runs.erase(ended_.front().task);
+			ended_.pop_front();
+		}
+	}
+}
--- /dev/null
+++ b/packages/agent/src/process/control_duty.hpp
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief The control duty: runs and their leases, heartbeats, configuration.
+#pragma once
+
+#include "duty_messages.hpp"
+#include "worker_interface.hpp"
+
+#include <trailjunction/agent/settings.hpp>
+#include <trailjunction/core/ring.hpp>
+#include <trailjunction/decide/process/run_table.hpp>
+#include <trailjunction/decide/version/config_document.hpp>
+#include <trailjunction/net/http_server.hpp>
+#include <trailjunction/net/process_metrics.hpp>
+#include <trailjunction/wire/link.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief Supervises the runs on one worker and speaks with their owners.
+	/// \details Runs on its own thread. Which run may start, go on, pause or stop is decided by the functions of
+	/// run_table.hpp; this class carries out what they say.
+	class control_duty
+	{
+	public:
+		control_duty(boost::asio::io_context& io, const agent_settings& settings, incarnation life,
+					 process_metrics& metrics, ring<request_rules>& rules);
+
+		/// \brief Binds the listeners and starts to work.
+		[[nodiscard]] absl::Status listen();
+
+		/// \brief The ring on which the request duty reports.
+		[[nodiscard]] ring<request_summary>& summaries() noexcept
+		{
+			return summaries_;
+		}
+
+		/// \brief The planned stop: refuses new work at once; owners move what runs here.
+		void leave();
+
+		/// \brief Runs that are on the worker.
+		[[nodiscard]] std::size_t active_runs() const noexcept;
+
+		/// \brief Why the agent is not ready; empty where it is.
+		[[nodiscard]] std::string not_ready() const;
+
+	private:
+		/// A control link and what is known of its other side.
+		struct peer
+		{
+			std::shared_ptr<link> connection;
+			std::string process;
+		};
+		/// Who confirmed the runs of a shard last, and when.
+		struct shard_owner
+		{
+			std::weak_ptr<link> connection;
+			instant confirmed{};
+		};
+		/// What ran on the worker at one time, for attributing late measurements.
+		struct past_sample
+		{
+			request_summary summary;
+			std::vector<std::string> beside;
+		};
+		/// A task whose last run number may be forgotten.
+		struct ended_task
+		{
+			instant ended{};
+			task_id task;
+		};
+
+		boost::asio::awaitable<void> accept_links();
+		boost::asio::awaitable<void> renew_leases();
+		boost::asio::awaitable<void> send_heartbeats();
+		void send_heartbeat(const std::shared_ptr<link>& to);
+		boost::asio::awaitable<void> watch_leases();
+		boost::asio::awaitable<void> take_checkpoints();
+
+		void take(const std::shared_ptr<link>& from, wire::envelope&& message);
+		void take_start(const wire::start_run& message);
+		void take_order(const wire::order_run& message);
+		void take_grant(const std::shared_ptr<link>& from, const wire::grant& message);
+		void take_config(const wire::config& message);
+		void take_summary(const request_summary& summary);
+		void take_status(const worker_status& status, instant asked);
+		void take_platform_run(const platform_run& seen);
+
+		boost::asio::awaitable<void> start_run(start_order order);
+		boost::asio::awaitable<void> evict_run(task_id task, run_number run);
+		boost::asio::awaitable<void> stop_run(task_id task, run_number run);
+		boost::asio::awaitable<void> throttle_run(task_id task, run_number run, double share);
+		boost::asio::awaitable<void> release_run(task_id task, run_number run);
+		boost::asio::awaitable<void> pause_run(task_id task, run_number run);
+		boost::asio::awaitable<void> checkpoint_run(task_id task, run_number run);
+		void end_run(agent_run& run, run_end how, const std::string& reason);
+		void forget_run(const task_id& task, run_number run);
+		void forget_old_numbers(instant now);
+
+		[[nodiscard]] agent_run* find_run(const task_id& task, run_number run);
+		[[nodiscard]] wire::heartbeat make_heartbeat(const std::shared_ptr<link>& to, instant now);
+		[[nodiscard]] std::vector<wire::kind_amount> count_kinds() const;
+		[[nodiscard]] bool reports_to(const std::shared_ptr<link>& to, shard_id shard, instant now) const;
+		void update_leaving();
+		void push_rules();
+		boost::asio::awaitable<http_response> answer(http_request request);
+
+		boost::asio::io_context& io_;
+		const agent_settings& settings_;
+		process_metrics& metrics_;
+		ring<request_rules>& rules_;
+		ring<request_summary> summaries_;
+		boost::asio::ip::tcp::acceptor acceptor_;
+		http_server admin_;
+		worker_interface platform_;
+		run_table table_;
+		worker_status status_;
+		std::vector<peer> peers_;
+		absl::flat_hash_map<shard_id, shard_owner> owners_;
+		std::deque<past_sample> samples_;
+		std::deque<ended_task> ended_;
+		config_document config_;
+		std::string config_text_;
+		instant renewed_{}; ///< When the last renewal that succeeded was about to be sent.
+		bool stopping_{};
+		prometheus::Gauge& runs_gauge_;
+		prometheus::Counter& paused_;
+		prometheus::Counter& refused_;
+		prometheus::Counter& bytes_sent_;
+	};
+}
--- /dev/null
+++ b/packages/agent/src/request/request_duty.hpp
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief The request duty: callers' requests, the slots, the upstream.
+#pragma once
+
+#include "../process/duty_messages.hpp"
+
+#include <trailjunction/agent/settings.hpp>
+#include <trailjunction/core/ring.hpp>
+#include <trailjunction/decide/request/slots.hpp>
+#include <trailjunction/net/http_client.hpp>
+#include <trailjunction/net/process_metrics.hpp>
+#include <trailjunction/net/span_exporter.hpp>
+#include <trailjunction/wire/link.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief Takes request links, admits requests to the upstream's slots and answers them.
+	/// \details Runs on its own thread; everything but rules() and held() is called there.
+	class request_duty
+	{
+	public:
+		request_duty(boost::asio::io_context& io, const agent_settings& settings, incarnation life,
+					 process_metrics& metrics, span_exporter& spans);
+
+		/// \brief Binds the listener and starts to accept.
+		[[nodiscard]] absl::Status listen();
+
+		/// \brief Where summaries go; set before listen().
+		void report_to(ring<request_summary>& summaries)
+		{
+			summaries_ = &summaries;
+		}
+
+		/// \brief The ring on which the control duty sets the rules.
+		[[nodiscard]] ring<request_rules>& rules() noexcept
+		{
+			return rules_;
+		}
+
+		/// \brief Requests running and queued; may be read by every thread.
+		[[nodiscard]] std::int64_t held() const noexcept
+		{
+			return held_.load(std::memory_order_relaxed);
+		}
+
+	private:
+		/// One request that is queued or runs.
+		struct pending_request
+		{
+			std::shared_ptr<link> from;
+			wire::request message;
+			instant arrived{};
+			span trace;
+		};
+
+		boost::asio::awaitable<void> accept_links();
+		void take(const std::shared_ptr<link>& from, wire::envelope&& message);
+		void take_request(const std::shared_ptr<link>& from, wire::request&& message);
+		void cancel_request(const std::shared_ptr<link>& from, std::int64_t id);
+		boost::asio::awaitable<void> run(std::uint64_t key);
+		void turn();
+		void refuse(std::uint64_t key, const std::string& reason, millis retry_after);
+		void answer(pending_request& request, wire::reply&& reply);
+		void apply(const request_rules& rules);
+		boost::asio::awaitable<void> watch_queue();
+		boost::asio::awaitable<void> summarise();
+
+		boost::asio::io_context& io_;
+		const agent_settings& settings_;
+		incarnation life_;
+		boost::asio::ip::tcp::acceptor acceptor_;
+		http_client upstream_;
+		span_exporter& spans_;
+		slot_table slots_;
+		absl::flat_hash_map<std::uint64_t, pending_request> pending_;
+		std::uint64_t next_key_{1};
+		std::atomic<std::int64_t> held_{};
+		std::vector<std::int64_t> latencies_us_;
+		ring<request_rules> rules_;
+		ring<request_summary>* summaries_{};
+		prometheus::Counter& done_;
+		prometheus::Counter& not_run_;
+		prometheus::Counter& unknown_;
+	};
+}
--- /dev/null
+++ b/packages/core/include/trailjunction/core.hpp
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Umbrella header of the core package: identifiers, units, settings, log events, traces.
+#pragma once
+
+#include "core/event.hpp"
+#include "core/field_reader.hpp"
+#include "core/ids.hpp"
+#include "core/json.hpp"
+#include "core/random.hpp"
+#include "core/request_outcome.hpp"
+#include "core/ring.hpp"
+#include "core/strong_id.hpp"
+#include "core/trace.hpp"
+#include "core/units.hpp"
--- /dev/null
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Numbered log events.
+#pragma once
+
+#include <boost/json/value.hpp>
+
+#include <concepts>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace trailjunction
+{
+	/// \brief Every event that a process may log. The catalogue with causes and remedies is docs/EVENTS.md.
+	enum class event
+	{
+		// 1xx: life of a process
+		process_started = 100,
+		process_ready = 101,
+		process_stopping = 102,
+		process_stopped = 103,
+		settings_refused = 104,
+		listen_failed = 105,
+		// 2xx: links and requests
+		link_opened = 200,
+		link_closed = 201,
+		frame_refused = 202,
+		late_answer_dropped = 203,
+		request_refused = 204,
+		worker_ejected = 205,
+		// 3xx: platform
+		platform_unreachable = 300,
+		platform_back = 301,
+		write_resolved = 302,
+		// 4xx: ownership and tasks
+		member_renewed_late = 400,
+		shard_taken = 401,
+		shard_lost = 402,
+		shard_recovered = 403,
+		snapshot_written = 404,
+		run_fenced = 405,
+		run_released = 406,
+		run_paused = 407,
+		run_stopped = 408,
+		grant_refused = 409,
+		start_refused = 410,
+		task_parked = 411,
+		worker_quarantined = 412,
+		run_adopted = 413,
+		// 5xx: configuration and operators
+		config_applied = 500,
+		config_refused = 501,
+		command_accepted = 502,
+		command_refused = 503,
+		worker_leaving = 504,
+	};
+
+	/// \brief The event's name as it stands in the log and in the catalogue.
+	[[nodiscard]] std::string_view to_string(event what) noexcept;
+
+	/// \brief Every event, for the test that holds the catalogue against the code.
+	[[nodiscard]] std::initializer_list<event> all_events() noexcept;
+
+	/// \brief One named value of a log line.
+	struct log_field
+	{
+		log_field(std::string_view field, std::string_view text) : name{field}, value(text) {}
+		log_field(std::string_view field, const std::string& text) : log_field{field, std::string_view{text}} {}
+		log_field(std::string_view field, const char* text) : log_field{field, std::string_view{text}} {}
+		template <std::integral Number>
+		log_field(std::string_view field, Number number) : name{field},
+														   value(number)
+		{
+		}
+
+		std::string_view name;
+		boost::json::value value;
+	};
+
+	/// \brief Writes one line: `E<number> <name> {"field":value,...}`.
+	void log_event(event what, std::initializer_list<log_field> fields = {});
+
+	/// \brief Prepares the log of a process: everything goes to standard error.
+	void start_log(const char* program);
+}
--- /dev/null
+++ b/packages/core/include/trailjunction/core/ids.hpp
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief The identifiers of the system.
+#pragma once
+
+#include "strong_id.hpp"
+
+namespace trailjunction
+{
+	using worker_id = strong_id<struct worker_tag>;   ///< One worker: an instance that runs tasks and one upstream.
+	using hall_id = strong_id<struct hall_tag>;       ///< One hall: a zone of a data centre.
+	using rack_id = strong_id<struct rack_tag>;       ///< One rack within a hall.
+	using team_id = strong_id<struct team_tag>;       ///< One team: a customer with a quota.
+	using service_id = strong_id<struct service_tag>; ///< One latency-critical service.
+	using task_id = strong_id<struct task_tag>;       ///< One task; unique for ever.
+	using kind_id = strong_id<struct kind_tag>;       ///< The kind of a task, shared by tasks that behave alike.
+	using member_id = strong_id<struct member_tag>;   ///< One entry process, by its settings' name.
+	using checkpoint_id = strong_id<struct checkpoint_tag>; ///< One checkpoint that the platform holds.
+
+	using incarnation = strong_number<struct incarnation_tag>;       ///< One life of a process.
+	using epoch = strong_number<struct epoch_tag>;                   ///< One ownership of a shard.
+	using run_number = strong_number<struct run_tag>;                ///< One run of a task, counted from 1.
+	using sequence = strong_number<struct sequence_tag>;             ///< A place in a shard's journal.
+	using config_version = strong_number<struct config_version_tag>; ///< A version of the configuration.
+	using shard_id = strong_number<struct shard_tag>;                ///< One shard of the tasks.
+}
--- /dev/null
+++ b/packages/core/include/trailjunction/core/request_outcome.hpp
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief How a request ended.
+#pragma once
+
+#include <string_view>
+
+namespace trailjunction
+{
+	/// \brief The one end that every request has.
+	enum class request_outcome
+	{
+		done,    ///< The upstream's whole answer to this request was received.
+		not_run, ///< Proved: the request was never handed to an upstream.
+		unknown, ///< The request may have run.
+	};
+
+	/// \brief The outcome as callers see it in `Trailjunction-Outcome`.
+	[[nodiscard]] constexpr std::string_view to_string(request_outcome outcome) noexcept
+	{
+		switch (outcome)
+		{
+		case request_outcome::done:
+			return "done";
+		case request_outcome::not_run:
+			return "not-run";
+		case request_outcome::unknown:
+			break;
+		}
+		return "unknown";
+	}
+}
--- /dev/null
+++ b/packages/core/src/event.cpp
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/event.hpp>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace
+	{
+		/// Events that an operator should look at.
+		constexpr event warnings[] = {
+			event::settings_refused,     event::listen_failed,       event::frame_refused, event::worker_ejected,
+			event::platform_unreachable, event::member_renewed_late, event::shard_lost,    event::run_fenced,
+			event::run_paused,           event::run_stopped,         event::grant_refused, event::task_parked,
+			event::worker_quarantined,   event::config_refused,
+		};
+
+		constexpr std::initializer_list<event> every_event = {
+			event::process_started,      event::process_ready,    event::process_stopping,
+			event::process_stopped,      event::settings_refused, event::listen_failed,
+			event::link_opened,          event::link_closed,      event::frame_refused,
+			event::late_answer_dropped,  event::request_refused,  event::worker_ejected,
+			event::platform_unreachable, event::platform_back,    event::write_resolved,
+			event::member_renewed_late,  event::shard_taken,      event::shard_lost,
+			event::shard_recovered,      event::snapshot_written, event::run_fenced,
+			event::run_released,         event::run_paused,       event::run_stopped,
+			event::grant_refused,        event::start_refused,    event::task_parked,
+			event::worker_quarantined,   event::run_adopted,      event::config_applied,
+			event::config_refused,       event::command_accepted, event::command_refused,
+			event::worker_leaving,
+		};
+	}
+
+	std::string_view to_string(event what) noexcept
+	{
+		switch (what)
+		{
+		case event::process_started:
+			return "process_started";
+		case event::process_ready:
+			return "process_ready";
+		case event::process_stopping:
+			return "process_stopping";
+		case event::process_stopped:
+			return "process_stopped";
+		case event::settings_refused:
+			return "settings_refused";
+		case event::listen_failed:
+			return "listen_failed";
+		case event::link_opened:
+			return "link_opened";
+		case event::link_closed:
+			return "link_closed";
+		case event::frame_refused:
+			return "frame_refused";
+		case event::late_answer_dropped:
+			return "late_answer_dropped";
+		case event::request_refused:
+			return "request_refused";
+		case event::worker_ejected:
+			return "worker_ejected";
+		case event::platform_unreachable:
+			return "platform_unreachable";
+		case event::platform_back:
+			return "platform_back";
+		case event::write_resolved:
+			return "write_resolved";
+		case event::member_renewed_late:
+			return "member_renewed_late";
+		case event::shard_taken:
+			return "shard_taken";
+		case event::shard_lost:
+			return "shard_lost";
+		case event::shard_recovered:
+			return "shard_recovered";
+		case event::snapshot_written:
+			return "snapshot_written";
+		case event::run_fenced:
+			return "run_fenced";
+		case event::run_released:
+			return "run_released";
+		case event::run_paused:
+			return "run_paused";
+		case event::run_stopped:
+			return "run_stopped";
+		case event::grant_refused:
+			return "grant_refused";
+		case event::start_refused:
+			return "start_refused";
+		case event::task_parked:
+			return "task_parked";
+		case event::worker_quarantined:
+			return "worker_quarantined";
+		case event::run_adopted:
+			return "run_adopted";
+		case event::config_applied:
+			return "config_applied";
+		case event::config_refused:
+			return "config_refused";
+		case event::command_accepted:
+			return "command_accepted";
+		case event::command_refused:
+			return "command_refused";
+		case event::worker_leaving:
+			return "worker_leaving";
+		}
+		return "unnamed";
+	}
+
+	std::initializer_list<event> all_events() noexcept
+	{
+		return every_event;
+	}
+
+	void log_event(event what, std::initializer_list<log_field> fields)
+	{
+		boost::json::object object;
+		for (const auto& field : fields)
+			object[field.name] = field.value;
+		const auto number = static_cast<int>(what);
+		const bool warn = std::find(std::begin(warnings), std::end(warnings), what) != std::end(warnings);
+		if (warn)
+			LOG(WARNING) << 'E' << number << ' ' << to_string(what) << ' ' << boost::json::serialize(object);
+		else
+			LOG(INFO) << 'E' << number << ' ' << to_string(what) << ' ' << boost::json::serialize(object);
+	}
+
+	void start_log(const char* program)
+	{
+		FLAGS_logtostderr = true;
+		google::InitGoogleLogging(program);
+	}
+}
--- /dev/null
+++ b/packages/decide/src/process/shard_state.cpp
@@ -0,0 +1,328 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/decide/process/shard_state.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace trailjunction
+{
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr std::array<std::string_view, 7> phase_names{"waiting", "running",  "fenced",   "unresolved",
+															  "parked",  "finished", "cancelled"};
+		constexpr std::size_t reason_kept = 400;
+
+		queue_place place_of(const task_state& task)
+		{
+			return {task.spec.priority, task.order, task.spec.id};
+		}
+
+		/// Takes a task out of the indexes of its phase.
+		void leave_phase(shard_state& shard, const task_state& task)
+		{
+			if (task.phase == task_phase::waiting)
+				shard.waiting.erase(place_of(task));
+			if (!holds_worker(task.phase))
+				return;
+			shard.on_worker[task.worker].erase(task.spec.id);
+			if (shard.on_worker[task.worker].empty())
+				shard.on_worker.erase(task.worker);
+			shard.team_use[task.spec.team] -= task.spec.claim;
+		}
+
+		/// Puts a task into the indexes of its phase.
+		void enter_phase(shard_state& shard, const task_state& task)
+		{
+			if (task.phase == task_phase::waiting)
+				shard.waiting.insert(place_of(task));
+			if (is_over(task.phase))
+				shard.over.push_back(task.spec.id);
+			if (!holds_worker(task.phase))
+				return;
+			shard.on_worker[task.worker].insert(task.spec.id);
+			shard.team_use[task.spec.team] += task.spec.claim;
+		}
+
+		void forget_oldest(shard_state& shard)
+		{
+			while (shard.over.size() > ended_tasks_kept)
+			{
+				shard.tasks.erase(shard.over.front());
+				shard.over.pop_front();
+			}
+		}
+
+		absl::Status refuse(const journal_record& record, std::string_view why)
+		{
+			return absl::FailedPreconditionError(
+				absl::StrCat("task ", record.task.str(), " run ", record.run.value, ": ", std::string{why}));
+		}
+
+		void note_failure(task_state& task)
+		{
+			++task.failures;
+			if (std::find(task.failed_on.begin(), task.failed_on.end(), task.worker) == task.failed_on.end())
+				task.failed_on.push_back(task.worker);
+		}
+
+		/// The phase after a run that has ended with proof.
+		task_phase phase_after(task_state& task, const journal_record& record)
+		{
+			if (record.how == run_end::finished)
+				return task_phase::finished;
+			if (task.cancel_wanted)
+				return task_phase::cancelled;
+			if (record.how == run_end::failed)
+				note_failure(task);
+			if (record.how == run_end::evicted)
+				++task.evictions;
+			const bool resumable = record.how == run_end::refused || record.how == run_end::evicted;
+			if (!task.spec.repeatable && !resumable)
+				return task_phase::unresolved;
+			return task_phase::waiting;
+		}
+
+		absl::Status submit(shard_state& shard, const journal_record& record)
+		{
+			if (!record.spec)
+				return refuse(record, "a submission without a spec");
+			if (shard.tasks.contains(record.task))
+				return refuse(record, "exists already");
+			task_state task;
+			task.spec = *record.spec;
+			task.order = ++shard.submitted;
+			task.reason = record.reason;
+			enter_phase(shard, task);
+			shard.tasks.emplace(record.task, std::move(task));
+			return absl::OkStatus();
+		}
+
+		/// Whether the record speaks of the run that the task holds now.
+		bool is_current(const task_state& task, const journal_record& record)
+		{
+			return holds_worker(task.phase) && task.run == record.run;
+		}
+
+		absl::Status change(shard_state& shard, task_state& task, const journal_record& record)
+		{
+			auto next = task;
+			switch (record.kind)
+			{
+			case record_kind::started:
+				if (task.phase != task_phase::waiting || record.run != task.run.next())
+					return refuse(record, "cannot start now");
+				next.phase = task_phase::running;
+				next.run = record.run;
+				next.worker = record.worker;
+				next.worker_life = record.worker_life;
+				next.wanted = worker_id{};
+				break;
+			case record_kind::ended:
+				if (!is_current(task, record))
+					return refuse(record, "is not the run that holds the task");
+				if (!record.checkpoint.empty())
+					next.checkpoint = record.checkpoint;
+				next.phase = phase_after(next, record);
+				break;
+			case record_kind::checkpointed:
+				if (!is_current(task, record))
+					return refuse(record, "is not the run that holds the task");
+				next.checkpoint = record.checkpoint;
+				break;
+			case record_kind::fenced:
+				if (task.phase != task_phase::running || task.run != record.run)
+					return refuse(record, "does not run");
+				next.phase = task_phase::fenced;
+				break;
+			case record_kind::confirmed:
+				if (task.phase != task_phase::fenced || task.run != record.run)
+					return refuse(record, "is not fenced");
+				next.phase = task_phase::running;
+				next.worker_life = record.worker_life;
+				break;
+			case record_kind::released:
+				if (task.phase != task_phase::fenced || task.run != record.run)
+					return refuse(record, "is not fenced");
+				next.phase = task.cancel_wanted     ? task_phase::cancelled
+							 : task.spec.repeatable ? task_phase::waiting
+													: task_phase::unresolved;
+				break;
+			case record_kind::cancelled:
+				if (is_over(task.phase))
+					return refuse(record, "is over");
+				next.cancel_wanted = true;
+				next.release_wanted = record.released;
+				if (!holds_worker(task.phase))
+					next.phase = task_phase::cancelled;
+				break;
+			case record_kind::parked:
+				if (task.phase != task_phase::waiting)
+					return refuse(record, "does not wait");
+				next.phase = task_phase::parked;
+				break;
+			case record_kind::resolved:
+				if (task.phase != task_phase::unresolved && task.phase != task_phase::parked)
+					return refuse(record, "needs no word");
+				next.phase = record.again ? task_phase::waiting : task_phase::finished;
+				next.failures = 0;
+				next.failed_on.clear();
+				break;
+			case record_kind::placed:
+				if (task.phase != task_phase::waiting)
+					return refuse(record, "does not wait");
+				next.wanted = record.worker;
+				break;
+			case record_kind::submitted:
+				return refuse(record, "exists already");
+			}
+			next.reason = record.reason.substr(0, reason_kept);
+			leave_phase(shard, task);
+			task = std::move(next);
+			enter_phase(shard, task);
+			return absl::OkStatus();
+		}
+
+		json::object to_json(const task_state& task)
+		{
+			json::object out;
+			out["s"] = to_json(task.spec);
+			out["p"] = to_string(task.phase);
+			out["o"] = task.order;
+			out["r"] = task.run.value;
+			out["w"] = task.worker.str();
+			out["i"] = task.worker_life.value;
+			out["c"] = task.checkpoint.str();
+			out["y"] = task.reason;
+			out["x"] = task.cancel_wanted;
+			out["l"] = task.release_wanted;
+			out["v"] = task.evictions;
+			out["f"] = task.failures;
+			out["d"] = task.wanted.str();
+			json::array failed;
+			for (const auto& worker : task.failed_on)
+				failed.emplace_back(worker.str());
+			out["fo"] = std::move(failed);
+			return out;
+		}
+
+		absl::StatusOr<task_state> task_of(const json::value& value)
+		{
+			const auto* object = value.if_object();
+			if (object == nullptr || object->if_contains("s") == nullptr)
+				return absl::DataLossError("a task of the snapshot has no spec");
+			task_state task;
+			field_faults faults;
+			field_reader reader{object->at("s"), "", faults};
+			task.spec = read_task_spec(reader);
+			const auto phase = std::find(phase_names.begin(), phase_names.end(), text_or(*object, "p"));
+			if (!faults.empty() || phase == phase_names.end())
+				return absl::DataLossError(absl::StrCat("a task of the snapshot: ", to_string(faults)));
+			task.phase = static_cast<task_phase>(phase - phase_names.begin());
+			task.order = static_cast<std::uint64_t>(number_or(*object, "o"));
+			task.run = {static_cast<std::uint64_t>(number_or(*object, "r"))};
+			task.worker = worker_id{text_or(*object, "w")};
+			task.worker_life = {static_cast<std::uint64_t>(number_or(*object, "i"))};
+			task.checkpoint = checkpoint_id{text_or(*object, "c")};
+			task.reason = text_or(*object, "y");
+			task.cancel_wanted = flag_or(*object, "x");
+			task.release_wanted = flag_or(*object, "l");
+			task.evictions = static_cast<int>(number_or(*object, "v"));
+			task.failures = static_cast<int>(number_or(*object, "f"));
+			task.wanted = worker_id{text_or(*object, "d")};
+			if (const auto* failed = object->if_contains("fo"); failed != nullptr && failed->is_array())
+				for (const auto& worker : failed->get_array())
+					if (worker.is_string())
+						task.failed_on.emplace_back(std::string{worker.get_string()});
+			return task;
+		}
+	}
+
+	std::string_view to_string(task_phase phase) noexcept
+	{
+		return phase_names[static_cast<std::size_t>(phase)];
+	}
+
+	absl::Status apply(shard_state& shard, const journal_record& record)
+	{
+		if (record.kind == record_kind::submitted)
+			return submit(shard, record);
+		const auto found = shard.tasks.find(record.task);
+		if (found == shard.tasks.end())
+			return absl::NotFoundError(absl::StrCat("no task ", record.task.str()));
+		const auto status = change(shard, found->second, record);
+		forget_oldest(shard);
+		return status;
+	}
+
+	absl::Status apply(shard_state& shard, const journal_batch& batch)
+	{
+		if (batch.number != shard.applied.next() || batch.owner_epoch < shard.current)
+			return absl::DataLossError(absl::StrCat("batch ", batch.number.value, " of epoch ", batch.owner_epoch.value,
+													" does not follow batch ", shard.applied.value, " of epoch ",
+													shard.current.value));
+		shard.applied = batch.number;
+		shard.current = batch.owner_epoch;
+		shard.owner = batch.owner;
+		for (const auto& record : batch.records)
+			if (const auto status = apply(shard, record); !status.ok())
+				return absl::DataLossError(absl::StrCat("batch ", batch.number.value, ": ", status.message()));
+		return absl::OkStatus();
+	}
+
+	std::string encode_snapshot(const shard_state& shard)
+	{
+		json::array tasks;
+		tasks.reserve(shard.tasks.size());
+		for (const auto& [id, task] : shard.tasks)
+			if (!is_over(task.phase))
+				tasks.push_back(to_json(task));
+		json::array over; // in order: the oldest is forgotten first
+		for (const auto& id : shard.over)
+			over.push_back(to_json(shard.tasks.at(id)));
+		json::object out;
+		out["applied"] = shard.applied.value;
+		out["epoch"] = shard.current.value;
+		out["owner"] = shard.owner.str();
+		out["submitted"] = shard.submitted;
+		out["tasks"] = std::move(tasks);
+		out["over"] = std::move(over);
+		return json::serialize(out);
+	}
+
+	absl::StatusOr<shard_state> decode_snapshot(std::string_view text)
+	{
+		const auto parsed = parse_json(text);
+		if (!parsed.ok())
+			return parsed.status();
+		const auto* object = parsed->if_object();
+		if (object == nullptr)
+			return absl::DataLossError("a snapshot is no object");
+		shard_state shard;
+		shard.applied = {static_cast<std::uint64_t>(number_or(*object, "applied"))};
+		shard.current = {static_cast<std::uint64_t>(number_or(*object, "epoch"))};
+		shard.owner = member_id{text_or(*object, "owner")};
+		shard.submitted = static_cast<std::uint64_t>(number_or(*object, "submitted"));
+		for (const auto* name : {"tasks", "over"})
+		{
+			const auto* list = object->if_contains(name);
+			if (list == nullptr || !list->is_array())
+				return absl::DataLossError(absl::StrCat("a snapshot without ", name));
+			for (const auto& value : list->get_array())
+			{
+				auto task = task_of(value);
+				if (!task.ok())
+					return task.status();
+				enter_phase(shard, *task);
+				const auto id = task->spec.id;
+				shard.tasks.emplace(id, *std::move(task));
+			}
+		}
+		return shard;
+	}
+}
--- /dev/null
+++ b/packages/decide/src/process/task_spec.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/random.hpp>
+#include <trailjunction/decide/process/task_spec.hpp>
+
+namespace trailjunction
+{
+	namespace
+	{
+		constexpr allowed_range cpu_range{0, 1'000'000};
+		constexpr allowed_range memory_range{0, 100'000'000};
+		constexpr allowed_range accelerator_range{0, 1'000};
+		constexpr allowed_range expected_range{0, 365LL * 24 * 3600 * 1000};
+		constexpr char replica_mark = '#';
+	}
+
+	std::string_view to_string(urgency what) noexcept
+	{
+		switch (what)
+		{
+		case urgency::urgent:
+			return "urgent";
+		case urgency::background:
+			return "background";
+		case urgency::normal:
+			break;
+		}
+		return "normal";
+	}
+
+	shard_id shard_of(const task_id& task, std::uint64_t shards) noexcept
+	{
+		const std::string_view text{task.str()};
+		return {stable_hash(text.substr(0, text.find(replica_mark))) % shards};
+	}
+
+	boost::json::object to_json(const task_spec& spec)
+	{
+		boost::json::object out;
+		out["id"] = spec.id.str();
+		out["team"] = spec.team.str();
+		out["kind"] = spec.kind.str();
+		if (spec.priority != urgency::normal)
+			out["urgency"] = to_string(spec.priority);
+		if (!spec.repeatable)
+			out["repeatable"] = false;
+		if (spec.replica)
+			out["replica"] = true;
+		out["cpu"] = spec.claim.cpu_milli;
+		out["memory"] = spec.claim.memory_mib;
+		if (spec.claim.accelerators != 0)
+			out["accelerators"] = spec.claim.accelerators;
+		if (!spec.command.empty())
+			out["command"] = spec.command;
+		if (!spec.hall.empty())
+			out["hall"] = spec.hall.str();
+		if (!spec.adopted_on.empty())
+			out["adopted_on"] = spec.adopted_on.str();
+		if (spec.expected_ms != 0)
+			out["expected_ms"] = spec.expected_ms;
+		return out;
+	}
+
+	task_spec read_task_spec(field_reader& reader)
+	{
+		task_spec spec;
+		std::string id;
+		std::string team;
+		std::string kind;
+		std::string hall;
+		std::string adopted_on;
+		std::string priority{"normal"};
+		reader.require("id");
+		reader.require("team");
+		reader.read("id", id);
+		reader.read("team", team);
+		reader.read("kind", kind);
+		reader.read("hall", hall, true);
+		reader.read("urgency", priority);
+		reader.read("repeatable", spec.repeatable);
+		reader.read("replica", spec.replica);
+		reader.read("cpu", spec.claim.cpu_milli, cpu_range);
+		reader.read("memory", spec.claim.memory_mib, memory_range);
+		reader.read("accelerators", spec.claim.accelerators, accelerator_range);
+		reader.read("command", spec.command, true);
+		reader.read("adopted_on", adopted_on, true);
+		reader.read("expected_ms", spec.expected_ms, expected_range);
+		if (priority == "urgent")
+			spec.priority = urgency::urgent;
+		else if (priority == "background")
+			spec.priority = urgency::background;
+		else if (priority != "normal")
+			reader.fault("urgency", "is '" + priority + "', one of urgent, normal, background is wanted");
+		reader.finish();
+		spec.id = task_id{id};
+		spec.team = team_id{team};
+		spec.kind = kind_id{kind.empty() ? id : kind};
+		spec.hall = hall_id{hall};
+		spec.adopted_on = worker_id{adopted_on};
+		return spec;
+	}
+}
--- /dev/null
+++ b/packages/entry/include/trailjunction/entry.hpp
@@ -0,0 +1,8 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Umbrella header of the entry package.
+#pragma once
+
+#include "entry/entry_process.hpp"
+#include "entry/query_client.hpp"
+#include "entry/settings.hpp"
--- /dev/null
+++ b/packages/entry/src/connection/agent_connection.hpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief A connection to one agent that is kept up.
+#pragma once
+
+#include <trailjunction/core/ids.hpp>
+#include <trailjunction/core/units.hpp>
+#include <trailjunction/net/endpoint.hpp>
+#include <trailjunction/wire/link.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace trailjunction
+{
+	/// \brief Connects to an agent, and again after each break, later each time and with jitter.
+	/// \details Lives on one io_context. A greeting goes out once a second as a sign of life, so that a connection
+	/// whose other side is gone is noticed by its silence.
+	class agent_connection : public std::enable_shared_from_this<agent_connection>
+	{
+	public:
+		/// \brief What the owner of the connection is told.
+		struct handlers
+		{
+			std::function<void(const std::shared_ptr<link>&)> on_open;
+			std::function<void(const std::shared_ptr<link>&, wire::envelope&&)> on_message;
+			std::function<void(const std::shared_ptr<link>&)> on_close;
+		};
+
+		agent_connection(boost::asio::io_context& io, endpoint where, member_id self, incarnation life);
+
+		/// \brief Starts to connect.
+		void start(handlers callbacks);
+
+		/// \brief Ends the connection for good; no callback comes afterwards.
+		void stop();
+
+		/// \brief The open link, or null.
+		[[nodiscard]] const std::shared_ptr<link>& current() const noexcept
+		{
+			return link_;
+		}
+		[[nodiscard]] const endpoint& where() const noexcept
+		{
+			return where_;
+		}
+
+	private:
+		boost::asio::awaitable<void> keep_connected();
+		boost::asio::awaitable<void> greet_while_open(std::shared_ptr<link> open);
+
+		boost::asio::io_context& io_;
+		endpoint where_;
+		member_id self_;
+		incarnation life_;
+		handlers callbacks_;
+		std::shared_ptr<link> link_;
+		boost::asio::steady_timer wake_;
+		bool stopped_{};
+	};
+}
--- /dev/null
+++ b/packages/entry/src/main.cpp
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The program `trailjunction`.
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/entry.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+#include <vector>
+
+namespace po = boost::program_options;
+using trailjunction::exit_code;
+
+namespace
+{
+	constexpr const char* usage =
+		"Usage:\n"
+		"  trailjunction entry --settings FILE    run an entry\n"
+		"  trailjunction query [--entry IP:PORT] [--format table|json] 'COMMAND'\n"
+		"  trailjunction check FILE               check an entry's settings\n"
+		"\n"
+		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings, 3 nobody answered.\n"
+		"\n"
+		"Options";
+
+	int fail(const std::string& reason, exit_code code)
+	{
+		std::cerr << "trailjunction: " << reason << "\n";
+		return static_cast<int>(code);
+	}
+
+	absl::StatusOr<trailjunction::entry_settings> load(const std::string& path)
+	{
+		const auto file = trailjunction::read_settings_file(path);
+		if (!file.ok())
+			return file.status();
+		const auto settings = trailjunction::read_entry_settings(*file);
+		if (!settings.ok())
+			return absl::InvalidArgumentError(path + ":\n" + std::string{settings.status().message()});
+		return settings;
+	}
+
+	int run_entry_command(const po::variables_map& given)
+	{
+		if (given.count("settings") == 0)
+			return fail("entry: --settings FILE is wanted", exit_code::usage);
+		const auto settings = load(given["settings"].as<std::string>());
+		if (!settings.ok())
+			return fail(std::string{settings.status().message()}, exit_code::usage);
+		trailjunction::start_log("trailjunction");
+		return static_cast<int>(trailjunction::run_entry(*settings));
+	}
+
+	int run_check_command(const std::vector<std::string>& words)
+	{
+		if (words.size() != 2)
+			return fail("check: one FILE is wanted", exit_code::usage);
+		const auto settings = load(words[1]);
+		if (!settings.ok())
+			return fail(std::string{settings.status().message()}, exit_code::usage);
+		std::cout << words[1] << ": ok\n";
+		return static_cast<int>(exit_code::ok);
+	}
+
+	int run_query_command(const po::variables_map& given, const std::vector<std::string>& words)
+	{
+		const auto entry = trailjunction::parse_endpoint(given["entry"].as<std::string>());
+		if (!entry.ok())
+			return fail("--entry: " + std::string{entry.status().message()}, exit_code::usage);
+		const auto format = given["format"].as<std::string>();
+		if (format != "table" && format != "json")
+			return fail("--format: is '" + format + "', table or json is wanted", exit_code::usage);
+		std::string command;
+		for (std::size_t i = 1; i < words.size(); ++i)
+			command += (i > 1 ? " " : "") + words[i];
+		const auto chosen = format == "json" ? trailjunction::output_format::json : trailjunction::output_format::table;
+		return static_cast<int>(trailjunction::run_query(*entry, command, chosen));
+	}
+
+	int run(int argc, char** argv)
+	{
+		po::options_description options{usage};
+		options.add_options()("settings", po::value<std::string>(), "JSON settings of an entry")(
+			"entry", po::value<std::string>()->default_value("127.0.0.1:7001"),
+			"operators' address of an entry")("format", po::value<std::string>()->default_value("table"),
+											  "how answers are printed")("help", "print this text")(
+			"version", "print the version")("words", po::value<std::vector<std::string>>(), "");
+		po::positional_options_description positions;
+		positions.add("words", -1);
+		po::variables_map given;
+		try
+		{
+			po::store(po::command_line_parser(argc, argv).options(options).positional(positions).run(), given);
+		}
+		catch (const po::error& fault)
+		{
+			return fail(fault.what(), exit_code::usage);
+		}
+		if (given.count("help") != 0)
+		{
+			std::cout << options;
+			return static_cast<int>(exit_code::ok);
+		}
+		if (given.count("version") != 0)
+		{
+			std::cout << "trailjunction " << TRAILJUNCTION_VERSION << "\n";
+			return static_cast<int>(exit_code::ok);
+		}
+		const auto words =
+			given.count("words") == 0 ? std::vector<std::string>{} : given["words"].as<std::vector<std::string>>();
+		if (words.empty())
+			return fail("a command is wanted: entry, query or check; see --help", exit_code::usage);
+		if (words[0] == "entry")
+			return run_entry_command(given);
+		if (words[0] == "check")
+			return run_check_command(words);
+		if (words[0] == "query")
+			return run_query_command(given, words);
+		return fail("no command '" + words[0] + "', one of entry, query, check is wanted", exit_code::usage);
+	}
+}
+
+int main(int argc, char** argv)
+{
+	try
+	{
+		return run(argc, argv);
+	}
+	catch (const std::exception& fault)
+	{
+		return fail(fault.what(), exit_code::failed);
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/command_runner.cpp
@@ -0,0 +1,539 @@
+// SPDX-License-Identifier: MIT
+#include "command_runner.hpp"
+
+#include "command_specs.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/core/random.hpp>
+#include <trailjunction/net/http_client.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr auto command_time = millis{6'000};
+		constexpr auto forward_time = millis{5'500};
+		constexpr std::size_t requests_kept = 1'000;
+
+		instant now()
+		{
+			return std::chrono::steady_clock::now();
+		}
+
+		command_result refuse(absl::Status status)
+		{
+			command_result result;
+			result.status = std::move(status);
+			return result;
+		}
+
+		command_result done(std::string message)
+		{
+			command_result result;
+			result.message = std::move(message);
+			return result;
+		}
+
+		int http_status(absl::StatusCode code)
+		{
+			switch (code)
+			{
+			case absl::StatusCode::kOk:
+				return 200;
+			case absl::StatusCode::kInvalidArgument:
+				return 400;
+			case absl::StatusCode::kNotFound:
+				return 404;
+			case absl::StatusCode::kAborted:
+			case absl::StatusCode::kAlreadyExists:
+			case absl::StatusCode::kFailedPrecondition:
+				return 409;
+			case absl::StatusCode::kUnknown:
+				return 504;
+			default:
+				return 503;
+			}
+		}
+
+		absl::StatusCode code_of(int status)
+		{
+			switch (status)
+			{
+			case 200:
+				return absl::StatusCode::kOk;
+			case 400:
+				return absl::StatusCode::kInvalidArgument;
+			case 404:
+				return absl::StatusCode::kNotFound;
+			case 409:
+				return absl::StatusCode::kFailedPrecondition;
+			case 504:
+				return absl::StatusCode::kUnknown;
+			default:
+				return absl::StatusCode::kUnavailable;
+			}
+		}
+
+		http_response to_response(const command_result& result)
+		{
+			if (!result.status.ok())
+				return error_response(http_status(result.status.code()), std::string{result.status.message()});
+			json::object out;
+			out["message"] = result.message;
+			if (!result.table.columns.empty())
+				out["table"] = to_json(result.table);
+			if (result.version.value != 0)
+				out["version"] = result.version.value;
+			if (result.count != 0)
+				out["count"] = result.count;
+			return json_response(200, json::serialize(out));
+		}
+
+		command_result from_response(const http_result& answer)
+		{
+			if (answer.reached == delivery::not_sent)
+				return refuse(absl::UnavailableError("the owner's entry was not reached; nothing was changed"));
+			if (answer.reached == delivery::unknown)
+				return refuse(
+					absl::UnknownError("the owner's entry gave no answer; repeat the command with the same id"));
+			const auto parsed = parse_json(answer.response.body);
+			if (!parsed.ok() || !parsed->is_object())
+				return refuse(absl::InternalError("the owner's entry answered no object"));
+			const auto& object = parsed->get_object();
+			if (answer.response.status != 200)
+				return refuse(absl::Status(code_of(answer.response.status), text_or(object, "error")));
+			command_result result;
+			result.message = text_or(object, "message");
+			result.version = {static_cast<std::uint64_t>(number_or(object, "version"))};
+			result.count = static_cast<std::uint64_t>(number_or(object, "count"));
+			if (const auto* table = object.if_contains("table"); table != nullptr && table->is_object())
+				result.table = table_of(table->get_object());
+			return result;
+		}
+
+		journal_record record_of(record_kind kind, const task_id& task, std::string reason)
+		{
+			journal_record record;
+			record.kind = kind;
+			record.task = task;
+			record.reason = std::move(reason);
+			return record;
+		}
+	}
+
+	command_runner::command_runner(asio::io_context& io, const entry_settings& settings, task_owner& tasks,
+								   worker_directory& workers, member_keeper& members, config_keeper& config)
+		: io_{io},
+		  settings_{settings},
+		  tasks_{tasks},
+		  workers_{workers},
+		  members_{members},
+		  config_{config}
+	{
+	}
+
+	void command_runner::note(request_note note)
+	{
+		requests_.push_back(std::move(note));
+		if (requests_.size() > requests_kept)
+			requests_.pop_front();
+	}
+
+	asio::awaitable<http_response> command_runner::answer(http_request request)
+	{
+		const auto body = parse_json(request.body);
+		if (!body.ok() || !body->is_object())
+			co_return error_response(400, "the body is not JSON with a field \"command\"");
+		command_call call;
+		call.text = text_or(body->get_object(), "command");
+		call.id = text_or(body->get_object(), "id");
+		if (call.id.empty())
+			call.id = random_token();
+		call.forwarded = !find_header(request.headers, "Trailjunction-Forwarded").empty();
+		call.deadline = now() + (call.forwarded ? forward_time : command_time);
+		const auto parsed = parse_command(call.text);
+		if (!parsed.ok())
+			co_return error_response(400, std::string{parsed.status().message()});
+		call.parsed = *parsed;
+		const auto text = call.text;
+		const bool reads = call.parsed.what == verb::show || call.parsed.what == verb::why;
+		const auto result = co_await run(std::move(call));
+		if (!reads)
+			log_event(result.status.ok() ? event::command_accepted : event::command_refused,
+					  {{"command", text}, {"reason", std::string{result.status.message()}}});
+		co_return to_response(result);
+	}
+
+	asio::awaitable<command_result> command_runner::run(command_call call)
+	{
+		const auto subject = call.parsed.subject;
+		switch (call.parsed.what)
+		{
+		case verb::show:
+			co_return co_await show(std::move(call));
+		case verb::why:
+			co_return co_await why(std::move(call));
+		case verb::submit:
+		case verb::adopt:
+			co_return co_await submit(std::move(call));
+		case verb::cancel:
+			if (call.parsed.about == noun::tasks)
+				co_return co_await cancel_many(std::move(call));
+			co_return co_await change_task(std::move(call));
+		case verb::place:
+		case verb::resolve:
+		case verb::release:
+			co_return co_await change_task(std::move(call));
+		case verb::drain:
+			if (call.parsed.explain_only)
+				co_return explain_drain(call);
+			if (workers_.find(worker_id{subject}) == nullptr)
+				co_return refuse(absl::NotFoundError(absl::StrCat("no worker '", subject, "'")));
+			co_return co_await change_config(std::move(call), worker_path(subject, "drained"), "true",
+											 absl::StrCat("worker ", subject, " takes no new work"));
+		case verb::undrain:
+			co_return co_await change_config(std::move(call), worker_path(subject, "drained"), "null",
+											 absl::StrCat("worker ", subject, " takes work again"));
+		case verb::reserve:
+		{
+			const auto amounts = read_amounts(call.parsed);
+			if (!amounts.ok())
+				co_return refuse(amounts.status());
+			co_return co_await change_config(std::move(call), worker_path(subject, "reserved"), *amounts,
+											 absl::StrCat("reserved on worker ", subject));
+		}
+		case verb::quota:
+		{
+			const auto amounts = read_amounts(call.parsed);
+			if (!amounts.ok())
+				co_return refuse(amounts.status());
+			co_return co_await change_config(std::move(call), absl::StrCat("/teams/", escape_step(subject)), *amounts,
+											 absl::StrCat("quota of team ", subject, " is set"));
+		}
+		case verb::set:
+		{
+			const auto value = *call.parsed.option("to");
+			co_return co_await change_config(std::move(call), subject, value, absl::StrCat(subject, " is ", value));
+		}
+		}
+		co_return refuse(absl::UnimplementedError("no such command"));
+	}
+
+	asio::awaitable<command_result> command_runner::change_config(command_call call, std::string path,
+																  std::string value, std::string done_message)
+	{
+		if (call.parsed.explain_only)
+			co_return done(
+				absl::StrCat("would set ", path, " to ", value, " in version ", config_.current().version.value + 1));
+		std::optional<config_version> if_version;
+		if (call.parsed.if_version)
+			if_version = config_version{*call.parsed.if_version};
+		const auto change = co_await config_.change(std::move(path), std::move(value), if_version, call.id);
+		if (!change.status.ok())
+			co_return refuse(change.status);
+		auto result = done(absl::StrCat(done_message, " (version ", change.version.value, ")"));
+		result.version = change.version;
+		co_return result;
+	}
+
+	// ------------------------------------------------------------------ other entries
+
+	asio::awaitable<command_result> command_runner::forward(command_call call, std::string address)
+	{
+		const auto where = parse_endpoint(address);
+		if (!where.ok())
+			co_return refuse(absl::UnavailableError("the owner's entry has no address"));
+		json::object body;
+		body["command"] = call.text;
+		body["id"] = call.id;
+		http_client client{io_, *where, 1};
+		http_request request{"POST", "/v1/command", {{"Trailjunction-Forwarded", settings_.member.str()}}, ""};
+		request.body = json::serialize(body);
+		co_return from_response(co_await client.send(std::move(request), call.deadline));
+	}
+
+	asio::awaitable<command_result> command_runner::forward_to_owner(command_call call, shard_id shard)
+	{
+		if (call.forwarded)
+			co_return refuse(absl::UnavailableError("not accepted: this entry does not own the task's shard now"));
+		const auto owner = preferred_owner(shard, members_.live(now()));
+		const auto known = members_.members().find(owner);
+		if (owner == settings_.member || known == members_.members().end())
+			co_return refuse(absl::UnavailableError("not accepted: the task's shard has no owner now; try again"));
+		const auto address = known->second.address;
+		co_return co_await forward(std::move(call), address);
+	}
+
+	asio::awaitable<command_result> command_runner::gather(command_call call, result_table own)
+	{
+		command_result result;
+		result.table = std::move(own);
+		if (call.forwarded)
+			co_return result;
+		for (const auto& member : members_.live(now()))
+		{
+			if (member == settings_.member)
+				continue;
+			const auto address = members_.members().at(member).address;
+			const auto other = co_await forward(call, address);
+			if (!other.status.ok())
+				absl::StrAppend(&result.message, "incomplete: entry ", member.str(), ": ", other.status.message(),
+								"\n");
+			result.table.rows.insert(result.table.rows.end(), other.table.rows.begin(), other.table.rows.end());
+		}
+		auto selected = select(std::move(result.table), call.parsed);
+		if (!selected.ok())
+			co_return refuse(selected.status());
+		result.table = *std::move(selected);
+		co_return result;
+	}
+
+	// ------------------------------------------------------------------ tasks
+
+	asio::awaitable<command_result> command_runner::submit(command_call call)
+	{
+		const auto specs = read_specs(call.parsed);
+		if (!specs.ok())
+			co_return refuse(specs.status());
+		if (call.parsed.explain_only)
+		{
+			random_engine random{random_u64()};
+			const auto decision = place(workers_.places(), specs->front(), {}, config_.current().placement,
+										workers_.learned(), now(), random);
+			co_return done(explain(decision));
+		}
+		command_result result;
+		for (const auto& spec : *specs)
+		{
+			result = co_await submit_one(call, spec);
+			if (!result.status.ok())
+				co_return result;
+		}
+		if (specs->size() > 1)
+			result.message = absl::StrCat("accepted ", specs->size(), " replicas of ", call.parsed.subject);
+		co_return result;
+	}
+
+	asio::awaitable<command_result> command_runner::submit_one(command_call call, task_spec spec)
+	{
+		auto& keeper = tasks_.keeper_of(spec.id);
+		if (keeper.standing() != shard_standing::owned)
+		{
+			if (spec.replica)
+			{
+				// The replica's own command, so that the owner submits this one alone.
+				call.text = replica_command(spec);
+				call.parsed = *parse_command(call.text);
+			}
+			co_return co_await forward_to_owner(std::move(call), keeper.shard());
+		}
+		const auto known = keeper.state().tasks.find(spec.id);
+		if (known != keeper.state().tasks.end())
+		{
+			if (json::serialize(to_json(known->second.spec)) != json::serialize(to_json(spec)))
+				co_return refuse(absl::AlreadyExistsError(
+					absl::StrCat("task ", spec.id.str(), " exists already, with other declarations")));
+			const auto status = co_await tasks_.settle(spec.id, call.deadline);
+			co_return status.ok() ? done(absl::StrCat("task ", spec.id.str(), " was accepted before")) : refuse(status);
+		}
+		auto record = record_of(record_kind::submitted, spec.id, "");
+		record.spec = spec;
+		const auto status = co_await tasks_.commit(std::move(record), call.deadline);
+		co_return status.ok() ? done(absl::StrCat("accepted task ", spec.id.str())) : refuse(status);
+	}
+
+	asio::awaitable<command_result> command_runner::change_task(command_call call)
+	{
+		const task_id id{call.parsed.subject};
+		auto& keeper = tasks_.keeper_of(id);
+		if (keeper.standing() != shard_standing::owned)
+			co_return co_await forward_to_owner(std::move(call), keeper.shard());
+		const auto found = keeper.state().tasks.find(id);
+		if (found == keeper.state().tasks.end())
+			co_return refuse(absl::NotFoundError(absl::StrCat("no task '", id.str(), "'")));
+		if (call.parsed.explain_only)
+			co_return done(absl::StrCat("would ", std::string{to_string(call.parsed.what)}, " task ", id.str(),
+										", which is ", tasks_.why(found->second)));
+		journal_record record;
+		switch (call.parsed.what)
+		{
+		case verb::cancel:
+			if (found->second.phase == task_phase::cancelled || found->second.cancel_wanted)
+				co_return done(absl::StrCat("task ", id.str(), " was cancelled before"));
+			record = record_of(record_kind::cancelled, id, "cancelled by an operator");
+			break;
+		case verb::release:
+			record = record_of(record_kind::cancelled, id, "left to the operators' scripts");
+			record.released = true;
+			break;
+		case verb::resolve:
+			record = record_of(record_kind::resolved, id, "resolved by an operator");
+			record.again = *call.parsed.option("as") == "retry";
+			break;
+		default:
+			record = record_of(record_kind::placed, id, "placed by an operator");
+			record.worker = worker_id{*call.parsed.option("on")};
+			if (workers_.find(record.worker) == nullptr)
+				co_return refuse(absl::NotFoundError(absl::StrCat("no worker '", record.worker.str(), "'")));
+			break;
+		}
+		const auto status = co_await tasks_.commit(std::move(record), call.deadline);
+		co_return status.ok() ? done(absl::StrCat(std::string{to_string(call.parsed.what)}, ": task ", id.str()))
+							  : refuse(status);
+	}
+
+	asio::awaitable<command_result> command_runner::cancel_many(command_call call)
+	{
+		auto chosen = select(task_table(), call.parsed);
+		if (!chosen.ok())
+			co_return refuse(chosen.status());
+		absl::Status status;
+		std::size_t count = 0;
+		for (const auto& row : chosen->rows)
+		{
+			const task_id id{row.front()};
+			auto& keeper = tasks_.keeper_of(id);
+			const auto found = keeper.state().tasks.find(id);
+			if (found == keeper.state().tasks.end() || is_over(found->second.phase) || found->second.cancel_wanted)
+				continue;
+			if (call.parsed.explain_only ||
+				keeper.decide(record_of(record_kind::cancelled, id, "cancelled by an operator")).ok())
+				++count;
+		}
+		for (const auto& keeper : tasks_.keepers())
+			if (keeper->standing() == shard_standing::owned && !keeper->state().tasks.empty())
+			{
+				const auto id = keeper->state().tasks.begin()->first;
+				if (const auto settled = co_await tasks_.settle(id, call.deadline); !settled.ok())
+					status = settled;
+			}
+		if (!status.ok())
+			co_return refuse(status);
+		std::size_t elsewhere = 0;
+		if (!call.forwarded)
+			for (const auto& member : members_.live(now()))
+				if (member != settings_.member)
+				{
+					const auto other = co_await forward(call, members_.members().at(member).address);
+					if (!other.status.ok())
+						co_return refuse(other.status);
+					elsewhere += other.count;
+				}
+		auto result =
+			done(absl::StrCat(call.parsed.explain_only ? "would cancel " : "cancelled ", count + elsewhere, " tasks"));
+		result.count = count;
+		co_return result;
+	}
+
+	// ------------------------------------------------------------------ questions
+
+	asio::awaitable<command_result> command_runner::show(command_call call)
+	{
+		command_result result;
+		switch (call.parsed.about)
+		{
+		case noun::tasks:
+			co_return co_await gather(std::move(call), task_table());
+		case noun::requests:
+			co_return co_await gather(std::move(call), request_table());
+		case noun::shards:
+			co_return co_await gather(std::move(call), shard_table());
+		case noun::workers:
+			result.table = worker_table();
+			break;
+		case noun::services:
+			result.table = service_table();
+			break;
+		case noun::teams:
+			result.table = team_table();
+			break;
+		case noun::members:
+			result.table = member_table_now();
+			break;
+		default:
+			result.table = {{"version", "document"}, {{absl::StrCat(config_.current().version.value), config_.text()}}};
+			break;
+		}
+		auto selected = select(std::move(result.table), call.parsed);
+		if (!selected.ok())
+			co_return refuse(selected.status());
+		result.table = *std::move(selected);
+		co_return result;
+	}
+
+	asio::awaitable<command_result> command_runner::why(command_call call)
+	{
+		if (call.parsed.about == noun::service)
+			co_return why_service(call);
+		if (call.parsed.about == noun::worker && !call.parsed.negated)
+		{
+			const auto* worker = workers_.find(worker_id{call.parsed.subject});
+			if (worker == nullptr)
+				co_return refuse(absl::NotFoundError(absl::StrCat("no worker '", call.parsed.subject, "'")));
+			co_return done(absl::StrCat(worker->ready ? "ready" : "not ready",
+										workers_.leaving(*worker) ? ", leaving" : "", ", last heard ",
+										std::chrono::duration_cast<millis>(now() - worker->heard).count(),
+										" ms ago, configuration ", worker->config.value));
+		}
+		const task_id id{call.parsed.negated ? *call.parsed.option("for") : call.parsed.subject};
+		auto& keeper = tasks_.keeper_of(id);
+		if (keeper.standing() != shard_standing::owned)
+			co_return co_await forward_to_owner(std::move(call), keeper.shard());
+		const auto found = keeper.state().tasks.find(id);
+		if (found == keeper.state().tasks.end())
+			co_return refuse(absl::NotFoundError(absl::StrCat("no task '", id.str(), "'")));
+		if (call.parsed.negated)
+			co_return why_worker_not(call, found->second);
+		co_return done(absl::StrCat("task ", id.str(), " is ", tasks_.why(found->second)));
+	}
+
+	command_result command_runner::why_worker_not(const command_call& call, const task_state& task)
+	{
+		const auto* view = workers_.places().find(worker_id{call.parsed.subject});
+		if (view == nullptr)
+			return refuse(absl::NotFoundError(absl::StrCat("no worker '", call.parsed.subject, "'")));
+		const auto reason = check_worker(*view, task.spec, task.failed_on, now());
+		if (reason != refusal::none)
+			return done(absl::StrCat("worker ", view->worker.str(), " is refused: ", std::string{to_string(reason)}));
+		placement_decision one;
+		one.chosen = weighed_worker{view->worker,
+									score_worker(*view, task.spec, config_.current().placement, workers_.learned())};
+		return done(absl::StrCat("worker ", view->worker.str(), " is possible; ", explain(one)));
+	}
+
+	command_result command_runner::why_service(const command_call& call) const
+	{
+		const service_id service{call.parsed.subject};
+		std::string text;
+		for (const auto& [pair, learned] : workers_.learned().pairs)
+			if (pair.service == service)
+				absl::StrAppend(&text, "beside ", pair.kind.str(), ": latency times ", std::exp(learned.slowdown), " (",
+								learned.weight, " measurements)\n");
+		const auto table = service_table();
+		for (const auto& row : table.rows)
+			if (row.front() == service.str())
+				absl::StrAppend(&text, "workers ", row[1], ", worst p99 ", row[3], " us, target ", row[4], " ms\n");
+		if (text.empty())
+			return refuse(absl::NotFoundError(absl::StrCat("nothing is known of service '", service.str(), "'")));
+		return done(text);
+	}
+
+	command_result command_runner::explain_drain(const command_call& call) const
+	{
+		const worker_id worker{call.parsed.subject};
+		std::size_t moved = 0;
+		for (const auto& keeper : tasks_.keepers())
+			if (const auto here = keeper->state().on_worker.find(worker); here != keeper->state().on_worker.end())
+				moved += here->second.size();
+		return done(absl::StrCat("would move ", moved, " runs of this entry's shards away from worker ", worker.str()));
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/command_runner.hpp
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Running operators' commands.
+#pragma once
+
+#include "duty_messages.hpp"
+#include "member_keeper.hpp"
+#include "task_owner.hpp"
+#include "worker_directory.hpp"
+
+#include "../version/config_keeper.hpp"
+
+#include <trailjunction/entry/settings.hpp>
+#include <trailjunction/net/http_message.hpp>
+#include <trailjunction/query.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <string>
+
+namespace trailjunction
+{
+	/// \brief What came of a command.
+	struct command_result
+	{
+		absl::Status status;
+		std::string message;
+		result_table table;
+		config_version version; ///< Of the configuration, where the command changed it.
+		std::uint64_t count{};  ///< Tasks that were changed by a command about many.
+	};
+
+	/// \brief One command on its way.
+	struct command_call
+	{
+		command parsed;
+		std::string text; ///< As it came.
+		std::string id;   ///< Names the command: its repetition changes nothing more.
+		bool forwarded{}; ///< By another entry: it is answered here or not at all.
+		instant deadline{};
+	};
+
+	/// \brief Runs commands here, or passes them to the entry that owns the task.
+	class command_runner
+	{
+	public:
+		command_runner(boost::asio::io_context& io, const entry_settings& settings, task_owner& tasks,
+					   worker_directory& workers, member_keeper& members, config_keeper& config);
+
+		/// \brief Answers POST /v1/command: `{"command": "...", "id": "..."}`.
+		[[nodiscard]] boost::asio::awaitable<http_response> answer(http_request request);
+
+		/// \brief Notes a request that has ended, for `show requests`.
+		void note(request_note note);
+
+	private:
+		[[nodiscard]] boost::asio::awaitable<command_result> run(command_call call);
+		[[nodiscard]] boost::asio::awaitable<command_result> show(command_call call);
+		[[nodiscard]] boost::asio::awaitable<command_result> why(command_call call);
+		[[nodiscard]] boost::asio::awaitable<command_result> submit(command_call call);
+		[[nodiscard]] boost::asio::awaitable<command_result> submit_one(command_call call, task_spec spec);
+		[[nodiscard]] boost::asio::awaitable<command_result> change_task(command_call call);
+		[[nodiscard]] boost::asio::awaitable<command_result> cancel_many(command_call call);
+		[[nodiscard]] boost::asio::awaitable<command_result> change_config(command_call call, std::string path,
+																		   std::string value, std::string done);
+		[[nodiscard]] boost::asio::awaitable<command_result> forward(command_call call, std::string address);
+		[[nodiscard]] boost::asio::awaitable<command_result> forward_to_owner(command_call call, shard_id shard);
+		[[nodiscard]] boost::asio::awaitable<command_result> gather(command_call call, result_table own);
+		[[nodiscard]] command_result explain_drain(const command_call& call) const;
+		[[nodiscard]] command_result why_worker_not(const command_call& call, const task_state& task);
+		[[nodiscard]] command_result why_service(const command_call& call) const;
+
+		[[nodiscard]] result_table task_table() const;
+		[[nodiscard]] result_table worker_table() const;
+		[[nodiscard]] result_table service_table() const;
+		[[nodiscard]] result_table request_table() const;
+		[[nodiscard]] result_table team_table() const;
+		[[nodiscard]] result_table member_table_now() const;
+		[[nodiscard]] result_table shard_table() const;
+
+		boost::asio::io_context& io_;
+		const entry_settings& settings_;
+		task_owner& tasks_;
+		worker_directory& workers_;
+		member_keeper& members_;
+		config_keeper& config_;
+		std::deque<request_note> requests_;
+	};
+}
--- /dev/null
+++ b/packages/entry/src/process/command_specs.cpp
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: MIT
+#include "command_specs.hpp"
+
+#include <trailjunction/core/json.hpp>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+
+namespace trailjunction
+{
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr std::int64_t most_replicas = 10'000;
+
+		/// Numbers and truth values as such, everything else as text.
+		json::value value_of(const std::string& name, const std::string& text)
+		{
+			std::int64_t number{};
+			const bool amount = name == "cpu" || name == "memory" || name == "accelerators" || name == "expected_ms";
+			if (amount && absl::SimpleAtoi(text, &number))
+				return number;
+			const bool truth = name == "repeatable" || name == "replica";
+			if (truth && (text == "yes" || text == "true"))
+				return true;
+			if (truth && (text == "no" || text == "false"))
+				return false;
+			return json::string{text};
+		}
+
+		std::string quoted(const std::string& text)
+		{
+			return absl::StrCat("\"", absl::StrReplaceAll(text, {{"\\", "\\\\"}, {"\"", "\\\""}}), "\"");
+		}
+
+		/// A service's replicas: `tally#1` to `tally#N`, of kind `tally`.
+		absl::StatusOr<std::vector<task_spec>> replicas_of(const task_spec& service, const std::string& count)
+		{
+			std::int64_t replicas{};
+			if (!absl::SimpleAtoi(count, &replicas) || replicas < 1 || replicas > most_replicas)
+				return absl::InvalidArgumentError(
+					absl::StrCat("replicas: is '", count, "', a whole number from 1 to ", most_replicas, " is wanted"));
+			std::vector<task_spec> specs;
+			for (std::int64_t i = 1; i <= replicas; ++i)
+			{
+				auto spec = service;
+				spec.id = task_id{absl::StrCat(service.id.str(), "#", i)};
+				spec.kind = kind_id{service.id.str()};
+				spec.replica = true;
+				specs.push_back(std::move(spec));
+			}
+			return specs;
+		}
+	}
+
+	absl::StatusOr<std::vector<task_spec>> read_specs(const command& what)
+	{
+		json::object object;
+		object["id"] = what.subject;
+		std::string replicas{"1"};
+		for (const auto& option : what.options)
+		{
+			if (what.about == noun::service && option.name == "replicas")
+				replicas = option.value;
+			else if (what.what == verb::adopt && option.name == "on")
+				object["adopted_on"] = option.value;
+			else if (option.name == "adopted_on" || object.contains(option.name))
+				return absl::InvalidArgumentError(absl::StrCat(option.name, ": cannot be given here"));
+			else
+				object[option.name] = value_of(option.name, option.value);
+		}
+		field_faults faults;
+		const json::value value(std::move(object)); // braces would make a list of it
+		field_reader reader{value, "", faults};
+		const auto spec = read_task_spec(reader);
+		if (!faults.empty())
+			return to_status(faults);
+		const bool one_replica = spec.replica;
+		if (what.about == noun::service && !one_replica)
+			return replicas_of(spec, replicas);
+		return std::vector<task_spec>{spec};
+	}
+
+	std::string replica_command(const task_spec& replica)
+	{
+		std::string text = absl::StrCat("submit task ", quoted(replica.id.str()));
+		for (const auto& member : to_json(replica))
+		{
+			if (member.key() == "id")
+				continue;
+			const auto& value = member.value();
+			const auto plain = value.is_string() ? quoted(std::string{value.get_string()}) : json::serialize(value);
+			absl::StrAppend(&text, " ", std::string{member.key()}, " ", plain);
+		}
+		return text;
+	}
+
+	absl::StatusOr<std::string> read_amounts(const command& what)
+	{
+		json::object object;
+		for (const auto& option : what.options)
+		{
+			std::int64_t amount{};
+			if (option.name != "cpu" && option.name != "memory" && option.name != "accelerators")
+				return absl::InvalidArgumentError(
+					absl::StrCat(option.name, ": is not known here, cpu, memory or accelerators is wanted"));
+			if (!absl::SimpleAtoi(option.value, &amount) || amount < 0)
+				return absl::InvalidArgumentError(
+					absl::StrCat(option.name, ": is '", option.value, "', a whole number is wanted"));
+			object[option.name] = amount;
+		}
+		return json::serialize(object);
+	}
+
+	std::string escape_step(const std::string& name)
+	{
+		return absl::StrReplaceAll(name, {{"~", "~0"}, {"/", "~1"}});
+	}
+
+	std::string worker_path(const std::string& worker, const std::string& member)
+	{
+		return absl::StrCat("/workers/", escape_step(worker), "/", member);
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/command_tables.cpp
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The tables that `show` answers.
+#include "command_runner.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+
+namespace trailjunction
+{
+	namespace
+	{
+		std::string yes_no(bool value)
+		{
+			return value ? "yes" : "no";
+		}
+
+		std::string standing_of(shard_standing standing)
+		{
+			return standing == shard_standing::owned     ? "owned"
+				   : standing == shard_standing::loading ? "loading"
+														 : "other";
+		}
+
+		std::int64_t millis_since(instant then)
+		{
+			return std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - then).count();
+		}
+	}
+
+	result_table command_runner::task_table() const
+	{
+		result_table table{{"task", "team", "kind", "phase", "worker", "run", "checkpoint", "urgency", "repeatable",
+							"failures", "evictions", "reason"},
+						   {}};
+		for (const auto& keeper : tasks_.keepers())
+		{
+			if (keeper->standing() != shard_standing::owned)
+				continue;
+			for (const auto& [id, task] : keeper->state().tasks)
+				table.rows.push_back(
+					{id.str(), task.spec.team.str(), task.spec.kind.str(), std::string{to_string(task.phase)},
+					 holds_worker(task.phase) ? task.worker.str() : "", absl::StrCat(task.run.value),
+					 task.checkpoint.str(), std::string{to_string(task.spec.priority)}, yes_no(task.spec.repeatable),
+					 absl::StrCat(task.failures), absl::StrCat(task.evictions), task.reason});
+		}
+		return table;
+	}
+
+	result_table command_runner::worker_table() const
+	{
+		result_table table{{"worker", "hall", "rack", "service", "ready", "leaving", "quarantined", "cpu", "cpu_free",
+							"memory", "memory_free", "heard_ms", "config"},
+						   {}};
+		for (const auto& [name, worker] : workers_.workers())
+		{
+			const auto* view = workers_.places().find(name);
+			const auto capacity = view == nullptr ? resources{} : view->capacity;
+			const auto space = view == nullptr ? resources{} : view->space();
+			table.rows.push_back({name.str(), worker.place.hall.str(), worker.place.rack.str(), worker.service.str(),
+								  yes_no(worker.ready), yes_no(workers_.leaving(worker)),
+								  yes_no(worker.health.quarantined_until > std::chrono::steady_clock::now()),
+								  absl::StrCat(capacity.cpu_milli), absl::StrCat(space.cpu_milli),
+								  absl::StrCat(capacity.memory_mib), absl::StrCat(space.memory_mib),
+								  absl::StrCat(millis_since(worker.heard)), absl::StrCat(worker.config.value)});
+		}
+		std::sort(table.rows.begin(), table.rows.end());
+		return table;
+	}
+
+	result_table command_runner::service_table() const
+	{
+		struct service_line
+		{
+			std::int64_t workers{};
+			std::int64_t requests{};
+			std::int64_t worst_us{};
+		};
+		std::map<service_id, service_line> lines;
+		for (const auto& [name, worker] : workers_.workers())
+		{
+			if (worker.service.empty())
+				continue;
+			auto& line = lines[worker.service];
+			++line.workers;
+			line.requests += worker.requests;
+			line.worst_us = std::max(line.worst_us, worker.p99_us);
+		}
+		result_table table{{"service", "workers", "requests", "worst_p99_us", "target_ms"}, {}};
+		for (const auto& [service, line] : lines)
+		{
+			const auto target = config_.current().services.find(service);
+			table.rows.push_back(
+				{service.str(), absl::StrCat(line.workers), absl::StrCat(line.requests), absl::StrCat(line.worst_us),
+				 target == config_.current().services.end() ? "" : absl::StrCat(target->second.target.count())});
+		}
+		return table;
+	}
+
+	result_table command_runner::request_table() const
+	{
+		result_table table{{"request", "entry", "service", "worker", "outcome", "status", "tries", "took_us", "reason"},
+						   {}};
+		for (const auto& note : requests_)
+			table.rows.push_back({note.id, settings_.member.str(), note.service.str(), note.worker.str(), note.outcome,
+								  absl::StrCat(note.status), absl::StrCat(note.tries), absl::StrCat(note.took_us),
+								  note.reason});
+		return table;
+	}
+
+	result_table command_runner::team_table() const
+	{
+		result_table table{{"team", "cpu", "memory", "accelerators", "cpu_quota", "memory_quota", "accelerator_quota"},
+						   {}};
+		std::map<team_id, resources> used;
+		for (const auto& [team, amounts] : tasks_.usage())
+			used[team] += amounts;
+		for (const auto& [team, declared] : config_.current().teams)
+			used.try_emplace(team);
+		for (auto& [team, amounts] : used)
+		{
+			const auto all = amounts + members_.used_elsewhere(team);
+			const auto declared = config_.current().teams.find(team);
+			const bool limited = declared != config_.current().teams.end();
+			const auto quota = limited ? declared->second.quota : resources{};
+			const auto shown = [&](std::int64_t amount)
+			{
+				return limited ? absl::StrCat(amount) : std::string{};
+			};
+			table.rows.push_back({team.str(), absl::StrCat(all.cpu_milli), absl::StrCat(all.memory_mib),
+								  absl::StrCat(all.accelerators), shown(quota.cpu_milli), shown(quota.memory_mib),
+								  shown(quota.accelerators)});
+		}
+		return table;
+	}
+
+	result_table command_runner::member_table_now() const
+	{
+		result_table table{{"member", "address", "live", "unchanged_ms"}, {}};
+		const auto live = members_.live(std::chrono::steady_clock::now());
+		for (const auto& [member, sighting] : members_.members())
+			table.rows.push_back({member.str(), sighting.address,
+								  yes_no(std::find(live.begin(), live.end(), member) != live.end()),
+								  absl::StrCat(millis_since(sighting.seen_first))});
+		std::sort(table.rows.begin(), table.rows.end());
+		return table;
+	}
+
+	result_table command_runner::shard_table() const
+	{
+		result_table table{{"shard", "entry", "standing", "epoch", "batches", "tasks", "waiting"}, {}};
+		for (const auto& keeper : tasks_.keepers())
+			if (keeper->standing() != shard_standing::other)
+				table.rows.push_back(
+					{absl::StrCat(keeper->shard().value), settings_.member.str(), standing_of(keeper->standing()),
+					 absl::StrCat(keeper->current_epoch().value), absl::StrCat(keeper->state().applied.value),
+					 absl::StrCat(keeper->state().tasks.size()), absl::StrCat(keeper->state().waiting.size())});
+		return table;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/control_duty.cpp
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+#include "control_duty.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/core/json.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr std::size_t ring_capacity = 4096;
+		constexpr auto ready_check = millis{50};
+
+		instant now()
+		{
+			return std::chrono::steady_clock::now();
+		}
+	}
+
+	control_duty::control_duty(asio::io_context& io, const entry_settings& settings, incarnation life,
+							   process_metrics& metrics, ring<directory>& directories)
+		: io_{io},
+		  settings_{settings},
+		  metrics_{metrics},
+		  platform_{io, *settings.platform},
+		  workers_{io, settings, platform_, life, directories},
+		  members_{io, settings, platform_, life,
+				   [this]
+				   {
+					   return tasks_.usage();
+				   }},
+		  tasks_{io, settings, platform_, members_, workers_, metrics},
+		  config_{io, settings, platform_,
+				  [this](const config_document& document)
+				  {
+					  workers_.configure(document, config_.text());
+					  tasks_.configure(document);
+				  }},
+		  commands_{io, settings, tasks_, workers_, members_, config_},
+		  server_{io, http_limits{},
+				  [this](http_request request)
+				  {
+					  return answer(std::move(request));
+				  }},
+		  notes_{io.get_executor(), ring_capacity,
+				 [this](request_note&& note)
+				 {
+					 commands_.note(std::move(note));
+				 }}
+	{
+	}
+
+	absl::Status control_duty::listen()
+	{
+		if (const auto where = server_.listen(*settings_.operators); !where.ok())
+			return where.status();
+		config_.start();
+		members_.start();
+		workers_.start([this](known_worker& worker, const wire::heartbeat& beat) { tasks_.take_beat(worker, beat); });
+		tasks_.start();
+		asio::co_spawn(io_, watch_ready(), asio::detached);
+		return absl::OkStatus();
+	}
+
+	std::string control_duty::not_ready() const
+	{
+		if (stopping_)
+			return "stopping";
+		if (!config_.confirmed())
+			return "no configuration is confirmed yet by the store or by a peer";
+		if (!workers_.has_list())
+			return "the platform's list of instances was not read yet";
+		return workers_.settled(now()) ? "" : "the agents were not heard yet";
+	}
+
+	asio::awaitable<void> control_duty::watch_ready()
+	{
+		while (!not_ready().empty())
+		{
+			asio::steady_timer timer{io_, ready_check};
+			(void)co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+		}
+		log_event(event::process_ready, {{"member", settings_.member.str()}});
+	}
+
+	asio::awaitable<void> control_duty::leave()
+	{
+		stopping_ = true;
+		members_.leave();
+		co_await tasks_.hand_over();
+	}
+
+	http_response control_duty::config_page() const
+	{
+		if (!config_.confirmed())
+			return error_response(503, "no configuration is confirmed yet");
+		boost::json::object out;
+		out["version"] = config_.current().version.value;
+		out["age_ms"] = config_.age(now()).count();
+		out["row"] = "\n" + config_.text();
+		return json_response(200, boost::json::serialize(out));
+	}
+
+	asio::awaitable<http_response> control_duty::answer(http_request request)
+	{
+		if (auto page = answer_health(request, metrics_, [this] { return not_ready(); }); page)
+			co_return std::move(*page);
+		const auto path = path_of(request.target);
+		if (path == "/v1/config")
+			co_return config_page();
+		if (path != "/v1/command")
+			co_return error_response(404, "no such page");
+		if (request.method != "POST")
+			co_return error_response(405, "POST is wanted");
+		co_return co_await commands_.answer(std::move(request));
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/control_duty.hpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief The control duty: workers, tasks, configuration, operators.
+#pragma once
+
+#include "../version/config_keeper.hpp"
+#include "command_runner.hpp"
+#include "member_keeper.hpp"
+#include "task_owner.hpp"
+#include "worker_directory.hpp"
+
+#include <trailjunction/core/ring.hpp>
+#include <trailjunction/entry/settings.hpp>
+#include <trailjunction/net/http_server.hpp>
+#include <trailjunction/net/process_metrics.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <string>
+
+namespace trailjunction
+{
+	/// \brief Everything of an entry that is not a caller's request; runs on its own thread.
+	class control_duty
+	{
+	public:
+		control_duty(boost::asio::io_context& io, const entry_settings& settings, incarnation life,
+					 process_metrics& metrics, ring<directory>& directories);
+
+		/// \brief Binds the operators' address and starts to work.
+		[[nodiscard]] absl::Status listen();
+
+		/// \brief The ring on which the request duty reports.
+		[[nodiscard]] ring<request_note>& notes() noexcept
+		{
+			return notes_;
+		}
+
+		/// \brief The planned stop: hands the shards over, so that successors need not wait.
+		[[nodiscard]] boost::asio::awaitable<void> leave();
+
+		/// \brief Why the entry is not ready; empty where it is.
+		[[nodiscard]] std::string not_ready() const;
+
+	private:
+		boost::asio::awaitable<http_response> answer(http_request request);
+		boost::asio::awaitable<void> watch_ready();
+		[[nodiscard]] http_response config_page() const;
+
+		boost::asio::io_context& io_;
+		const entry_settings& settings_;
+		process_metrics& metrics_;
+		platform_client platform_;
+		worker_directory workers_;
+		member_keeper members_;
+		task_owner tasks_;
+		config_keeper config_;
+		command_runner commands_;
+		http_server server_;
+		ring<request_note> notes_;
+		bool stopping_{};
+	};
+}
--- /dev/null
+++ b/packages/entry/src/process/duty_messages.hpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief What the entry's two duties tell each other.
+#pragma once
+
+#include <trailjunction/core/ids.hpp>
+#include <trailjunction/core/units.hpp>
+#include <trailjunction/decide/version/config_document.hpp>
+#include <trailjunction/net/endpoint.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief One worker as a target of requests.
+	struct directory_line
+	{
+		worker_id worker;
+		hall_id hall;
+		service_id service;
+		endpoint requests;
+		bool leaving{};
+		double batch_harm{}; ///< Predicted slowdown by what runs there now.
+	};
+
+	/// \brief From the control duty to the request duty: all targets, and the rules.
+	struct directory
+	{
+		std::vector<directory_line> lines;
+		config_version version;
+		request_config requests;
+	};
+
+	/// \brief From the request duty to the control duty: one request that has ended.
+	struct request_note
+	{
+		std::string id;
+		service_id service;
+		worker_id worker; ///< Of the last try; empty: never sent.
+		std::string outcome;
+		int status{};
+		int tries{};
+		std::int64_t took_us{};
+		std::string reason;
+	};
+}
--- /dev/null
+++ b/packages/entry/src/process/entry_process.cpp
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: MIT
+#include "../request/request_duty.hpp"
+#include "control_duty.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/core/random.hpp>
+#include <trailjunction/entry/entry_process.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <thread>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto stop_check = millis{20};
+		constexpr auto notice_time = millis{1'000}; ///< For the balancer to see that the entry is not ready.
+
+		asio::awaitable<void> pause_for(asio::io_context& io, millis time)
+		{
+			asio::steady_timer timer{io, time};
+			(void)co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+		}
+
+		asio::awaitable<void> hand_over(asio::io_context& io, control_duty& control, bool& done)
+		{
+			co_await control.leave();
+			co_await pause_for(io, stop_check);
+			done = true;
+		}
+
+		/// Unready first, then no new connections, then the requests in flight, then the end.
+		asio::awaitable<void> stop_entry(asio::io_context& control_io, asio::io_context& request_io,
+										 control_duty& control, request_duty& requests, millis most)
+		{
+			const auto began = std::chrono::steady_clock::now();
+			bool handed_over = false;
+			asio::co_spawn(control_io, hand_over(control_io, control, handed_over), asio::detached);
+			co_await pause_for(control_io, notice_time);
+			asio::post(request_io, [&requests] { requests.stop(); });
+			do
+				co_await pause_for(control_io, stop_check);
+			while ((requests.in_flight() > 0 || !handed_over) && std::chrono::steady_clock::now() - began < most);
+			co_await pause_for(control_io, stop_check); // for the last answers to be written
+			control_io.stop();
+		}
+	}
+
+	exit_code run_entry(const entry_settings& settings)
+	{
+		asio::io_context control_io{1};
+		asio::io_context request_io{1};
+		process_metrics metrics;
+		span_exporter spans{"trailjunction/" + settings.member.str(), settings.collector};
+		// Positive as a signed number, since messages carry it as one.
+		const incarnation life{(random_u64() >> 1U) | 1U};
+		request_duty requests{request_io, settings, life, metrics, spans};
+		control_duty control{control_io, settings, life, metrics, requests.directories()};
+		requests.report_to(control.notes());
+		for (const auto& status : {requests.listen(), control.listen()})
+		{
+			if (status.ok())
+				continue;
+			log_event(event::listen_failed, {{"reason", std::string{status.message()}}});
+			return exit_code::failed;
+		}
+		log_event(event::process_started, {{"member", settings.member.str()}, {"incarnation", life.value}});
+		on_stop_signal(control_io,
+					   [&]
+					   {
+						   log_event(event::process_stopping, {{"member", settings.member.str()}});
+						   asio::co_spawn(control_io,
+										  stop_entry(control_io, request_io, control, requests, settings.stop_within),
+										  asio::detached);
+					   });
+		std::thread request_thread{[&]
+								   {
+									   request_io.run();
+								   }};
+		control_io.run();
+		request_io.stop();
+		request_thread.join();
+		log_event(event::process_stopped, {{"member", settings.member.str()}});
+		return exit_code::ok;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/worker_directory.cpp
@@ -0,0 +1,297 @@
+// SPDX-License-Identifier: MIT
+#include "worker_directory.hpp"
+
+#include <trailjunction/core/event.hpp>
+
+#include <absl/container/flat_hash_set.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto list_interval = millis{500};
+		constexpr auto list_time = millis{2'000};
+		constexpr auto directory_interval = millis{200};
+		constexpr auto settle_time = millis{2'000};
+		constexpr std::int64_t least_samples = 5; ///< Requests in an interval for its p99 to say anything.
+
+		instant now()
+		{
+			return std::chrono::steady_clock::now();
+		}
+
+		resources from_wire(const wire::amounts& amounts)
+		{
+			return {amounts.cpu_milli, amounts.memory_mib, amounts.accelerators};
+		}
+
+		resources larger(const resources& left, const resources& right)
+		{
+			return {std::max(left.cpu_milli, right.cpu_milli), std::max(left.memory_mib, right.memory_mib),
+					std::max(left.accelerators, right.accelerators)};
+		}
+
+		asio::awaitable<void> pause_for(asio::io_context& io, millis time)
+		{
+			asio::steady_timer timer{io, time};
+			(void)co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+		}
+	}
+
+	worker_directory::worker_directory(asio::io_context& io, const entry_settings& settings, platform_client& platform,
+									   incarnation life, ring<directory>& directories)
+		: io_{io},
+		  settings_{settings},
+		  platform_{platform},
+		  life_{life},
+		  directories_{directories}
+	{
+	}
+
+	void worker_directory::start(beat_handler on_beat)
+	{
+		on_beat_ = std::move(on_beat);
+		asio::co_spawn(io_, follow_list(), asio::detached);
+		asio::co_spawn(io_, push_directory(), asio::detached);
+	}
+
+	known_worker* worker_directory::find(const worker_id& worker)
+	{
+		const auto found = workers_.find(worker);
+		return found == workers_.end() ? nullptr : &found->second;
+	}
+
+	bool worker_directory::leaving(const known_worker& worker) const
+	{
+		const auto declared = config_.workers.find(worker.place.worker);
+		const bool drained = declared != config_.workers.end() && declared->second.drained;
+		return worker.leaving_by_list || worker.leaving_by_agent || drained;
+	}
+
+	bool worker_directory::settled(instant at) const noexcept
+	{
+		const bool all_heard = std::all_of(workers_.begin(), workers_.end(),
+										   [](const auto& item) { return item.second.heard != instant{}; });
+		return has_list() && (all_heard || at - listed_at_ > settle_time);
+	}
+
+	bool worker_directory::send(const worker_id& worker, const wire::envelope& message)
+	{
+		const auto* known = find(worker);
+		if (known == nullptr || !known->connection || !known->connection->current())
+			return false;
+		return known->connection->current()->send(message) != 0;
+	}
+
+	// ------------------------------------------------------------------ the platform's list
+
+	asio::awaitable<void> worker_directory::follow_list()
+	{
+		while (true)
+		{
+			const auto list = co_await platform_.instances(now() + list_time);
+			if (list.ok())
+				take_list(*list);
+			co_await pause_for(io_, list_interval);
+		}
+	}
+
+	void worker_directory::take_list(const std::vector<instance>& list)
+	{
+		if (!has_list())
+			listed_at_ = now();
+		absl::flat_hash_set<worker_id> listed;
+		for (const auto& one : list)
+		{
+			listed.insert(one.worker);
+			auto& known = workers_[one.worker];
+			const bool moved = known.connection && known.place.control != one.control;
+			known.place = one;
+			known.listed = true;
+			known.leaving_by_list = one.leaving;
+			if (moved)
+			{
+				known.connection->stop();
+				known.connection.reset();
+			}
+			if (!known.connection)
+				connect(known);
+		}
+		// The list lags: a worker that is not listed any more but still heard is kept until it falls silent.
+		for (auto item = workers_.begin(); item != workers_.end();)
+		{
+			auto& known = item->second;
+			known.listed = listed.contains(item->first);
+			const bool silent = now() - known.heard > 10 * settings_.times.lost_after;
+			if (known.listed || !silent)
+			{
+				++item;
+				continue;
+			}
+			known.connection->stop();
+			fleet_.remove(item->first);
+			workers_.erase(item++);
+		}
+	}
+
+	void worker_directory::connect(known_worker& worker)
+	{
+		worker.connection = std::make_shared<agent_connection>(io_, worker.place.control, settings_.member, life_);
+		const auto name = worker.place.worker;
+		worker.connection->start({[this](const std::shared_ptr<link>& open) { send_config(open); },
+								  [this, name](const std::shared_ptr<link>& from, wire::envelope&& message)
+								  { take(name, from, std::move(message)); },
+								  [](const std::shared_ptr<link>&) {
+								  }});
+	}
+
+	// ------------------------------------------------------------------ heartbeats
+
+	void worker_directory::take(const worker_id& worker, const std::shared_ptr<link>& from, wire::envelope&& message)
+	{
+		auto* known = find(worker);
+		if (known == nullptr || !message.__isset.beat)
+			return;
+		take_beat(*known, message.beat);
+		if (known->config < config_.version)
+			send_config(from);
+		if (on_beat_)
+			on_beat_(*known, message.beat);
+	}
+
+	void worker_directory::take_beat(known_worker& worker, const wire::heartbeat& beat)
+	{
+		worker.life = {static_cast<std::uint64_t>(beat.incarnation)};
+		worker.stamp_ms = beat.stamp_ms;
+		worker.heard = now();
+		worker.ready = beat.ready;
+		worker.leaving_by_agent = beat.leaving;
+		worker.config = {static_cast<std::uint64_t>(beat.config_version)};
+		worker.service = service_id{beat.service_name};
+		worker_view view;
+		view.worker = worker.place.worker;
+		view.hall = worker.place.hall;
+		view.rack = worker.place.rack;
+		view.service = worker.service;
+		view.reachable = worker.ready;
+		view.leaving = leaving(worker);
+		view.quarantined_until = worker.health.quarantined_until;
+		view.capacity = from_wire(beat.capacity);
+		const auto declared = config_.workers.find(worker.place.worker);
+		const auto reserved = declared == config_.workers.end() ? resources{} : declared->second.reserved;
+		view.blocked = larger(reserved, from_wire(beat.foreign_use));
+		view.claimed = from_wire(beat.claimed);
+		view.used = from_wire(beat.used);
+		view.failure_score = failure_score(worker.health, health_policy{}, worker.heard);
+		for (const auto& kind : beat.kinds)
+			view.kinds.push_back({kind_id{kind.kind}, kind.count});
+		fleet_.update(std::move(view));
+		learn_samples(worker, beat);
+	}
+
+	void worker_directory::note_silence(instant at)
+	{
+		for (const auto& [name, worker] : workers_)
+		{
+			const auto* view = fleet_.find(name);
+			if (view == nullptr || !view->reachable || at - worker.heard <= settings_.times.lost_after)
+				continue;
+			auto silent = *view;
+			silent.reachable = false;
+			fleet_.update(std::move(silent));
+		}
+	}
+
+	void worker_directory::refresh(const known_worker& worker, const resources& unreported)
+	{
+		const auto* view = fleet_.find(worker.place.worker);
+		if (view == nullptr)
+			return;
+		auto changed = *view;
+		changed.claimed += unreported;
+		changed.reachable = worker.ready && now() - worker.heard <= settings_.times.lost_after;
+		changed.leaving = leaving(worker);
+		changed.quarantined_until = worker.health.quarantined_until;
+		fleet_.update(std::move(changed));
+	}
+
+	void worker_directory::learn_samples(known_worker& worker, const wire::heartbeat& beat)
+	{
+		for (const auto& sample : beat.samples)
+		{
+			worker.p99_us = sample.p99_us;
+			worker.requests = sample.count;
+			if (sample.count < least_samples)
+				continue;
+			std::vector<kind_id> beside;
+			for (const auto& kind : sample.beside)
+				beside.emplace_back(kind);
+			const service_id service{sample.service_name};
+			const auto p99 = static_cast<double>(sample.p99_us);
+			learn(learned_, {service, p99, beside});
+			const auto target = config_.services.find(service);
+			if (target == config_.services.end())
+				continue;
+			const auto target_us = std::chrono::duration<double, std::micro>(target->second.target).count();
+			note_latency(worker.harm, p99, target_us, config_.placement);
+		}
+	}
+
+	// ------------------------------------------------------------------ configuration and the request duty
+
+	void worker_directory::configure(const config_document& document, const std::string& text)
+	{
+		config_ = document;
+		config_text_ = text;
+		for (const auto& [name, worker] : workers_)
+			if (worker.connection && worker.connection->current())
+				send_config(worker.connection->current());
+	}
+
+	void worker_directory::send_config(const std::shared_ptr<link>& to)
+	{
+		wire::envelope message;
+		message.__isset.conf = true;
+		message.conf.version = static_cast<std::int64_t>(config_.version.value);
+		message.conf.document = config_text_;
+		(void)to->send(message);
+	}
+
+	double worker_directory::batch_harm(const known_worker& worker) const
+	{
+		const auto* view = fleet_.find(worker.place.worker);
+		if (view == nullptr)
+			return 0;
+		double sum = 0;
+		for (const auto& kind : view->kinds)
+			if (kind.kind.str() != worker.service.str())
+				sum += kind.count * expected_slowdown(learned_, worker.service, kind.kind);
+		return sum;
+	}
+
+	asio::awaitable<void> worker_directory::push_directory()
+	{
+		while (true)
+		{
+			note_silence(now());
+			directory lines;
+			lines.version = config_.version;
+			lines.requests = config_.requests;
+			for (const auto& [name, worker] : workers_)
+				if (!worker.service.empty())
+					lines.lines.push_back({name, worker.place.hall, worker.service, worker.place.requests,
+										   leaving(worker), batch_harm(worker)});
+			(void)directories_.push(std::move(lines));
+			co_await pause_for(io_, directory_interval);
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/request/request_duty.hpp
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief The request duty: callers, the choice of workers, tries.
+#pragma once
+
+#include "../connection/agent_connection.hpp"
+#include "../process/duty_messages.hpp"
+#include "caller_request.hpp"
+#include "claim_keeper.hpp"
+
+#include <trailjunction/core/ring.hpp>
+#include <trailjunction/decide/request/balance.hpp>
+#include <trailjunction/decide/request/concurrency_limit.hpp>
+#include <trailjunction/decide/request/retry_budget.hpp>
+#include <trailjunction/entry/settings.hpp>
+#include <trailjunction/net/http_server.hpp>
+#include <trailjunction/net/process_metrics.hpp>
+#include <trailjunction/net/span_exporter.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief Takes callers' requests and brings each to exactly one end.
+	/// \details Runs on its own thread; everything but directories() and in_flight() is called there.
+	class request_duty
+	{
+	public:
+		request_duty(boost::asio::io_context& io, const entry_settings& settings, incarnation life,
+					 process_metrics& metrics, span_exporter& spans);
+
+		[[nodiscard]] absl::Status listen();
+
+		/// \brief Where notes about ended requests go; set before listen().
+		void report_to(ring<request_note>& notes)
+		{
+			notes_ = &notes;
+		}
+		/// \brief The ring on which the control duty tells which workers there are.
+		[[nodiscard]] ring<directory>& directories() noexcept
+		{
+			return directories_;
+		}
+		/// \brief The planned stop: no new connections; requests in flight are answered.
+		void stop();
+
+		/// \brief Requests that are not answered yet; may be read by every thread.
+		[[nodiscard]] std::int64_t in_flight() const noexcept
+		{
+			return in_flight_.load(std::memory_order_relaxed);
+		}
+
+	private:
+		/// The workers of one service.
+		struct service_group
+		{
+			std::vector<target_view> targets;
+			concurrency_limit limit;
+			double latency_us{}; ///< Moving mean over all workers.
+			double deviation_us{};
+		};
+		/// Where a worker's view is.
+		struct target_place
+		{
+			service_id service;
+			std::size_t index{};
+		};
+		/// Where a try's reply has to go.
+		struct open_try
+		{
+			std::weak_ptr<request_tries> request;
+			std::size_t index{};
+		};
+		/// Everything that one request needs while it is forwarded.
+		struct forwarding
+		{
+			caller_request request;
+			std::shared_ptr<request_tries> tries;
+			std::vector<worker_id> excluded;
+			instant hedge_at{};
+			bool hedged{};
+		};
+
+		boost::asio::awaitable<http_response> serve(http_request message);
+		boost::asio::awaitable<request_end> claim_and_forward(caller_request& request);
+		boost::asio::awaitable<request_end> forward(caller_request request);
+		[[nodiscard]] bool start_try(forwarding& work);
+		[[nodiscard]] bool start_extra_try(forwarding& work);
+		[[nodiscard]] request_end end_of(forwarding& work, bool late);
+		void abandon(forwarding& work);
+		void take(const std::shared_ptr<link>& from, wire::envelope&& message);
+		void take_reply(const std::shared_ptr<link>& from, wire::reply&& reply);
+		void end_try(request_tries& request, std::size_t index, wire::reply&& reply);
+		void close_tries(const std::shared_ptr<link>& gone);
+		void learn(const request_try& ended);
+		bool learn_try(const target_place& place, const try_result& result);
+		[[nodiscard]] const target_place* find_place(const worker_id& worker) const;
+		void apply(directory&& lines);
+		void connect(const directory_line& line);
+		void disconnect(agent_connection& connection);
+		void set_connected(const worker_id& worker, bool connected);
+		[[nodiscard]] millis hedge_after(const service_group& group) const;
+
+		boost::asio::io_context& io_;
+		const entry_settings& settings_;
+		incarnation life_;
+		span_exporter& spans_;
+		http_server server_;
+		claim_keeper claims_;
+		absl::flat_hash_map<service_id, service_group> services_;
+		absl::flat_hash_map<worker_id, target_place> places_;
+		absl::flat_hash_map<worker_id, std::shared_ptr<agent_connection>> connections_;
+		absl::flat_hash_map<std::int64_t, open_try> open_tries_;
+		std::int64_t next_try_;
+		request_config config_;
+		balance_policy policy_;
+		retry_budget budget_;
+		random_engine random_;
+		std::atomic<std::int64_t> in_flight_{};
+		ring<directory> directories_;
+		ring<request_note>* notes_{};
+		prometheus::Counter& done_;
+		prometheus::Counter& not_run_;
+		prometheus::Counter& unknown_;
+		prometheus::Counter& extra_tries_;
+		prometheus::Counter& late_answers_;
+		prometheus::Counter& ejections_;
+		prometheus::Histogram& latency_;
+	};
+}
--- /dev/null
+++ b/packages/entry/src/version/config_keeper.cpp
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: MIT
+#include "config_keeper.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/core/random.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto poll_interval = millis{500};
+		constexpr auto read_time = millis{2'000};
+		constexpr auto change_time = millis{4'000};
+		constexpr auto peer_time = millis{500};
+		constexpr std::int64_t youngest_peer_ms = 10'000; ///< An older confirmation of a peer counts for nothing.
+		constexpr std::size_t commands_kept = 64;
+		constexpr int most_rounds = 5;
+		constexpr std::string_view row_key = "config/main";
+
+		instant now()
+		{
+			return std::chrono::steady_clock::now();
+		}
+
+		/// A row holds the identifiers of the last commands on its first line, the document after it.
+		struct config_row
+		{
+			std::string commands;
+			std::string document{"{}"};
+		};
+
+		config_row split_row(const std::string& data)
+		{
+			if (data.empty())
+				return {};
+			const auto end = data.find('\n');
+			return {data.substr(0, end), end == std::string::npos ? "{}" : data.substr(end + 1)};
+		}
+
+		bool contains_command(const std::string& commands, const std::string& command)
+		{
+			const std::vector<std::string> all = absl::StrSplit(commands, ' ');
+			return std::find(all.begin(), all.end(), command) != all.end();
+		}
+
+		std::string add_command(const std::string& commands, const std::string& command)
+		{
+			std::vector<std::string> all = absl::StrSplit(commands, ' ', absl::SkipEmpty());
+			all.push_back(command);
+			if (all.size() > commands_kept)
+				all.erase(all.begin(), all.end() - static_cast<std::ptrdiff_t>(commands_kept));
+			return absl::StrJoin(all, " ");
+		}
+	}
+
+	config_keeper::config_keeper(asio::io_context& io, const entry_settings& settings, platform_client& platform,
+								 listener on_change)
+		: io_{io},
+		  settings_{settings},
+		  platform_{platform},
+		  on_change_{std::move(on_change)}
+	{
+	}
+
+	void config_keeper::start()
+	{
+		asio::co_spawn(io_, poll(), asio::detached);
+	}
+
+	millis config_keeper::age(instant at) const noexcept
+	{
+		return std::chrono::duration_cast<millis>(at - confirmed_at_);
+	}
+
+	asio::awaitable<void> config_keeper::poll()
+	{
+		while (true)
+		{
+			const auto asked = now();
+			const auto row = co_await platform_.get(std::string{row_key}, asked + read_time);
+			if (row.ok())
+			{
+				take(row->data, {static_cast<std::uint64_t>(row->version)});
+				confirmed_at_ = asked;
+				confirmed_ = true;
+			}
+			else if (!confirmed_)
+			{
+				co_await ask_peers();
+			}
+			asio::steady_timer timer{io_, poll_interval};
+			(void)co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+		}
+	}
+
+	asio::awaitable<void> config_keeper::ask_peers()
+	{
+		for (const auto& peer : settings_.peers)
+		{
+			http_client client{io_, peer, 1};
+			http_request request{"GET", "/v1/config", {}, ""};
+			const auto result = co_await client.send(std::move(request), now() + peer_time);
+			if (result.reached != delivery::answered || result.response.status != 200)
+				continue;
+			const auto parsed = parse_json(result.response.body);
+			if (!parsed.ok() || !parsed->is_object())
+				continue;
+			const auto& object = parsed->get_object();
+			if (number_or(object, "age_ms", youngest_peer_ms) >= youngest_peer_ms)
+				continue;
+			take(text_or(object, "row"), {static_cast<std::uint64_t>(number_or(object, "version"))});
+			confirmed_ = true;
+		}
+	}
+
+	void config_keeper::take(const std::string& row_data, config_version version)
+	{
+		if (version <= document_.version)
+			return;
+		const auto row = split_row(row_data);
+		auto document = parse_config(row.document, version);
+		if (!document.ok())
+		{
+			log_event(event::config_refused,
+					  {{"version", version.value}, {"reason", std::string{document.status().message()}}});
+			return;
+		}
+		document_ = *std::move(document);
+		text_ = row.document;
+		recent_commands_ = row.commands;
+		log_event(event::config_applied, {{"version", version.value}});
+		on_change_(document_);
+	}
+
+	asio::awaitable<config_change> config_keeper::change(std::string path, std::string value,
+														 std::optional<config_version> if_version, std::string command)
+	{
+		const auto deadline = now() + change_time;
+		for (int round = 0; round < most_rounds; ++round)
+		{
+			const auto row = co_await platform_.get(std::string{row_key}, deadline);
+			if (!row.ok())
+				co_return config_change{absl::UnavailableError(absl::StrCat("not accepted: ", row.status().message())),
+										document_.version};
+			const config_version version{static_cast<std::uint64_t>(row->version)};
+			const auto before = split_row(row->data);
+			take(row->data, version);
+			if (contains_command(before.commands, command))
+				co_return config_change{absl::OkStatus(), version};
+			if (if_version && *if_version != version)
+				co_return config_change{absl::AbortedError(absl::StrCat("version ", version.value, " is in force, not ",
+																		if_version->value)),
+										version};
+			const auto changed = change_config(before.document, path, value);
+			if (!changed.ok())
+				co_return config_change{changed.status(), version};
+			const auto data = absl::StrCat(add_command(before.commands, command), "\n", *changed);
+			const auto end = co_await platform_.put(std::string{row_key}, data, row->version, random_token(), deadline);
+			if (end.how == write_end::applied)
+			{
+				take(data, {static_cast<std::uint64_t>(end.row.version)});
+				co_return config_change{absl::OkStatus(), document_.version};
+			}
+			if (end.how == write_end::refused)
+				co_return config_change{absl::UnavailableError("not accepted: the store did not take the write"),
+										version};
+			// A conflict, or an outcome that later writes have hidden: the row's list of commands tells on re-reading.
+			if (end.how == write_end::unknown && now() >= deadline)
+				co_return config_change{
+					absl::UnknownError("the outcome is not known; repeat the command with the same id"), version};
+		}
+		co_return config_change{absl::AbortedError("other changes came first each time"), document_.version};
+	}
+}
--- /dev/null
+++ b/packages/net/include/trailjunction/net/process_metrics.hpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Metrics of a process and the pages that show its health.
+#pragma once
+
+#include "http_message.hpp"
+#include "http_server.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace trailjunction
+{
+	/// \brief The metrics of one process; counters may be used from every thread.
+	class process_metrics
+	{
+	public:
+		process_metrics();
+
+		/// \brief A counter `trailjunction_NAME_total`, with one label where \p label is not empty.
+		[[nodiscard]] prometheus::Counter& counter(const std::string& name, const std::string& help,
+												   const std::string& label = "", const std::string& value = "");
+		/// \brief A gauge `trailjunction_NAME`.
+		[[nodiscard]] prometheus::Gauge& gauge(const std::string& name, const std::string& help);
+		/// \brief A histogram `trailjunction_NAME_seconds`.
+		[[nodiscard]] prometheus::Histogram& histogram(const std::string& name, const std::string& help);
+
+		/// \brief Everything in Prometheus' text format.
+		[[nodiscard]] std::string expose() const;
+
+	private:
+		std::shared_ptr<prometheus::Registry> registry_;
+	};
+
+	/// \brief Answers GET /metrics, /healthz and /readyz.
+	/// \param not_ready Why the process is not ready; empty where it is.
+	/// \returns Nothing where the target is another one.
+	[[nodiscard]] std::optional<http_response> answer_health(const http_request& request,
+															 const process_metrics& metrics,
+															 const std::function<std::string()>& not_ready);
+}
--- /dev/null
+++ b/packages/net/include/trailjunction/net/program.hpp
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief What both programs do the same way: settings files, addresses, signals.
+#pragma once
+
+#include "endpoint.hpp"
+
+#include <trailjunction/core/field_reader.hpp>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace trailjunction
+{
+	/// \brief Exit codes of both programs.
+	enum class exit_code : int
+	{
+		ok = 0,
+		failed = 1,      ///< The command was refused or the process could not go on.
+		usage = 2,       ///< The command line or the settings are wrong.
+		unreachable = 3, ///< Nobody answered.
+	};
+
+	/// \brief Reads and parses a file of settings; an error names the file.
+	[[nodiscard]] absl::StatusOr<boost::json::value> read_settings_file(const std::string& path);
+
+	/// \brief Reads an address field.
+	void read_endpoint(field_reader& reader, std::string_view name, std::optional<endpoint>& out);
+
+	/// \brief Calls \p stop on the first SIGTERM or SIGINT; a second one ends the process.
+	void on_stop_signal(boost::asio::io_context& io, std::function<void()> stop);
+}
--- /dev/null
+++ b/packages/net/src/http_client.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+#include "impl/beast_convert.hpp"
+
+#include <trailjunction/net/http_client.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <vector>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+	namespace beast = boost::beast;
+	namespace http = boost::beast::http;
+
+	struct http_client::shared_state
+	{
+		asio::io_context& io;
+		endpoint where;
+		std::size_t connections;
+		std::size_t body_bytes;
+		std::string host;
+		std::vector<std::unique_ptr<beast::tcp_stream>> idle;
+	};
+
+	namespace
+	{
+		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
+
+		/// Whether the other side has closed an idle connection, or sent what nobody asked for.
+		bool is_stale(beast::tcp_stream& stream)
+		{
+			auto& socket = stream.socket();
+			beast::error_code error;
+			socket.non_blocking(true, error);
+			char byte{};
+			socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+			return error != asio::error::would_block;
+		}
+	}
+
+	http_client::http_client(asio::io_context& io, endpoint where, std::size_t connections, std::size_t body_bytes)
+		: state_{std::make_shared<shared_state>(shared_state{io, where, connections, body_bytes, to_string(where), {}})}
+	{
+	}
+
+	http_client::~http_client() = default;
+
+	const endpoint& http_client::where() const noexcept
+	{
+		return state_->where;
+	}
+
+	asio::awaitable<http_result> http_client::send(http_request request, instant deadline)
+	{
+		const auto state = state_;
+		std::unique_ptr<beast::tcp_stream> stream;
+		while (!state->idle.empty() && !stream)
+		{
+			stream = std::move(state->idle.back());
+			state->idle.pop_back();
+			if (is_stale(*stream))
+				stream.reset();
+		}
+		if (!stream)
+		{
+			stream = std::make_unique<beast::tcp_stream>(state->io);
+			stream->expires_at(deadline);
+			auto [error] = co_await stream->async_connect(state->where, as_result);
+			if (error)
+				co_return http_result{
+					delivery::not_sent, absl::UnavailableError(absl::StrCat(state->host, ": ", error.message())), {}};
+			beast::error_code ignored;
+			stream->socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+		}
+		auto message = impl::to_beast(request, state->host);
+		stream->expires_at(deadline);
+		auto [write_error, written] = co_await http::async_write(*stream, message, as_result);
+		if (write_error)
+			co_return http_result{written == 0 ? delivery::not_sent : delivery::unknown,
+								  absl::UnavailableError(absl::StrCat(state->host, ": ", write_error.message())),
+								  {}};
+		beast::flat_buffer buffer;
+		http::response_parser<http::string_body> parser;
+		parser.body_limit(state->body_bytes);
+		parser.skip(request.method == "HEAD");
+		auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, as_result);
+		if (read_error)
+		{
+			const auto text = absl::StrCat(state->host, ": ", read_error.message());
+			const auto status =
+				read_error == beast::error::timeout ? absl::DeadlineExceededError(text) : absl::UnavailableError(text);
+			co_return http_result{delivery::unknown, status, {}};
+		}
+		const bool keep = parser.get().keep_alive();
+		http_result result{delivery::answered, absl::OkStatus(), impl::from_beast(parser.release())};
+		if (keep && state->idle.size() < state->connections)
+			state->idle.push_back(std::move(stream));
+		co_return result;
+	}
+}
--- /dev/null
+++ b/packages/net/src/http_server.cpp
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: MIT
+#include "impl/beast_convert.hpp"
+
+#include <trailjunction/net/http_server.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <unordered_set>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+	namespace beast = boost::beast;
+	namespace http = boost::beast::http;
+
+	struct http_server::shared_state
+	{
+		asio::io_context& io;
+		http_limits limits;
+		handler on_request;
+		asio::ip::tcp::acceptor acceptor;
+		std::unordered_set<beast::tcp_stream*> idle;
+		std::size_t in_flight{};
+		std::size_t connections{};
+		bool stopping{};
+	};
+
+	namespace
+	{
+		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
+		constexpr auto accept_pause = std::chrono::milliseconds{50};
+
+		/// The answer to a request that could not be read, or 0 where the caller just left.
+		int status_of(const beast::error_code& error)
+		{
+			if (error == http::error::header_limit)
+				return 431;
+			if (error == http::error::body_limit)
+				return 413;
+			if (error == beast::error::timeout || error == http::error::end_of_stream ||
+				error == http::error::partial_message || error.category() == asio::error::get_system_category())
+				return 0;
+			return 400;
+		}
+	}
+
+	/// One connection: requests are read and answered one after the other.
+	template <typename State>
+	static asio::awaitable<void> serve_connection(std::shared_ptr<State> state, asio::ip::tcp::socket socket)
+	{
+		beast::tcp_stream stream{std::move(socket)};
+		beast::flat_buffer buffer;
+		bool keep = true;
+		while (keep && !state->stopping)
+		{
+			http::request_parser<http::string_body> parser;
+			parser.header_limit(static_cast<std::uint32_t>(state->limits.head_bytes));
+			parser.body_limit(state->limits.body_bytes);
+			stream.expires_after(state->limits.head_time);
+			state->idle.insert(&stream);
+			auto [head_error, head_bytes] = co_await http::async_read_header(stream, buffer, parser, as_result);
+			state->idle.erase(&stream);
+			beast::error_code error = head_error;
+			if (!error)
+			{
+				stream.expires_after(state->limits.body_time);
+				auto [body_error, body_bytes] = co_await http::async_read(stream, buffer, parser, as_result);
+				error = body_error;
+			}
+			http_response answer;
+			if (error)
+			{
+				const int status = status_of(error);
+				if (status == 0)
+					break;
+				answer = error_response(status, error.message());
+				answer.headers.push_back({"Trailjunction-Outcome", "not-run"});
+				keep = false;
+			}
+			else
+			{
+				keep = parser.get().keep_alive();
+				++state->in_flight;
+				answer = co_await state->on_request(impl::from_beast(parser.release()));
+				--state->in_flight;
+				if (answer.status == 0)
+					break;
+			}
+			keep = keep && !state->stopping;
+			auto message = impl::to_beast(std::move(answer), keep);
+			++state->in_flight;
+			stream.expires_after(state->limits.write_time);
+			auto [write_error, written] = co_await http::async_write(stream, message, as_result);
+			--state->in_flight;
+			if (write_error)
+				break;
+		}
+		beast::error_code ignored;
+		stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+		--state->connections;
+	}
+
+	template <typename State>
+	static asio::awaitable<void> accept_connections(std::shared_ptr<State> state)
+	{
+		while (!state->stopping)
+		{
+			auto [error, socket] = co_await state->acceptor.async_accept(as_result);
+			if (error == asio::error::operation_aborted || !state->acceptor.is_open())
+				co_return;
+			if (error)
+			{
+				asio::steady_timer pause{state->io, accept_pause};
+				(void)co_await pause.async_wait(as_result);
+				continue;
+			}
+			if (state->connections >= state->limits.connections)
+				continue;
+			beast::error_code ignored;
+			socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+			++state->connections;
+			asio::co_spawn(state->io, serve_connection(state, std::move(socket)), asio::detached);
+		}
+	}
+
+	http_server::http_server(asio::io_context& io, http_limits limits, handler on_request)
+		: state_{std::make_shared<shared_state>(
+			  shared_state{io, limits, std::move(on_request), asio::ip::tcp::acceptor{io}, {}, 0, 0, false})}
+	{
+	}
+
+	http_server::~http_server()
+	{
+		stop();
+	}
+
+	absl::StatusOr<endpoint> http_server::listen(const endpoint& where)
+	{
+		auto& acceptor = state_->acceptor;
+		beast::error_code error;
+		acceptor.open(where.protocol(), error);
+		if (!error)
+			acceptor.set_option(asio::socket_base::reuse_address{true}, error);
+		if (!error)
+			acceptor.bind(where, error);
+		if (!error)
+			acceptor.listen(asio::socket_base::max_listen_connections, error);
+		if (error)
+			return absl::UnavailableError(absl::StrCat("cannot listen on ", to_string(where), ": ", error.message()));
+		asio::co_spawn(state_->io, accept_connections(state_), asio::detached);
+		return acceptor.local_endpoint();
+	}
+
+	void http_server::stop()
+	{
+		state_->stopping = true;
+		beast::error_code ignored;
+		state_->acceptor.close(ignored);
+		for (auto* stream : state_->idle)
+			stream->cancel();
+	}
+
+	std::size_t http_server::in_flight() const noexcept
+	{
+		return state_->in_flight;
+	}
+
+	std::size_t http_server::connections() const noexcept
+	{
+		return state_->connections;
+	}
+}
--- /dev/null
+++ b/packages/net/src/span_exporter.cpp
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/net/span_exporter.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr std::size_t ring_capacity = 1024;
+		constexpr std::size_t largest_batch = 4096;
+		constexpr auto export_interval = std::chrono::milliseconds{500};
+		constexpr auto export_deadline = std::chrono::seconds{2};
+
+		json::object to_json(const span& what)
+		{
+			json::object out;
+			out["traceId"] = what.context.trace;
+			out["spanId"] = what.id;
+			out["parentSpanId"] = what.context.parent;
+			out["name"] = what.name;
+			out["startTimeUnixNano"] = std::to_string(what.start_unix_nanos);
+			out["endTimeUnixNano"] = std::to_string(what.end_unix_nanos);
+			out["attributes"] = json::array{{{"key", "outcome"}, {"value", {{"stringValue", what.outcome}}}}};
+			return out;
+		}
+
+		std::string to_otlp(const std::string& service, const std::vector<span>& batch)
+		{
+			json::array spans;
+			for (const auto& what : batch)
+				spans.push_back(to_json(what));
+			const json::value resource = {
+				{"attributes", json::array{{{"key", "service.name"}, {"value", {{"stringValue", service}}}}}}};
+			const json::value scope = {{"scope", {{"name", "trailjunction"}}}, {"spans", std::move(spans)}};
+			const json::value all = {
+				{"resourceSpans", json::array{{{"resource", resource}, {"scopeSpans", json::array{scope}}}}}};
+			return json::serialize(all);
+		}
+	}
+
+	span_exporter::span_exporter(std::string service, std::optional<endpoint> collector)
+		: work_{asio::make_work_guard(io_)},
+		  service_{std::move(service)},
+		  collector_{collector},
+		  spans_{io_.get_executor(), ring_capacity,
+				 [this](span&& what)
+				 {
+					 if (batch_.size() < largest_batch)
+						 batch_.push_back(std::move(what));
+				 }}
+	{
+		if (!collector_)
+			return;
+		asio::co_spawn(io_, export_spans(), asio::detached);
+		thread_ = std::thread{[this]
+							  {
+								  io_.run();
+							  }};
+	}
+
+	span_exporter::~span_exporter()
+	{
+		io_.stop();
+		if (thread_.joinable())
+			thread_.join();
+	}
+
+	void span_exporter::offer(span what)
+	{
+		if (collector_ && what.context.sampled)
+			(void)spans_.push(std::move(what));
+	}
+
+	asio::awaitable<void> span_exporter::export_spans()
+	{
+		http_client client{io_, *collector_, 1};
+		while (true)
+		{
+			asio::steady_timer pause{io_, export_interval};
+			(void)co_await pause.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+			if (batch_.empty())
+				continue;
+			http_request request{"POST", "/v1/traces", {{"Content-Type", "application/json"}}, ""};
+			request.body = to_otlp(service_, batch_);
+			batch_.clear();
+			(void)co_await client.send(std::move(request), std::chrono::steady_clock::now() + export_deadline);
+		}
+	}
+}
--- /dev/null
+++ b/packages/query/include/trailjunction/query.hpp
@@ -0,0 +1,8 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Umbrella header of the query package: the operators' language and its tables.
+#pragma once
+
+#include "query/command.hpp"
+#include "query/parse.hpp"
+#include "query/table.hpp"
--- /dev/null
+++ b/packages/query/src/command.cpp
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/query/command.hpp>
+
+#include <array>
+
+namespace trailjunction
+{
+	namespace
+	{
+		constexpr std::array<std::string_view, 13> verb_names{"show",    "why",    "submit",  "place", "drain",
+															  "undrain", "cancel", "reserve", "quota", "set",
+															  "resolve", "adopt",  "release"};
+	}
+
+	const std::string* command::option(std::string_view name) const noexcept
+	{
+		for (const auto& one : options)
+			if (one.name == name)
+				return &one.value;
+		return nullptr;
+	}
+
+	std::string_view to_string(verb what) noexcept
+	{
+		return verb_names[static_cast<std::size_t>(what)];
+	}
+}
--- /dev/null
+++ b/packages/query/src/parse.cpp
@@ -0,0 +1,213 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/query/parse.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/fusion/include/adapt_struct.hpp>
+#include <boost/spirit/home/x3.hpp>
+
+#include <algorithm>
+
+BOOST_FUSION_ADAPT_STRUCT(trailjunction::condition, field, how, value)
+BOOST_FUSION_ADAPT_STRUCT(trailjunction::command_option, name, value)
+
+namespace trailjunction
+{
+	namespace x3 = boost::spirit::x3;
+
+	namespace
+	{
+		using iterator = std::string_view::const_iterator;
+
+		// ---------------------------------------------------------------- words
+
+		struct comparison_words : x3::symbols<comparison>
+		{
+			comparison_words()
+			{
+				add("=", comparison::equal)("!=", comparison::unequal)("<=", comparison::at_most)(
+					">=", comparison::at_least)("<", comparison::less)(">", comparison::greater)("contains",
+																								 comparison::contains);
+			}
+		} const comparison_word;
+
+		struct listed_words : x3::symbols<noun>
+		{
+			listed_words()
+			{
+				add("workers", noun::workers)("services", noun::services)("tasks", noun::tasks)("requests",
+																								noun::requests)(
+					"config", noun::config)("teams", noun::teams)("members", noun::members)("shards", noun::shards);
+			}
+		} const listed_word;
+
+		const auto word_end = !(x3::alnum | '_');
+		const auto keyword = [](const char* text)
+		{
+			return x3::lexeme[x3::lit(text) >> word_end];
+		};
+
+		// ---------------------------------------------------------------- rules
+
+		const x3::rule<struct bare_tag, std::string> bare{"a word"};
+		const x3::rule<struct quoted_tag, std::string> quoted{"a text in quotes"};
+		const x3::rule<struct name_tag, std::string> name{"a name"};
+		const x3::rule<struct value_tag, std::string> value{"a value"};
+		const x3::rule<struct field_tag, std::string> field{"a field"};
+		const x3::rule<struct resolution_tag, std::string> resolution{"done or retry"};
+		const x3::rule<struct option_tag, command_option> option{"an option"};
+		const x3::rule<struct condition_tag, condition> compare{"a condition"};
+
+		const auto reserved = keyword("if") | keyword("where") | keyword("order") | keyword("limit");
+		const auto bare_def = x3::lexeme[+(x3::graph - '"' - ',')];
+		const auto quoted_def = x3::lexeme['"' > *(('\\' > x3::char_) | (x3::char_ - '"' - '\\')) > '"'];
+		const auto name_def = quoted | bare;
+		const auto value_def = quoted | bare;
+		const auto field_def = x3::lexeme[x3::alpha >> *(x3::alnum | x3::char_('_'))];
+		const auto resolution_def = x3::lexeme[(x3::string("done") | x3::string("retry")) >> word_end];
+		const auto option_def = !reserved >> field > value;
+		const auto compare_def = field > comparison_word > value;
+		BOOST_SPIRIT_DEFINE(bare, quoted, name, value, field, resolution, option, compare)
+
+		/// Builds the command while the grammar runs.
+		struct builder
+		{
+			command out;
+		};
+
+		template <typename Change>
+		auto change(Change apply)
+		{
+			return [apply](auto& context)
+			{
+				apply(x3::get<builder>(context).get().out, x3::_attr(context));
+			};
+		}
+
+		auto is(verb what)
+		{
+			return [what](auto& context)
+			{
+				x3::get<builder>(context).get().out.what = what;
+			};
+		}
+
+		auto about(noun what)
+		{
+			return [what](auto& context)
+			{
+				x3::get<builder>(context).get().out.about = what;
+			};
+		}
+
+		const auto set_subject = change([](command& out, const std::string& text) { out.subject = text; });
+		const auto add_option = change([](command& out, const command_option& one) { out.options.push_back(one); });
+		const auto add_condition = change([](command& out, const condition& one) { out.conditions.push_back(one); });
+		const auto add_resolution = change(
+			[](command& out, const std::string& text) {
+				out.options.push_back({"as", text});
+			});
+		const auto add_target = change(
+			[](command& out, const std::string& text) {
+				out.options.push_back({"on", text});
+			});
+		const auto add_for = change(
+			[](command& out, const std::string& text) {
+				out.options.push_back({"for", text});
+			});
+		const auto add_value = change(
+			[](command& out, const std::string& text) {
+				out.options.push_back({"to", text});
+			});
+		const auto set_order = change([](command& out, const std::string& text) { out.order = ordering{text, false}; });
+		const auto set_descending = change([](command& out, const auto&) { out.order->descending = true; });
+		const auto set_limit = change([](command& out, std::uint64_t count) { out.limit = count; });
+		const auto set_version = change([](command& out, std::uint64_t count) { out.if_version = count; });
+		const auto set_negated = change([](command& out, const auto&) { out.negated = true; });
+		const auto set_explain = change([](command& out, const auto&) { out.explain_only = true; });
+		const auto set_listed = change([](command& out, noun what) { out.about = what; });
+
+		const auto where = keyword("where") > compare[add_condition] % keyword("and");
+		const auto order = keyword("order") > keyword("by") > field[set_order] > -keyword("desc")[set_descending];
+		const auto limit = keyword("limit") > x3::uint64[set_limit];
+		const auto version = keyword("if") > keyword("version") > x3::uint64[set_version];
+		const auto options = *option[add_option];
+		const auto task = keyword("task")[about(noun::task)] > name[set_subject];
+		const auto service = keyword("service")[about(noun::service)] > name[set_subject];
+		const auto worker = keyword("worker")[about(noun::worker)] > name[set_subject];
+		const auto team = keyword("team")[about(noun::team)] > name[set_subject];
+
+		const auto show = keyword("show")[is(verb::show)] > x3::lexeme[listed_word[set_listed] >> word_end] > -where >
+						  -order > -limit;
+		const auto why_not = keyword("not")[set_negated] > worker > keyword("for") > keyword("task") > name[add_for];
+		const auto why = keyword("why")[is(verb::why)] > (why_not | task | service | worker);
+		const auto submit = keyword("submit")[is(verb::submit)] > (task | service) > options;
+		const auto place = keyword("place")[is(verb::place)] > task > keyword("on") > name[add_target];
+		const auto drain = keyword("drain")[is(verb::drain)] > worker > options > -version;
+		const auto undrain = keyword("undrain")[is(verb::undrain)] > worker > -version;
+		const auto cancel = keyword("cancel")[is(verb::cancel)] >
+							(task | (keyword("tasks")[about(noun::tasks)] > where));
+		const auto reserve = keyword("reserve")[is(verb::reserve)] > worker > options > -version;
+		const auto quota = keyword("quota")[is(verb::quota)] > team > options > -version;
+		const auto set = keyword("set")[is(verb::set)] > name[set_subject] > value[add_value] > -version;
+		const auto resolve = keyword("resolve")[is(verb::resolve)] > task > keyword("as") > resolution[add_resolution];
+		const auto adopt = keyword("adopt")[is(verb::adopt)] > task > keyword("on") > name[add_target] > options;
+		const auto release = keyword("release")[is(verb::release)] > task;
+
+		const auto statement =
+			show | why | submit | place | drain | undrain | cancel | reserve | quota | set | resolve | adopt | release;
+		const auto whole = -keyword("explain")[set_explain] >> statement > x3::eoi;
+
+		absl::Status error_at(std::string_view text, std::ptrdiff_t offset, const std::string& expected)
+		{
+			const auto found =
+				offset >= static_cast<std::ptrdiff_t>(text.size())
+					? std::string{"the end"}
+					: absl::StrCat("'", std::string{text.substr(static_cast<std::size_t>(offset), 20)}, "'");
+			return absl::InvalidArgumentError(absl::StrCat("column ", offset + 1, ": ", expected, " expected, found ",
+														   found, "\n  ", std::string{text}, "\n  ",
+														   std::string(static_cast<std::size_t>(offset), ' '), "^"));
+		}
+
+		/// Spirit names its own parsers by type; the reader wants plain words.
+		std::string plain(const std::string& which)
+		{
+			if (which.find("eoi") != std::string::npos || which.find("eps") != std::string::npos)
+				return "the end";
+			if (which.find("uint") != std::string::npos)
+				return "a whole number";
+			if (which.find("comparison_words") != std::string::npos)
+				return "a comparison (=, !=, <, >, <=, >=, contains)";
+			if (which.find("listed_words") != std::string::npos || which.find("symbols") != std::string::npos)
+				return "workers, services, tasks, requests, config, teams, members or shards";
+			if (which.find("resolution") != std::string::npos)
+				return "done or retry";
+			if (which.find("boost") != std::string::npos)
+				return "another word";
+			return which;
+		}
+	}
+
+	absl::StatusOr<command> parse_command(std::string_view text)
+	{
+		builder built;
+		auto at = text.begin();
+		const auto end = text.end();
+		try
+		{
+			const auto grammar = x3::with<builder>(std::ref(built))[whole];
+			if (x3::phrase_parse(at, end, grammar, x3::space))
+				return built.out;
+		}
+		catch (const x3::expectation_failure<iterator>& failure)
+		{
+			auto place = failure.where();
+			while (place != end && *place == ' ')
+				++place;
+			return error_at(text, place - text.begin(), plain(failure.which()));
+		}
+		return error_at(
+			text, 0,
+			"a command (show, why, submit, place, drain, undrain, cancel, reserve, quota, set, resolve, adopt, "
+			"release, explain)");
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/cluster.cpp
@@ -0,0 +1,321 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/core/random.hpp>
+#include <trailjunction/testkit/cluster.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/array.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <unistd.h>
+
+namespace trailjunction::testkit
+{
+	namespace asio = boost::asio;
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr auto ready_time = millis{20'000};
+		constexpr auto check_pause = millis{10};
+		constexpr std::size_t log_shown = 6'000;
+
+		std::string read_file(const std::filesystem::path& path)
+		{
+			std::ifstream file{path};
+			std::ostringstream text;
+			text << file.rdbuf();
+			return text.str();
+		}
+
+		std::string head_outcome(const http_result& result)
+		{
+			return std::string{find_header(result.response.headers, "Trailjunction-Outcome")};
+		}
+
+		void write_file(const std::string& path, const std::string& text)
+		{
+			std::ofstream{path} << text;
+		}
+	}
+
+	cluster::cluster(cluster_options options)
+		: options_{std::move(options)},
+		  next_address_{static_cast<unsigned>(::getpid()) << 8U}
+	{
+		folder_ = (std::filesystem::temp_directory_path() / absl::StrCat("trailjunction-", random_token())).string();
+		std::filesystem::create_directories(folder_);
+		thread_.run(
+			[this]
+			{
+				platform_ = std::make_unique<platform_standin>(thread_.io());
+				platform_address_ = platform_->listen();
+			});
+		for (int i = 0; i < options_.agents; ++i)
+			make_worker(i);
+		for (int i = 0; i < options_.entries; ++i)
+			make_entry(i);
+		for (int i = 0; i < options_.agents; ++i)
+			start_agent(i);
+		for (int i = 0; i < options_.entries; ++i)
+			start_entry(i);
+	}
+
+	cluster::~cluster()
+	{
+		for (auto& entry : entries_)
+			entry.process.kill();
+		for (auto& worker : workers_)
+			worker.agent.kill();
+		thread_.stop();
+		std::error_code ignored;
+		if (std::getenv("TRAILJUNCTION_KEEP_LOGS") == nullptr)
+			std::filesystem::remove_all(folder_, ignored);
+	}
+
+	/// An address of its own for each listener, with a port that the kernel picks: outgoing connections leave from
+	/// 127.0.0.1 and so can never take a port that was picked here.
+	endpoint cluster::pick_address()
+	{
+		++next_address_;
+		const auto bytes = asio::ip::address_v4::bytes_type{
+			127, static_cast<unsigned char>(64 + (next_address_ >> 16U) % 64),
+			static_cast<unsigned char>(next_address_ >> 8U), static_cast<unsigned char>(1 + next_address_ % 254)};
+		asio::io_context io;
+		asio::ip::tcp::acceptor probe{io, endpoint{asio::ip::address_v4{bytes}, 0}};
+		return probe.local_endpoint();
+	}
+
+	void cluster::make_worker(int index)
+	{
+		cluster_worker worker;
+		worker.name = absl::StrCat("w", index + 1);
+		const auto requests = pick_address();
+		const auto control = pick_address();
+		worker.admin = pick_address();
+		standin_worker declared;
+		declared.worker = worker_id{worker.name};
+		declared.hall = hall_id{absl::StrCat("h", index % options_.halls + 1)};
+		declared.rack = rack_id{options_.racks.empty() ? absl::StrCat("r", index / 3 + 1)
+													   : options_.racks[static_cast<std::size_t>(index)]};
+		declared.capacity = options_.capacity;
+		endpoint upstream;
+		endpoint platform;
+		thread_.run(
+			[&]
+			{
+				worker.upstream = std::make_unique<upstream_standin>(thread_.io());
+				upstream = worker.upstream->listen();
+				worker.request_proxy = std::make_unique<fault_proxy>(thread_.io(), requests);
+				declared.requests = to_string(worker.request_proxy->listen());
+				worker.control_proxy = std::make_unique<fault_proxy>(thread_.io(), control);
+				declared.control = to_string(worker.control_proxy->listen());
+				worker.platform_proxy = std::make_unique<fault_proxy>(thread_.io(), platform_address_);
+				platform = worker.platform_proxy->listen();
+				platform_->declare(declared);
+			});
+		worker.settings = absl::StrCat(folder_, "/", worker.name, ".json");
+		json::object settings;
+		settings["worker"] = worker.name;
+		settings["hall"] = declared.hall.str();
+		settings["rack"] = declared.rack.str();
+		settings["service"] = "tally";
+		settings["listen"] = {
+			{"requests", to_string(requests)}, {"control", to_string(control)}, {"admin", to_string(worker.admin)}};
+		settings["upstream"] = to_string(upstream);
+		settings["platform"] = to_string(platform);
+		settings["capacity"] = {{"cpu", options_.capacity.cpu_milli}, {"memory", options_.capacity.memory_mib}};
+		settings["checkpoint_every_ms"] = options_.checkpoint_every.count();
+		settings["times"] = parse_json(absl::StrCat("{", options_.times, "}")).value();
+		write_file(worker.settings, json::serialize(settings));
+		workers_.push_back(std::move(worker));
+	}
+
+	void cluster::make_entry(int index)
+	{
+		cluster_entry entry;
+		entry.name = absl::StrCat("e", index + 1);
+		entry.callers = pick_address();
+		entry.operators = pick_address();
+		endpoint platform;
+		thread_.run(
+			[&]
+			{
+				entry.platform_proxy = std::make_unique<fault_proxy>(thread_.io(), platform_address_);
+				platform = entry.platform_proxy->listen();
+			});
+		entry.settings = absl::StrCat(folder_, "/", entry.name, ".json");
+		json::object settings;
+		settings["member"] = entry.name;
+		settings["hall"] = absl::StrCat("h", index % options_.halls + 1);
+		settings["listen"] = {{"callers", to_string(entry.callers)}, {"operators", to_string(entry.operators)}};
+		settings["platform"] = to_string(platform);
+		settings["shards"] = options_.shards;
+		settings["writes_per_second"] = options_.writes_per_second;
+		settings["times"] = parse_json(absl::StrCat("{", options_.times, "}")).value();
+		json::array peers;
+		for (const auto& peer : operators_)
+			peers.emplace_back(peer);
+		settings["peers"] = std::move(peers);
+		operators_.push_back(to_string(entry.operators));
+		write_file(entry.settings, json::serialize(settings));
+		entries_.push_back(std::move(entry));
+	}
+
+	void cluster::start_entry(int index)
+	{
+		auto& entry = entries_[static_cast<std::size_t>(index)];
+		entry.process =
+			child_process{{options_.programs + "/packages/entry/trailjunction", "entry", "--settings", entry.settings},
+						  absl::StrCat(folder_, "/", entry.name, ".log")};
+	}
+
+	void cluster::start_agent(int index)
+	{
+		auto& worker = workers_[static_cast<std::size_t>(index)];
+		worker.agent =
+			child_process{{options_.programs + "/packages/agent/trailjunction-agent", "--settings", worker.settings},
+						  absl::StrCat(folder_, "/", worker.name, ".log")};
+	}
+
+	cluster_worker& cluster::worker(const std::string& name)
+	{
+		for (auto& one : workers_)
+			if (one.name == name)
+				return one;
+		throw std::out_of_range("no worker " + name);
+	}
+
+	http_result cluster::call(const endpoint& where, http_request message, millis time)
+	{
+		http_result result;
+		asio::io_context io;
+		http_client client{io, where, 1};
+		const auto send = [&]() -> asio::awaitable<void>
+		{
+			result = co_await client.send(std::move(message), std::chrono::steady_clock::now() + time);
+		};
+		asio::co_spawn(io, send, asio::detached);
+		io.run();
+		return result;
+	}
+
+	http_result cluster::request(int entry, http_request message, millis time)
+	{
+		return call(entries_[static_cast<std::size_t>(entry)].callers, std::move(message), time);
+	}
+
+	command_answer cluster::command(int entry, const std::string& text, const std::string& id)
+	{
+		json::object body;
+		body["command"] = text;
+		body["id"] = id.empty() ? random_token() : id;
+		http_request message{"POST", "/v1/command", {}, json::serialize(body)};
+		const auto result =
+			call(entries_[static_cast<std::size_t>(entry)].operators, std::move(message), millis{15'000});
+		if (result.reached != delivery::answered)
+			return {0, std::string{result.status.message()}, {}};
+		command_answer answer{result.response.status, result.response.body, {}};
+		if (auto parsed = parse_json(result.response.body); parsed.ok() && parsed->is_object())
+			answer.body = parsed->get_object();
+		return answer;
+	}
+
+	std::string cluster::task_field(const std::string& task, const std::string& field)
+	{
+		for (int i = 0; i < entries(); ++i)
+		{
+			if (!entry(i).process.running())
+				continue;
+			const auto answer = command(i, "show tasks where task = \"" + task + "\"");
+			const auto* table = answer.body.if_contains("table");
+			if (table == nullptr)
+				continue;
+			const auto& columns = table->as_object().at("columns").as_array();
+			const auto& rows = table->as_object().at("rows").as_array();
+			for (std::size_t column = 0; column < columns.size() && !rows.empty(); ++column)
+				if (columns[column].as_string() == field)
+					return std::string{rows[0].as_array()[column].as_string()};
+		}
+		return "";
+	}
+
+	bool cluster::wait_until(const std::function<bool()>& check, millis time)
+	{
+		const auto until = std::chrono::steady_clock::now() + time;
+		while (std::chrono::steady_clock::now() < until)
+		{
+			if (check())
+				return true;
+			std::this_thread::sleep_for(check_pause);
+		}
+		return check();
+	}
+
+	bool cluster::wait_ready()
+	{
+		const auto ready = [this](const endpoint& where)
+		{
+			const auto result = call(where, {"GET", "/readyz", {}, ""}, millis{500});
+			return result.reached == delivery::answered && result.response.status == 200;
+		};
+		return wait_until(
+			[&]
+			{
+				for (auto& worker : workers_)
+					if (!ready(worker.admin))
+						return false;
+				for (auto& entry : entries_)
+					if (!ready(entry.operators))
+						return false;
+				for (int i = 0; i < entries(); ++i)
+					if (head_outcome(request(i, {"GET", "/tally/ready", {}, ""})) != "done")
+						return false;
+				const auto shards = command(0, "show shards where standing = owned");
+				const auto workers = command(0, "show workers where ready = yes");
+				const auto rows = [](const command_answer& answer) -> std::size_t
+				{
+					const auto* table = answer.body.if_contains("table");
+					return table == nullptr ? 0 : table->as_object().at("rows").as_array().size();
+				};
+				return rows(shards) == static_cast<std::size_t>(options_.shards) && rows(workers) == workers_.size();
+			},
+			ready_time);
+	}
+
+	void cluster::set_faults(const std::function<void(platform_faults&)>& change)
+	{
+		thread_.run([&] { change(platform_->faults()); });
+	}
+
+	std::vector<run_event> cluster::events()
+	{
+		return thread_.run([this] { return platform_->events(); });
+	}
+
+	std::vector<std::string> cluster::violations()
+	{
+		return thread_.run([this] { return platform_->violations(); });
+	}
+
+	std::string cluster::logs() const
+	{
+		std::string text;
+		for (const auto& file : std::filesystem::directory_iterator(folder_))
+		{
+			if (file.path().extension() != ".log")
+				continue;
+			const auto log = read_file(file.path());
+			absl::StrAppend(&text, "--- ", file.path().filename().string(), "\n",
+							log.substr(log.size() - std::min(log.size(), log_shown)));
+		}
+		return text;
+	}
+}
