--- /dev/null
+++ b/packages/testkit/src/platform_standin.cpp
@@ -0,0 +1,455 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/testkit/platform_standin.hpp>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+
+namespace trailjunction::testkit
+{
+	namespace asio = boost::asio;
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
+		constexpr auto tick_interval = millis{10};
+		constexpr std::size_t most_runs = 100'000;
+
+		instant now()
+		{
+			return std::chrono::steady_clock::now();
+		}
+
+		http_response no_answer()
+		{
+			http_response response;
+			response.status = 0;
+			return response;
+		}
+
+		/// Decodes one step of a path.
+		std::string decode(std::string_view step)
+		{
+			return query_parameter(absl::StrCat("/?x=", std::string{step}), "x");
+		}
+
+		std::vector<std::string> steps_of(const http_request& request)
+		{
+			std::vector<std::string> steps =
+				absl::StrSplit(std::string{path_of(request.target)}, '/', absl::SkipEmpty());
+			for (auto& step : steps)
+				step = decode(step);
+			return steps;
+		}
+
+		json::object to_json(const resources& amounts)
+		{
+			json::object out;
+			out["cpu"] = amounts.cpu_milli;
+			out["memory"] = amounts.memory_mib;
+			out["accelerators"] = amounts.accelerators;
+			return out;
+		}
+
+		bool is_over(const std::string& state)
+		{
+			return state == "finished" || state == "failed" || state == "stopped";
+		}
+	}
+
+	platform_standin::platform_standin(asio::io_context& io)
+		: io_{io},
+		  server_{io, http_limits{.body_bytes = 64 * 1024 * 1024, .connections = 20'000},
+				  [this](http_request request)
+				  {
+					  return answer(std::move(request));
+				  }}
+	{
+	}
+
+	endpoint platform_standin::listen()
+	{
+		const auto where = server_.listen(*parse_endpoint("127.0.0.1:0"));
+		asio::co_spawn(io_, tick(), asio::detached);
+		return where.value();
+	}
+
+	void platform_standin::declare(const standin_worker& worker)
+	{
+		workers_[worker.worker].declared = worker;
+	}
+
+	void platform_standin::remove(const worker_id& worker)
+	{
+		workers_.erase(worker);
+	}
+
+	std::vector<std::string> platform_standin::moving_tasks() const
+	{
+		std::vector<std::string> tasks;
+		for (const auto& [name, worker] : workers_)
+			for (const auto& [task, run] : worker.runs)
+				if (!is_over(run.state) && run.share > 0)
+					tasks.push_back(task);
+		return tasks;
+	}
+
+	// ------------------------------------------------------------------ pages
+
+	asio::awaitable<http_response> platform_standin::answer(http_request request)
+	{
+		const auto path = path_of(request.target);
+		if (absl::StartsWith(std::string{path}, "/v1/workers/"))
+			co_return faults_.workers_down ? no_answer() : answer_worker(request);
+		if (path == "/v1/instances")
+			co_return faults_.table_down ? no_answer() : answer_instances();
+		co_return co_await answer_store(std::move(request));
+	}
+
+	bool platform_standin::over_rate(rate_window& window, int most)
+	{
+		const auto second = std::chrono::duration_cast<std::chrono::seconds>(now().time_since_epoch()).count();
+		if (window.second != second)
+			window = {second, 0};
+		return ++window.count > most && most > 0;
+	}
+
+	asio::awaitable<http_response> platform_standin::answer_store(http_request request)
+	{
+		if (faults_.table_down)
+			co_return no_answer();
+		if (faults_.latency.count() > 0)
+		{
+			asio::steady_timer timer{io_, faults_.latency};
+			(void)co_await timer.async_wait(as_result);
+		}
+		const bool writes = request.method != "GET";
+		++(writes ? load_.writes : load_.reads);
+		if (writes ? over_rate(writes_, faults_.writes_per_second) : over_rate(reads_, faults_.reads_per_second))
+		{
+			++load_.refused;
+			co_return error_response(429, "over the rate");
+		}
+		const auto steps = steps_of(request);
+		http_response response = error_response(404, "no such page");
+		std::string key;
+		if (steps.size() >= 4 && steps[1] == "table" && steps[2] == "rows")
+		{
+			key = steps[3];
+			response = answer_rows(request, key);
+		}
+		else if (steps.size() >= 3 && steps[1] == "table" && steps[2] == "scan")
+			response = answer_scan(request);
+		else if (steps.size() >= 3 && steps[1] == "objects")
+			response = answer_objects(request, steps[2]);
+		const bool lose = writes && response.status == 200 && faults_.lose_write_answers > 0 &&
+						  absl::StartsWith(key, faults_.lose_prefix);
+		if (!lose)
+			co_return response;
+		--faults_.lose_write_answers;
+		co_return no_answer();
+	}
+
+	http_response platform_standin::answer_rows(const http_request& request, const std::string& key)
+	{
+		const auto found = rows_.find(key);
+		const std::int64_t version = found == rows_.end() ? 0 : found->second.version;
+		http_response response{200, {{"Row-Version", absl::StrCat(version)}}, ""};
+		if (found != rows_.end())
+			response.body = found->second.value;
+		if (request.method == "GET")
+			return response;
+		std::int64_t expected = 0;
+		if (!absl::SimpleAtoi(query_parameter(request.target, "if_version"), &expected))
+			return error_response(400, "if_version is wanted");
+		if (expected != version)
+		{
+			response.status = 409;
+			return response;
+		}
+		if (request.method == "DELETE")
+			rows_.erase(key);
+		else
+			rows_[key] = {request.body, version + 1};
+		return {200, {{"Row-Version", absl::StrCat(version + 1)}}, ""};
+	}
+
+	http_response platform_standin::answer_scan(const http_request& request)
+	{
+		const auto prefix = query_parameter(request.target, "prefix");
+		json::array rows;
+		for (auto row = rows_.lower_bound(prefix); row != rows_.end() && absl::StartsWith(row->first, prefix); ++row)
+		{
+			json::object out;
+			out["key"] = row->first;
+			out["version"] = row->second.version;
+			out["value"] = row->second.value;
+			rows.push_back(std::move(out));
+		}
+		return json_response(200, json::serialize(rows));
+	}
+
+	http_response platform_standin::answer_objects(const http_request& request, const std::string& name)
+	{
+		if (request.method == "PUT")
+		{
+			objects_[name] = request.body;
+			return {200, {}, ""};
+		}
+		const auto found = objects_.find(name);
+		return found == objects_.end() ? error_response(404, "no such object") : http_response{200, {}, found->second};
+	}
+
+	std::vector<json::object> platform_standin::listed() const
+	{
+		std::vector<json::object> list;
+		for (const auto& [name, worker] : workers_)
+		{
+			json::object out;
+			out["worker"] = name.str();
+			out["hall"] = worker.declared.hall.str();
+			out["rack"] = worker.declared.rack.str();
+			out["requests"] = worker.declared.requests;
+			out["control"] = worker.declared.control;
+			out["state"] = worker.declared.leaving ? "leaving" : "live";
+			list.push_back(std::move(out));
+		}
+		return list;
+	}
+
+	http_response platform_standin::answer_instances()
+	{
+		const auto at = now() - faults_.list_lag;
+		while (lists_.size() > 1 && lists_[1].at <= at)
+			lists_.pop_front();
+		return json_response(200, lists_.empty() ? "[]" : lists_.front().text);
+	}
+
+	// ------------------------------------------------------------------ worker interface
+
+	http_response platform_standin::answer_worker(const http_request& request)
+	{
+		const auto steps = steps_of(request);
+		const auto body = parse_json(request.body);
+		if (steps.size() < 4 || !body.ok() || !body->is_object())
+			return error_response(400, "a worker, an action and an object are wanted");
+		const auto found = workers_.find(worker_id{steps[2]});
+		if (found == workers_.end())
+			return error_response(404, "no such worker");
+		auto& worker = found->second;
+		if (steps[3] == "renew")
+			return renew(worker, body->get_object());
+		if (steps.size() == 4)
+			return start_run(worker, body->get_object());
+		if (steps.size() == 6)
+			return answer_run(worker, steps[4], steps[5], body->get_object());
+		return error_response(404, "no such action");
+	}
+
+	http_response platform_standin::start_run(worker_state& worker, const json::object& body)
+	{
+		worker_run run;
+		run.task = text_or(body, "task");
+		run.run = static_cast<std::uint64_t>(number_or(body, "run"));
+		run.shard = static_cast<std::uint64_t>(number_or(body, "shard"));
+		run.kind = text_or(body, "kind");
+		run.command = text_or(body, "command");
+		run.claim = {number_or(body, "cpu"), number_or(body, "memory"), number_or(body, "accelerators")};
+		run.replica = flag_or(body, "replica");
+		run.checkpoint = text_or(body, "checkpoint");
+		run.moved = now();
+		run.lease_end = run.moved + millis{number_or(body, "lease_ms")};
+		const auto known = worker.runs.find(run.task);
+		if (known != worker.runs.end() && known->second.run == run.run)
+			return json_response(200, "{}");
+		if (known != worker.runs.end() && !is_over(known->second.state))
+			return error_response(409, "another run of the task is on the worker");
+		if (worker.runs.size() >= most_runs)
+			return error_response(409, "too many runs");
+		const std::vector<std::string> words = absl::StrSplit(run.command, ' ');
+		if (words.size() == 2 && words[0] == "work")
+			(void)absl::SimpleAtoi(words[1], &run.work_ms);
+		const std::vector<std::string> parts = absl::StrSplit(run.checkpoint, '@');
+		if (parts.size() == 2)
+			(void)absl::SimpleAtod(parts[1], &run.progress_ms);
+		if (flag_or(body, "adopt"))
+			worker.declared.foreign -= run.claim;
+		auto& placed = worker.runs[run.task] = run;
+		check(worker, placed);
+		note(worker, placed, "start");
+		if (run.command == "fail" || worker.declared.fails_everything)
+		{
+			placed.state = "failed";
+			placed.reason = "exited with 1";
+			note(worker, placed, "fail");
+		}
+		return json_response(200, "{}");
+	}
+
+	http_response platform_standin::renew(worker_state& worker, const json::object& body)
+	{
+		const auto at = now();
+		const auto lease = millis{number_or(body, "lease_ms")};
+		if (const auto* names = body.if_contains("runs"); names != nullptr && names->is_array())
+			for (const auto& name : names->get_array())
+				if (const auto run = worker.runs.find(std::string{name.as_string()}); run != worker.runs.end())
+					run->second.lease_end = at + lease;
+		json::array runs;
+		resources used;
+		for (auto& [task, run] : worker.runs)
+		{
+			move(worker, run, at);
+			json::object out = to_json(run.claim);
+			out["task"] = task;
+			out["run"] = run.run;
+			out["shard"] = run.shard;
+			out["kind"] = run.kind;
+			out["replica"] = run.replica;
+			out["state"] = run.state == "running" && run.share < 1 ? "throttled" : run.state;
+			out["checkpoint"] = run.checkpoint;
+			out["reason"] = run.reason;
+			runs.push_back(std::move(out));
+			if (!is_over(run.state))
+				used += run.claim;
+		}
+		json::object out;
+		out["runs"] = std::move(runs);
+		out["used"] = to_json(used);
+		out["foreign"] = to_json(worker.declared.foreign);
+		out["leaving"] = worker.declared.leaving;
+		return json_response(200, json::serialize(out));
+	}
+
+	http_response platform_standin::answer_run(worker_state& worker, const std::string& task, const std::string& action,
+											   const json::object& body)
+	{
+		const auto found = worker.runs.find(task);
+		if (found == worker.runs.end() || found->second.run != static_cast<std::uint64_t>(number_or(body, "run")))
+			return error_response(404, "no such run");
+		auto& run = found->second;
+		move(worker, run, now());
+		if (action == "forget")
+		{
+			if (is_over(run.state))
+				worker.runs.erase(found);
+			return json_response(200, "{}");
+		}
+		if (is_over(run.state))
+			return action == "stop" ? json_response(200, "{}") : error_response(409, "the run is over");
+		if (action == "throttle")
+		{
+			const auto* share = body.if_contains("share");
+			const double before = run.share;
+			run.share = share == nullptr ? 1 : share->to_number<double>();
+			if (before > 0 && run.share == 0)
+				note(worker, run, "pause");
+			if (before == 0 && run.share > 0)
+			{
+				check(worker, run);
+				note(worker, run, "resume");
+			}
+			return json_response(200, "{}");
+		}
+		if (action == "checkpoint")
+		{
+			run.checkpoint = absl::StrCat(run.task, ".", run.run, "@", static_cast<std::int64_t>(run.progress_ms));
+			note(worker, run, "checkpoint");
+			json::object out;
+			out["checkpoint"] = run.checkpoint;
+			return json_response(200, json::serialize(out));
+		}
+		if (action == "release")
+		{
+			note(worker, run, "release");
+			worker.declared.foreign += run.claim;
+			worker.runs.erase(found);
+			return json_response(200, "{}");
+		}
+		if (action != "stop")
+			return error_response(404, "no such action");
+		run.state = "stopped";
+		note(worker, run, "stop");
+		return json_response(200, "{}");
+	}
+
+	// ------------------------------------------------------------------ what runs do
+
+	void platform_standin::move(worker_state& worker, worker_run& run, instant at)
+	{
+		if (is_over(run.state))
+			return;
+		const auto until = std::min(at, run.lease_end);
+		if (until > run.moved)
+			run.progress_ms += run.share * std::chrono::duration<double, std::milli>(until - run.moved).count();
+		run.moved = at;
+		if (run.work_ms >= 0 && run.progress_ms >= static_cast<double>(run.work_ms))
+		{
+			run.state = "finished";
+			note(worker, run, "finish");
+		}
+		else if (at >= run.lease_end)
+		{
+			run.state = "stopped";
+			run.reason = "its lease was not renewed";
+			note(worker, run, "lapse");
+		}
+	}
+
+	void platform_standin::note(const worker_state& worker, const worker_run& run, std::string what)
+	{
+		events_.push_back({to_millis(now()), run.task, run.run, worker.declared.worker.str(), std::move(what),
+						   static_cast<std::int64_t>(run.progress_ms)});
+	}
+
+	void platform_standin::check(const worker_state& worker, const worker_run& run)
+	{
+		resources claimed = worker.declared.foreign;
+		for (const auto& [task, other] : worker.runs)
+			if (!is_over(other.state))
+				claimed += other.claim;
+		if (!claimed.fits(worker.declared.capacity))
+			violations_.push_back(
+				absl::StrCat(worker.declared.worker.str(), " carries more than it holds with ", run.task));
+		for (auto& [name, elsewhere] : workers_)
+		{
+			const auto other = elsewhere.runs.find(run.task);
+			if (name == worker.declared.worker || other == elsewhere.runs.end() || run.replica)
+				continue;
+			move(elsewhere, other->second, now());
+			if (!is_over(other->second.state) && other->second.share > 0)
+				violations_.push_back(absl::StrCat("task ", run.task, " runs on ", worker.declared.worker.str(),
+												   " as run ", run.run, " and on ", name.str(), " as run ",
+												   other->second.run));
+		}
+	}
+
+	asio::awaitable<void> platform_standin::tick()
+	{
+		asio::steady_timer timer{io_};
+		while (true)
+		{
+			timer.expires_after(tick_interval);
+			(void)co_await timer.async_wait(as_result);
+			const auto at = now();
+			for (auto& [name, worker] : workers_)
+				for (auto& [task, run] : worker.runs)
+					move(worker, run, at);
+			json::array list;
+			for (auto& one : listed())
+				list.push_back(std::move(one));
+			auto text = json::serialize(list);
+			if (lists_.empty() || lists_.back().text != text)
+				lists_.push_back({at, std::move(text)});
+		}
+	}
+}
--- /dev/null
+++ b/packages/wire/src/frame.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/wire/frame.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace trailjunction
+{
+	using apache::thrift::protocol::TCompactProtocolT;
+	using apache::thrift::transport::TMemoryBuffer;
+
+	namespace
+	{
+		constexpr unsigned byte_bits = 8;
+
+		struct codec
+		{
+			std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
+			TCompactProtocolT<TMemoryBuffer> protocol{buffer};
+		};
+
+		/// One codec a thread: its buffer is reused by every frame.
+		codec& thread_codec()
+		{
+			thread_local codec one;
+			return one;
+		}
+	}
+
+	std::size_t append_frame(std::string& out, const wire::envelope& message)
+	{
+		auto& [buffer, protocol] = thread_codec();
+		buffer->resetBuffer();
+		message.write(&protocol);
+		std::uint8_t* data{};
+		std::uint32_t size{};
+		buffer->getBuffer(&data, &size);
+		for (std::size_t i = 0; i < frame_head_bytes; ++i)
+			out.push_back(static_cast<char>(size >> (byte_bits * (frame_head_bytes - 1 - i))));
+		out.append(reinterpret_cast<const char*>(data), size);
+		return frame_head_bytes + size;
+	}
+
+	std::uint32_t frame_length(std::string_view head) noexcept
+	{
+		std::uint32_t length{};
+		for (std::size_t i = 0; i < frame_head_bytes; ++i)
+			length = (length << byte_bits) | static_cast<std::uint8_t>(head[i]);
+		return length;
+	}
+
+	absl::StatusOr<wire::envelope> decode_envelope(std::string_view payload)
+	{
+		auto bytes = std::make_shared<TMemoryBuffer>(
+			reinterpret_cast<std::uint8_t*>(const_cast<char*>(payload.data())), // NOLINT: OBSERVE never writes
+			static_cast<std::uint32_t>(payload.size()), TMemoryBuffer::OBSERVE);
+		// Nothing in a frame can be longer than the frame: a stated size above that is refused before it is allocated.
+		const auto most = static_cast<std::int32_t>(payload.size());
+		TCompactProtocolT<TMemoryBuffer> protocol{bytes, most, most};
+		wire::envelope message;
+		try
+		{
+			message.read(&protocol);
+		}
+		catch (const std::exception& fault)
+		{
+			return absl::InvalidArgumentError(absl::StrCat("not an envelope: ", fault.what()));
+		}
+		return message;
+	}
+}
--- /dev/null
+++ b/packages/wire/wire.thrift
@@ -0,0 +1,210 @@
+// The messages between an entry and an agent. Every field that came after version 1 is optional; unknown fields are
+// skipped by the codec and an envelope without a known member is tolerated.
+namespace cpp trailjunction.wire
+
+/** The first message of each side on each connection. */
+struct hello
+{
+	1: i32 version,
+	2: string process,          // the member's or the worker's name
+	3: i64 incarnation,
+}
+
+struct header
+{
+	1: string name,
+	2: string value,
+}
+
+/** How a request ended, as the agent saw it. */
+enum outcome
+{
+	done = 0,
+	not_run = 1,
+	unknown = 2,
+}
+
+/** A caller's request on its way to the upstream. */
+struct request
+{
+	1: i64 id,                  // unique on this connection
+	2: i64 budget_ms,           // time that is left until the caller's deadline
+	3: string method,
+	4: string target,
+	5: list<header> headers,
+	6: binary body,
+	7: bool urgent,
+	8: string traceparent,
+	9: string service_name,
+}
+
+/** The end of a request. */
+struct reply
+{
+	1: i64 id,
+	2: outcome how = outcome.unknown,
+	3: i32 status,
+	4: list<header> headers,
+	5: binary body,
+	6: string reason,
+	7: i32 in_flight,           // at the agent, after this reply
+	8: i32 queued,
+	9: i32 slots,
+	10: bool leaving,
+	11: i64 service_us,         // time in the upstream
+	12: i64 retry_after_ms,
+}
+
+/** The caller has gone or another try has won: drop the request if it still waits. */
+struct cancel
+{
+	1: i64 id,
+}
+
+enum run_state
+{
+	starting = 0,
+	running = 1,
+	paused = 2,
+	stopping = 3,
+	finished = 4,
+	failed = 5,
+	evicted = 6,
+	stopped = 7,                // stopped with no checkpoint asked for, or lost from the platform
+	refused = 8,                // never handed to the platform
+}
+
+/** One run as the agent sees it. Ended runs are repeated until they are acknowledged. */
+struct run_report
+{
+	1: string task,
+	2: i64 run,
+	3: i32 shard,
+	4: run_state state,
+	5: string checkpoint,       // the last one taken, or empty
+	6: string reason,
+	7: bool throttled,
+}
+
+struct amounts
+{
+	1: i64 cpu_milli,
+	2: i64 memory_mib,
+	3: i64 accelerators,
+}
+
+/** How one service on the worker fared in one interval that lies in the past. */
+struct service_sample
+{
+	1: string service_name,
+	2: i64 age_ms,              // the middle of the interval, before the time of sending
+	3: i64 count,
+	4: i64 p50_us,
+	5: i64 p99_us,
+	6: list<string> beside,     // kinds of the batch tasks that ran then
+}
+
+/** How many tasks of one kind run on the worker. */
+struct kind_amount
+{
+	1: string kind,
+	2: i32 count,
+	3: bool replica,
+}
+
+/** Agent to entry, once an interval on each control connection. */
+struct heartbeat
+{
+	1: i64 stamp_ms,            // the agent's own steady clock
+	2: i64 incarnation,
+	3: bool ready,              // knows what runs on the worker
+	4: bool leaving,
+	5: amounts capacity,
+	6: amounts claimed,
+	7: amounts used,
+	8: amounts foreign_use,
+	9: list<run_report> runs,
+	10: i64 config_version,
+	11: list<service_sample> samples,
+	12: string hall,
+	13: string rack,
+	14: string service_name,
+	15: list<kind_amount> kinds, // of all runs, also of those that this entry is not told about
+}
+
+/** One run that the owner of its shard confirms. */
+struct confirmed_run
+{
+	1: string task,
+	2: i64 run,
+	3: i64 epoch,
+	4: i32 shard,
+}
+
+/** Entry to agent: the answer to a heartbeat. The lease of each confirmed run counts from stamp_ms. */
+struct grant
+{
+	1: i64 stamp_ms,            // of the heartbeat that is answered
+	2: i64 incarnation,
+	3: list<confirmed_run> runs,
+	4: list<confirmed_run> acknowledged, // ended runs that are durable now
+	5: i64 config_version,
+}
+
+/** Entry to agent. */
+struct start_run
+{
+	1: string task,
+	2: i64 run,
+	3: i32 shard,
+	4: i64 epoch,
+	5: i64 stamp_ms,
+	6: i64 incarnation,
+	7: string kind,
+	8: amounts claim,
+	9: string checkpoint,       // to resume from, or empty
+	10: string command,
+	11: bool replica,         // a replica of a service: it is not fenced
+	12: bool adopt,             // it already runs on this worker under the operators' own scripts
+}
+
+enum run_order
+{
+	evict = 0,                  // checkpoint, then stop
+	stop = 1,
+	throttle = 2,
+	unthrottle = 3,
+	release = 4,                // leave it to the operators' scripts
+}
+
+/** Entry to agent. */
+struct order_run
+{
+	1: string task,
+	2: i64 run,
+	3: i32 shard,
+	4: i64 epoch,
+	5: run_order what,
+	6: string reason,
+}
+
+/** Entry to agent: a configuration that the store has accepted. */
+struct config
+{
+	1: i64 version,
+	2: string document,
+}
+
+/** What a frame holds: exactly one member. */
+struct envelope
+{
+	1: optional hello hi,
+	2: optional request req,
+	3: optional reply rep,
+	4: optional cancel drop,
+	5: optional heartbeat beat,
+	6: optional grant lease,
+	7: optional start_run start,
+	8: optional order_run order,
+	9: optional config conf,
+}
--- /dev/null
+++ b/tests/tests.hpp
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief What every test file includes.
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include <trailjunction/testkit/cluster.hpp>
+
+#include <string>
+
+namespace trailjunction::testkit
+{
+	/// \brief Options of a cluster that runs the programs of this build.
+	[[nodiscard]] inline cluster_options options_here()
+	{
+		cluster_options options;
+		options.programs = TRAILJUNCTION_PROGRAMS;
+		return options;
+	}
+
+	/// \brief A request to the service `tally` whose execution is journalled under \p job.
+	[[nodiscard]] inline http_request tally_request(const std::string& method, const std::string& job,
+													const std::string& target = "/tally/check")
+	{
+		return {method, target, {{"X-Job", job}}, ""};
+	}
+
+	/// \brief A field of a response's head.
+	[[nodiscard]] inline std::string head_field(const http_result& result, const std::string& name)
+	{
+		return std::string{find_header(result.response.headers, name)};
+	}
+}
