--- a/packages/decide/include/trailjunction/decide.hpp
+++ b/packages/decide/include/trailjunction/decide.hpp
@@ -8,6 +8,7 @@
 #include "decide/process/membership.hpp"
 #include "decide/process/placement.hpp"
 #include "decide/process/protocol_times.hpp"
+#include "decide/process/quota.hpp"
 #include "decide/process/run_table.hpp"
 #include "decide/process/shard_state.hpp"
 #include "decide/process/sighting.hpp"
--- a/packages/decide/include/trailjunction/decide/request/balance.hpp
+++ b/packages/decide/include/trailjunction/decide/request/balance.hpp
@@ -28,7 +28,8 @@
 		std::int64_t reported{};  ///< In flight and queued at the agent, all entries, by its last reply.
 		std::int64_t slots{8};    ///< Requests that its upstream serves at a time.
 		instant reported_at{};    ///< When that reply came.
-		double latency_us{};      ///< Moving mean of the time to an answer, 0: none yet.
+		instant silent_since{};    ///< While it holds requests: when it last answered one, or was given the first.
+		double latency_us{};       ///< Moving mean of the time to an answer, 0: none yet.
 		double deviation_us{};    ///< Moving mean deviation from it.
 		double failure_share{};   ///< Moving share of tries that failed.
 		std::int64_t tries{};     ///< Tries that ended.
@@ -63,6 +64,12 @@
 														   const balance_policy& policy, instant now,
 														   random_engine& random);
 
+	/// \brief Notes that a try was sent to a worker.
+	void note_sent(target_view& target, instant now) noexcept;
+
+	/// \brief Notes that a try is not waited for any more. \param answered Whether the worker answered it.
+	void note_returned(target_view& target, bool answered, instant now) noexcept;
+
 	/// \brief How one try went, as far as the choice of workers is concerned.
 	struct try_result
 	{
--- a/packages/decide/src/request/balance.cpp
+++ b/packages/decide/src/request/balance.cpp
@@ -89,7 +89,10 @@
 	double predict_latency_us(const target_view& target, const hall_id& own_hall, const balance_policy& policy,
 							  instant now) noexcept
 	{
-		const double service = target.latency_us > 0 ? target.latency_us : policy.first_guess_us;
+		// A worker that holds requests and answers none is expected to take as long again.
+		const auto silence = target.in_flight > 0 ? now - target.silent_since : instant::duration{};
+		const double stalled = std::chrono::duration<double, std::micro>(silence).count();
+		const double service = std::max(stalled, target.latency_us > 0 ? target.latency_us : policy.first_guess_us);
 		const auto held = now - target.reported_at <= policy.report_lifetime
 							  ? std::max(target.in_flight, target.reported)
 							  : target.in_flight;
@@ -102,6 +105,19 @@
 			   start_share(target, policy, now);
 	}
 
+	void note_sent(target_view& target, instant now) noexcept
+	{
+		if (target.in_flight++ == 0)
+			target.silent_since = now;
+	}
+
+	void note_returned(target_view& target, bool answered, instant now) noexcept
+	{
+		--target.in_flight;
+		if (answered)
+			target.silent_since = now;
+	}
+
 	std::optional<std::size_t> choose_target(std::span<const target_view> targets, std::span<const worker_id> excluded,
 											 const hall_id& own_hall, const balance_policy& policy, instant now,
 											 random_engine& random)
--- a/packages/entry/src/process/control_duty.cpp
+++ b/packages/entry/src/process/control_duty.cpp
@@ -35,7 +35,7 @@
 		  members_{io, settings, platform_, life,
 				   [this]
 				   {
-					   return tasks_.usage();
+					   return tasks_.needs();
 				   }},
 		  tasks_{io, settings, platform_, members_, workers_, metrics},
 		  config_{io, settings, platform_,
@@ -43,6 +43,7 @@
 				  {
 					  workers_.configure(document, config_.text());
 					  tasks_.configure(document);
+					  members_.configure(document);
 				  }},
 		  commands_{io, settings, tasks_, workers_, members_, config_},
 		  server_{io, http_limits{},
--- a/packages/entry/src/process/member_keeper.cpp
+++ b/packages/entry/src/process/member_keeper.cpp
@@ -27,6 +27,25 @@
 			return std::chrono::steady_clock::now();
 		}
 
+		json::array to_json(const resources& amounts)
+		{
+			return {amounts.cpu_milli, amounts.memory_mib, amounts.accelerators};
+		}
+
+		team_amounts amounts_at(const json::object& object, std::string_view name)
+		{
+			team_amounts amounts;
+			const auto* teams = object.if_contains(name);
+			if (teams == nullptr || !teams->is_object())
+				return amounts;
+			for (const auto& item : teams->get_object())
+				if (const auto* list = item.value().if_array(); list != nullptr && list->size() == 3)
+					amounts[team_id{std::string{item.key()}}] = {list->at(0).to_number<std::int64_t>(),
+																 list->at(1).to_number<std::int64_t>(),
+																 list->at(2).to_number<std::int64_t>()};
+			return amounts;
+		}
+
 		std::string members_prefix(const entry_settings& settings)
 		{
 			return absl::StrCat(std::string{prefix}, settings.data_centre, "/");
@@ -40,12 +59,13 @@
 	}
 
 	member_keeper::member_keeper(asio::io_context& io, const entry_settings& settings, platform_client& platform,
-								 incarnation life, usage_source usage)
+								 incarnation life, need_source needs)
 		: io_{io},
 		  settings_{settings},
 		  platform_{platform},
 		  life_{life},
-		  usage_{std::move(usage)}
+		  needs_{std::move(needs)},
+		  random_{random_u64()}
 	{
 	}
 
@@ -74,23 +94,78 @@
 	{
 		resources sum;
 		for (const auto& [member, usage] : usage_of_)
-			if (member != settings_.member)
-				if (const auto found = usage.find(team); found != usage.end())
-					sum += found->second;
+			if (const auto found = usage.find(team); found != usage.end())
+				sum += found->second;
+		return sum;
+	}
+
+	// ------------------------------------------------------------------ quotas
+
+	void member_keeper::configure(const config_document& document)
+	{
+		quotas_.clear();
+		for (const auto& [team, declared] : document.teams)
+			quotas_[team] = declared.quota;
+		absl::erase_if(shares_, [this](const auto& item) { return !quotas_.contains(item.first); });
+	}
+
+	std::optional<resources> member_keeper::usable_quota(const team_id& team) const
+	{
+		if (!quotas_.contains(team))
+			return std::nullopt;
+		const auto share = shares_.find(team);
+		return share == shares_.end() ? resources{} : share->second.usable;
+	}
+
+	resources member_keeper::published_elsewhere(const team_id& team) const
+	{
+		resources sum;
+		for (const auto& [member, ceilings] : ceilings_of_)
+			if (const auto found = ceilings.find(team); found != ceilings.end())
+				sum += found->second;
 		return sum;
 	}
 
+	void member_keeper::choose_ceilings()
+	{
+		const auto needs = needs_();
+		const auto members = live(now()).size();
+		for (const auto& [team, quota] : quotas_)
+		{
+			const auto need = needs.find(team);
+			const auto wanted = need == needs.end() ? quota_need{} : need->second;
+			used_[team] = wanted.used;
+			publish_ceiling(shares_[team], next_ceiling(wanted, quota, published_elsewhere(team), members, random_));
+		}
+	}
+
+	void member_keeper::verify_ceilings(instant read_at)
+	{
+		// Only rows that were read after the own one was written prove that the others have seen it or will.
+		if (published_at_ == instant{} || read_at < published_at_)
+			return;
+		for (auto& [team, share] : shares_)
+			verify_ceiling(share, quotas_.at(team), published_elsewhere(team));
+	}
+
+	// ------------------------------------------------------------------ rows
+
 	std::string member_keeper::row_data() const
 	{
-		json::object teams;
-		for (const auto& [team, used] : usage_())
-			if (used != resources{})
-				teams[team.str()] = json::array{used.cpu_milli, used.memory_mib, used.accelerators};
+		json::object ceilings;
+		json::object used;
+		for (const auto& [team, share] : shares_)
+			if (share.published != resources{})
+				ceilings[team.str()] = to_json(share.published);
+		for (const auto& [team, amounts] : used_)
+			if (amounts != resources{})
+				used[team.str()] = to_json(amounts);
 		json::object out;
 		out["address"] = to_string(*settings_.operators);
 		out["life"] = life_.value;
 		out["leaving"] = leaving_;
-		out["teams"] = std::move(teams);
+		out["ceilings"] = std::move(ceilings);
+		out["used"] = std::move(used);
 		return json::serialize(out);
 	}
 
@@ -101,16 +176,24 @@
 		while (true)
 		{
 			const auto before = now();
+			published_at_ = {};
+			choose_ceilings();
 			const auto end = co_await platform_.put(key, row_data(), version_, random_token(),
 													before + settings_.times.member_lease);
 			if (end.how == write_end::applied)
 			{
-				const bool late =
-					renewed_before_ != instant{} && before - renewed_before_ > settings_.times.member_lease;
-				if (late)
+				// The write took effect before its answer came: only then has no rival seen the row unchanged for M.
+				const bool unbroken = now() < renewed_before_ + settings_.times.member_lease;
+				if (!unbroken)
+				{
+					++lapses_;
 					log_event(event::member_renewed_late, {{"member", settings_.member.str()}});
+					if (step_down_)
+						step_down_();
+				}
 				version_ = end.row.version;
 				renewed_before_ = before;
+				published_at_ = now();
 			}
 			else if (end.how == write_end::conflict)
 			{
@@ -128,35 +211,35 @@
 		}
 	}
 
+	void member_keeper::take_row(const table_row& row, const member_id& member, instant at)
+	{
+		const auto parsed = parse_json(row.data);
+		if (!parsed.ok() || !parsed->is_object())
+			return;
+		const auto& object = parsed->get_object();
+		note_member(members_, member, {row.token, text_or(object, "address"), {}, flag_or(object, "leaving")}, at);
+		if (member == settings_.member)
+			return;
+		// What a dead member had running belongs to whoever takes its shards, and counts there.
+		const bool gone = has_lapsed(members_.at(member), settings_.times, at);
+		ceilings_of_[member] = gone ? team_amounts{} : amounts_at(object, "ceilings");
+		usage_of_[member] = gone ? team_amounts{} : amounts_at(object, "used");
+	}
+
 	asio::awaitable<void> member_keeper::read_all()
 	{
 		const auto rows_prefix = members_prefix(settings_);
 		const auto interval = settings_.times.member_lease / (2 * renewals_per_lease);
 		while (true)
 		{
-			const auto rows = co_await platform_.scan(rows_prefix, now() + settings_.times.member_lease);
+			const auto asked = now();
+			const auto rows = co_await platform_.scan(rows_prefix, asked + settings_.times.member_lease);
 			if (rows.ok())
 			{
 				const auto at = now();
 				for (const auto& row : *rows)
-				{
-					const auto parsed = parse_json(row.data);
-					if (!parsed.ok() || !parsed->is_object())
-						continue;
-					const auto& object = parsed->get_object();
-					const member_id member{row.key.substr(rows_prefix.size())};
-					note_member(members_, member,
-								{row.token, text_or(object, "address"), {}, flag_or(object, "leaving")}, at);
-					auto& usage = usage_of_[member];
-					usage.clear();
-					if (const auto* teams = object.if_contains("teams"); teams != nullptr && teams->is_object())
-						for (const auto& item : teams->get_object())
-							if (const auto* amounts = item.value().if_array();
-								amounts != nullptr && amounts->size() == 3)
-								usage[team_id{std::string{item.key()}}] = {amounts->at(0).to_number<std::int64_t>(),
-																		   amounts->at(1).to_number<std::int64_t>(),
-																		   amounts->at(2).to_number<std::int64_t>()};
-				}
+					take_row(row, member_id{row.key.substr(rows_prefix.size())}, at);
+				verify_ceilings(asked);
 			}
 			co_await pause_for(io_, interval);
 		}
--- a/packages/entry/src/process/member_keeper.hpp
+++ b/packages/entry/src/process/member_keeper.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <trailjunction/decide/process/membership.hpp>
+#include <trailjunction/decide/process/quota.hpp>
 #include <trailjunction/decide/version/config_document.hpp>
 #include <trailjunction/entry/settings.hpp>
 #include <trailjunction/store/platform_client.hpp>
@@ -14,22 +15,26 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace trailjunction
 {
-	/// \brief What each team has running, as one member publishes it.
-	using team_usage = absl::flat_hash_map<team_id, resources>;
+	/// \brief Amounts by team.
+	using team_amounts = absl::flat_hash_map<team_id, resources>;
+
+	/// \brief What each team with a quota needs at this entry.
+	using team_needs = absl::flat_hash_map<team_id, quota_need>;
 
 	/// \brief Renews this entry's row, and reads all members' rows.
 	/// \details One write renews the lease for all shards of the entry.
 	class member_keeper
 	{
 	public:
-		using usage_source = std::function<team_usage()>;
+		using need_source = std::function<team_needs()>;
 
 		member_keeper(boost::asio::io_context& io, const entry_settings& settings, platform_client& platform,
-					  incarnation life, usage_source usage);
+					  incarnation life, need_source needs);
 
 		/// \brief Starts to renew and to read.
 		void start();
@@ -37,6 +42,18 @@
 		/// \brief Says in the row that this entry leaves: others may take over at once.
 		void leave();
 
+		/// \brief Called when a renewal came after the lease had lapsed: a rival may have taken the shards meanwhile.
+		void on_lapse(std::function<void()> step_down)
+		{
+			step_down_ = std::move(step_down);
+		}
+
+		/// \brief Counts lapses, so that what began before one can tell.
+		[[nodiscard]] std::uint64_t lapses() const noexcept
+		{
+			return lapses_;
+		}
+
 		/// \brief Whether this entry may act as an owner now.
 		[[nodiscard]] bool may_own(instant now) const noexcept;
 		[[nodiscard]] const member_table& members() const noexcept
@@ -45,23 +62,41 @@
 		}
 		[[nodiscard]] std::vector<member_id> live(instant now) const;
 
-		/// \brief Claims of a team that the other members have published.
+		/// \brief The quotas that are in force from now on.
+		void configure(const config_document& document);
+
+		/// \brief What this entry's runs of a team may use together; nothing where the team has no quota.
+		[[nodiscard]] std::optional<resources> usable_quota(const team_id& team) const;
+
+		/// \brief What the other members have running of a team, as they published it.
 		[[nodiscard]] resources used_elsewhere(const team_id& team) const;
 
 	private:
 		boost::asio::awaitable<void> renew();
 		boost::asio::awaitable<void> read_all();
+		void choose_ceilings();
+		void verify_ceilings(instant read_at);
+		[[nodiscard]] resources published_elsewhere(const team_id& team) const;
+		void take_row(const table_row& row, const member_id& member, instant now);
 		[[nodiscard]] std::string row_data() const;
 
 		boost::asio::io_context& io_;
 		const entry_settings& settings_;
 		platform_client& platform_;
 		incarnation life_;
-		usage_source usage_;
+		need_source needs_;
 		member_table members_;
-		absl::flat_hash_map<member_id, team_usage> usage_of_;
+		absl::flat_hash_map<member_id, team_amounts> ceilings_of_; ///< Published by the other members.
+		absl::flat_hash_map<member_id, team_amounts> usage_of_;
+		absl::flat_hash_map<team_id, quota_share> shares_;
+		team_amounts quotas_;
+		team_amounts used_;
+		random_engine random_;
+		instant published_at_{}; ///< When the row with the ceilings was known to be written.
 		instant renewed_before_{};
 		std::int64_t version_{};
+		std::function<void()> step_down_;
+		std::uint64_t lapses_{};
 		bool leaving_{};
 	};
 }
--- a/packages/entry/src/process/shard_keeper.hpp
+++ b/packages/entry/src/process/shard_keeper.hpp
@@ -62,6 +62,9 @@
 		/// \brief Gives the shard up after a last batch that names no owner; a successor need not wait.
 		[[nodiscard]] boost::asio::awaitable<void> hand_over();
 
+		/// \brief Gives the shard up without a word: what is queued may or may not be in the journal.
+		void lose(const std::string& reason);
+
 		[[nodiscard]] shard_standing standing() const noexcept
 		{
 			return standing_;
@@ -111,7 +114,6 @@
 		boost::asio::awaitable<void> write_snapshot(std::string text, sequence applied);
 		[[nodiscard]] batch_in_flight next_batch();
 		[[nodiscard]] std::string slot_key(sequence number) const;
-		void lose(const std::string& reason);
 
 		boost::asio::io_context& io_;
 		const entry_settings& settings_;
--- a/packages/entry/src/process/task_owner.cpp
+++ b/packages/entry/src/process/task_owner.cpp
@@ -24,6 +24,7 @@
 	{
 		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
 		constexpr auto shard_interval = millis{150};
+		constexpr std::size_t needs_looked_at = 5'000; ///< Waiting tasks of a shard.
 		constexpr auto resend_after = millis{1'000};
 
 		instant now()
@@ -91,6 +92,7 @@
 
 	void task_owner::start()
 	{
+		members_.on_lapse([this] { step_down(); });
 		asio::co_spawn(io_, keep_shards(), asio::detached);
 		asio::co_spawn(io_, schedule(), asio::detached);
 	}
@@ -107,9 +109,33 @@
 													  { return keeper->standing() == shard_standing::owned; }));
 	}
 
-	team_usage task_owner::usage() const
+	team_needs task_owner::needs() const
 	{
-		team_usage sum;
+		team_needs needs;
+		for (const auto& [team, used] : usage())
+			needs[team] = {used, used, {}};
+		for (const auto& keeper : keepers_)
+		{
+			if (keeper->standing() != shard_standing::owned)
+				continue;
+			std::size_t looked_at = 0;
+			for (const auto& place : keeper->state().waiting)
+			{
+				if (++looked_at > needs_looked_at)
+					break;
+				const auto& spec = keeper->state().tasks.at(place.task).spec;
+				auto& need = needs[spec.team];
+				need.wanted += spec.claim;
+				if (need.smallest == resources{} || spec.claim.fits(need.smallest))
+					need.smallest = spec.claim;
+			}
+		}
+		return needs;
+	}
+
+	team_amounts task_owner::usage() const
+	{
+		team_amounts sum;
 		for (const auto& keeper : keepers_)
 			if (keeper->standing() == shard_standing::owned)
 				for (const auto& [team, used] : keeper->state().team_use)
@@ -156,8 +182,20 @@
 				return at - started_at_ > alone;
 			return known->second.leaving || has_lapsed(known->second, settings_.times, at);
 		};
-		if (co_await keeper.take_over(may_take))
+		const auto lapses = members_.lapses();
+		if (!co_await keeper.take_over(may_take))
+			co_return;
+		if (lapses == members_.lapses() && members_.may_own(now()))
 			after_takeover(keeper);
+		else
+			keeper.lose("the member lease lapsed during the takeover");
+	}
+
+	/// The member lease had lapsed: whoever saw that may own the shards by now. They are taken again, under a new epoch.
+	void task_owner::step_down()
+	{
+		for (const auto& keeper : keepers_)
+			keeper->lose("the member lease had lapsed");
 	}
 
 	void task_owner::after_takeover(shard_keeper& keeper)
--- a/packages/entry/src/process/task_owner.hpp
+++ b/packages/entry/src/process/task_owner.hpp
@@ -67,7 +67,10 @@
 		[[nodiscard]] std::string why(const task_state& task) const;
 
 		/// \brief What the shards of this entry have running, by team.
-		[[nodiscard]] team_usage usage() const;
+		[[nodiscard]] team_amounts usage() const;
+
+		/// \brief What each team has running and waiting here.
+		[[nodiscard]] team_needs needs() const;
 
 		/// \brief Whether some shard of this entry is owned and none is being read.
 		[[nodiscard]] std::size_t owned_shards() const noexcept;
@@ -91,6 +94,7 @@
 		boost::asio::awaitable<void> schedule();
 		boost::asio::awaitable<void> take_shard(shard_keeper& keeper);
 		void after_takeover(shard_keeper& keeper);
+		void step_down();
 
 		// sightings
 		void answer_report(known_worker& worker, const wire::run_report& report, wire::grant& grant);
--- a/packages/entry/src/process/task_schedule.cpp
+++ b/packages/entry/src/process/task_schedule.cpp
@@ -159,13 +159,13 @@
 
 	bool task_owner::quota_allows(const task_state& task) const
 	{
-		const auto declared = config_.teams.find(task.spec.team);
-		if (declared == config_.teams.end())
+		const auto usable = members_.usable_quota(task.spec.team);
+		if (!usable)
 			return true;
-		auto used = members_.used_elsewhere(task.spec.team) + task.spec.claim;
+		auto used = task.spec.claim;
 		if (const auto own = usage_.find(task.spec.team); own != usage_.end())
 			used += own->second;
-		return used.fits(declared->second.quota);
+		return used.fits(*usable);
 	}
 
 	void task_owner::place_waiting(shard_keeper& keeper, instant at)
--- a/packages/entry/src/request/request_duty.cpp
+++ b/packages/entry/src/request/request_duty.cpp
@@ -264,7 +264,7 @@
 		work.tries->tries.push_back(one);
 		if (one.open)
 		{
-			++target.in_flight;
+			note_sent(target, at);
 			open_tries_[one.id] = {work.tries, work.tries->tries.size() - 1};
 		}
 		return true;
@@ -293,7 +293,7 @@
 			one.reply = synthetic_reply(wire::outcome::unknown, done ? "another try was faster" : "no answer in time");
 			if (const auto* place = find_place(one.worker); place != nullptr)
 			{
-				--services_[place->service].targets[place->index].in_flight;
+				note_returned(services_[place->service].targets[place->index], false, now());
 				// A try that lost the race has taken at least so long; one that missed the deadline has failed.
 				const double waited = std::chrono::duration<double, std::micro>(now() - one.started).count();
 				(void)learn_try(*place, {!done, false, waited});
@@ -399,7 +399,7 @@
 		const auto at = now();
 		const double took = std::chrono::duration<double, std::micro>(at - ended.started).count();
 		const bool done = ended.reply.how == wire::outcome::done;
-		--target.in_flight;
+		note_returned(target, ended.reply.how != wire::outcome::unknown, at);
 		target.leaving = target.leaving || ended.reply.leaving;
 		if (ended.reply.slots > 0)
 		{
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -36,6 +36,9 @@
 	namespace
 	{
 		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
+		constexpr auto linger_time = std::chrono::seconds{1};
+		constexpr std::size_t linger_bytes = std::size_t{8} * 1024 * 1024;
+		constexpr std::size_t linger_chunk = 4096;
 		constexpr auto accept_pause = std::chrono::milliseconds{50};
 
 		/// The answer to a request that could not be read, or 0 where the caller just left.
@@ -52,6 +55,22 @@
 		}
 	}
 
+	/// Takes what the caller still sends: closing with unread data would reset the connection and lose the answer.
+	static asio::awaitable<void> linger(beast::tcp_stream& stream)
+	{
+		beast::error_code ignored;
+		stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+		stream.expires_after(linger_time);
+		std::string scratch(linger_chunk, '\0');
+		for (std::size_t taken = 0; taken < linger_bytes;)
+		{
+			auto [error, bytes] = co_await stream.async_read_some(asio::buffer(scratch), as_result);
+			if (error)
+				break;
+			taken += bytes;
+		}
+	}
+
 	/// One connection: requests are read and answered one after the other.
 	template <typename State>
 	static asio::awaitable<void> serve_connection(std::shared_ptr<State> state, asio::ip::tcp::socket socket)
@@ -69,6 +88,8 @@
 			auto [head_error, head_bytes] = co_await http::async_read_header(stream, buffer, parser, as_result);
 			state->idle.erase(&stream);
 			beast::error_code error = head_error;
+			if (!error && head_bytes > state->limits.head_bytes)
+				error = http::error::header_limit; // the parser does not look where a head comes in one piece
 			if (!error)
 			{
 				stream.expires_after(state->limits.body_time);
@@ -103,8 +124,7 @@
 			if (write_error)
 				break;
 		}
-		beast::error_code ignored;
-		stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+		co_await linger(stream);
 		--state->connections;
 	}
 
--- /dev/null
+++ b/tests/quota.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+#include "tests.hpp"
+
+#include <vector>
+
+using namespace trailjunction;
+
+TEST_CASE("entries that share a quota never use more than it together, whatever the order of their steps", "[decide]")
+{
+	constexpr std::size_t entries = 4;
+	const resources quota{10'000, 10'000, 0};
+	random_engine random{7};
+	std::vector<quota_share> shares(entries);
+	std::vector<resources> rows(entries); // what the store holds
+	std::vector<resources> used(entries);
+	std::vector<bool> written(entries);
+	const auto others = [&](std::size_t self)
+	{
+		resources sum;
+		for (std::size_t i = 0; i < entries; ++i)
+			if (i != self)
+				sum += rows[i];
+		return sum;
+	};
+	std::int64_t most = 0;
+	for (int step = 0; step < 20'000; ++step)
+	{
+		const auto self = random() % entries;
+		const resources claim{static_cast<std::int64_t>(100 + random() % 900), 100, 0};
+		switch (random() % 5)
+		{
+		case 0: // publish, not written yet
+			publish_ceiling(shares[self], next_ceiling({used[self], used[self] + claim + claim, claim}, quota,
+													   others(self), entries, random));
+			written[self] = false;
+			break;
+		case 1:
+			rows[self] = shares[self].published;
+			written[self] = true;
+			break;
+		case 2: // a read that came after the write
+			if (written[self])
+				verify_ceiling(shares[self], quota, others(self));
+			break;
+		case 3:
+			if ((used[self] + claim).fits(shares[self].usable))
+				used[self] += claim;
+			break;
+		default:
+			if (random() % 3 == 0)
+				used[self] = {};
+			break;
+		}
+		resources sum;
+		for (const auto& one : used)
+			sum += one;
+		most = std::max(most, sum.cpu_milli);
+		REQUIRE(sum.fits(quota));
+	}
+	CHECK(most > quota.cpu_milli / 2); // and it is not kept idle either
+}
+
+TEST_CASE("an entry that wants all of an idle quota gets it", "[decide]")
+{
+	random_engine random{1};
+	const resources quota{4'000, 4'000, 0};
+	quota_share share;
+	publish_ceiling(share, next_ceiling({{}, quota, {1'000, 1'000, 0}}, quota, {}, 3, random));
+	CHECK(share.usable == resources{});
+	verify_ceiling(share, quota, {});
+	CHECK(share.usable == quota);
+}
--- /dev/null
+++ b/tests/requests_under_faults.cpp
@@ -0,0 +1,407 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Requests while links are cut, answers are late or lost, and processes die: one true outcome each.
+#include "tests.hpp"
+
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace trailjunction;
+using namespace trailjunction::testkit;
+
+namespace
+{
+	/// What callers were told, compared with what the upstreams did.
+	struct ledger
+	{
+		std::mutex lock;
+		std::map<std::string, std::string> outcome; ///< By job.
+		std::set<std::string> once;                 ///< Jobs that may not be repeated.
+		std::vector<std::string> wrong;             ///< Answers that are not the whole answer to their own request.
+	};
+
+	void note(ledger& book, const std::string& job, const std::string& target, const http_result& result,
+			  bool repeatable = true)
+	{
+		const std::lock_guard hold{book.lock};
+		if (!repeatable)
+			book.once.insert(job);
+		const auto outcome = head_field(result, "Trailjunction-Outcome");
+		book.outcome[job] = result.reached == delivery::answered ? outcome : "unknown";
+		const bool done = result.reached == delivery::answered && outcome == "done";
+		if (done && result.response.status == 200 && result.response.body != job + " " + target + " ")
+			book.wrong.push_back(job + ": " + result.response.body.substr(0, 100));
+	}
+
+	std::map<std::string, int> executions(cluster& system)
+	{
+		std::map<std::string, int> count;
+		for (int i = 0; i < system.workers(); ++i)
+			for (const auto& job : system.thread().run([&] { return system.worker(i).upstream->journal(); }))
+				++count[job];
+		return count;
+	}
+
+	/// Sends jobs from several threads at once; odd ones may not be repeated.
+	void send_jobs(cluster& system, ledger& book, const std::string& prefix, int jobs, int threads,
+				   const std::string& target)
+	{
+		std::atomic<int> next{0};
+		std::vector<std::thread> callers;
+		for (int t = 0; t < threads; ++t)
+			callers.emplace_back(
+				[&, t]
+				{
+					while (true)
+					{
+						const int i = next++;
+						if (i >= jobs)
+							return;
+						const auto job = prefix + std::to_string(i);
+						auto message = tally_request(i % 2 == 0 ? "GET" : "POST", job, target);
+						message.headers.push_back({"Trailjunction-Deadline-Ms", "1500"});
+						note(book, job, target, system.request(t % system.entries(), message, millis{4'000}),
+							 i % 2 == 0);
+					}
+				});
+		for (auto& caller : callers)
+			caller.join();
+	}
+
+	/// Fills the retry budgets and lets the entries learn what is usual.
+	void warm_up(cluster& system)
+	{
+		for (int i = 0; i < 200; ++i)
+			(void)system.request(i % 2, tally_request("GET", "warm", "/tally/check?ms=1"));
+	}
+
+	/// The promises to a caller.
+	void check_promises(cluster& system, ledger& book)
+	{
+		const auto ran = executions(system);
+		for (const auto& text : book.wrong)
+			FAIL_CHECK("a foreign or cut answer: " << text);
+		for (const auto& [job, outcome] : book.outcome)
+		{
+			const auto found = ran.find(job);
+			const int times = found == ran.end() ? 0 : found->second;
+			INFO(job << " was told " << outcome << " and ran " << times << " times");
+			if (outcome == "not-run")
+				CHECK(times == 0);
+			if (book.once.contains(job))
+				CHECK(times <= 1);
+			if (outcome == "done")
+				CHECK(times >= 1);
+			CHECK((outcome == "done" || outcome == "not-run" || outcome == "unknown"));
+		}
+	}
+
+	std::size_t told(const ledger& book, const std::string& outcome)
+	{
+		std::size_t count = 0;
+		for (const auto& [job, said] : book.outcome)
+			count += said == outcome ? 1 : 0;
+		return count;
+	}
+}
+
+TEST_CASE("links are cut before, during and after the answer", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	ledger book;
+	std::atomic<bool> stop{false};
+	std::thread cutter{[&]
+					   {
+						   for (int i = 0; !stop; ++i)
+						   {
+							   system.thread().run(
+								   [&]
+								   {
+									   auto& proxy = *system.worker(i % system.workers()).request_proxy;
+									   proxy.faults().cut_after = i % 3 == 0 ? 200 : -1;
+									   proxy.cut_all();
+								   });
+							   std::this_thread::sleep_for(millis{40});
+						   }
+					   }};
+	send_jobs(system, book, "cut-", 400, 8, "/tally/check?ms=5");
+	stop = true;
+	cutter.join();
+	check_promises(system, book);
+	CHECK(told(book, "done") > 100);
+}
+
+TEST_CASE("an agent is killed with requests in flight", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	ledger book;
+	std::thread killer{[&]
+					   {
+						   std::this_thread::sleep_for(millis{300});
+						   system.worker(0).agent.kill();
+						   std::this_thread::sleep_for(millis{500});
+						   system.start_agent(0);
+					   }};
+	send_jobs(system, book, "kill-", 300, 8, "/tally/check?ms=30");
+	killer.join();
+	check_promises(system, book);
+	CHECK(told(book, "done") > 200);
+	CHECK(cluster::wait_until(
+		[&]
+		{ return head_field(system.request(0, tally_request("GET", "after-0")), "Trailjunction-Outcome") == "done"; },
+		millis{5'000}));
+}
+
+TEST_CASE("an agent freezes: repeatable requests are answered by others, the rest are told unknown",
+		  "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	ledger book;
+	warm_up(system);
+	system.worker(0).agent.signal(SIGSTOP);
+	send_jobs(system, book, "freeze-", 60, 6, "/tally/check?ms=5");
+	system.worker(0).agent.signal(SIGCONT);
+	std::this_thread::sleep_for(millis{500});
+	check_promises(system, book);
+	for (int i = 0; i < 60; i += 2)
+		CHECK(book.outcome["freeze-" + std::to_string(i)] == "done");
+}
+
+TEST_CASE("upstreams hang, fail fast and lose answers", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	ledger book;
+	warm_up(system);
+	system.thread().run([&] {
+		system.worker(0).upstream->behaviour().hang = true;
+			system.worker(1).upstream->behaviour().cut_answer = true;
+		});
+	send_jobs(system, book, "sick-", 80, 8, "/tally/check?ms=3");
+	check_promises(system, book);
+	CHECK(told(book, "done") > 20);
+	system.thread().run([&] { system.worker(2).upstream->behaviour().fail = true; });
+	const auto failing = system.request(0, tally_request("GET", "failing-0"));
+	CHECK(head_field(failing, "Trailjunction-Outcome") != "");
+}
+
+TEST_CASE("answers come late and out of order: each caller gets its own", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	ledger book;
+	std::vector<std::thread> callers;
+	for (int t = 0; t < 16; ++t)
+		callers.emplace_back(
+			[&, t]
+			{
+				for (int i = 0; i < 10; ++i)
+				{
+					const auto job = "order-" + std::to_string(t) + "-" + std::to_string(i);
+					const auto target = "/tally/check?ms=" + std::to_string((t * 7 + i * 3) % 40);
+					note(book, job, target, system.request(t % 2, tally_request("GET", job, target)));
+				}
+			});
+	for (auto& caller : callers)
+		caller.join();
+	check_promises(system, book);
+	CHECK(told(book, "done") == 160);
+}
+
+TEST_CASE("an answer after the deadline is dropped and the caller was told the truth", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	system.thread().run(
+		[&]
+		{
+			for (int i = 0; i < system.workers(); ++i)
+				system.worker(i).request_proxy->faults().hold_answers = true;
+		});
+	auto message = tally_request("POST", "late-1");
+	message.headers.push_back({"Trailjunction-Deadline-Ms", "300"});
+	const auto result = system.request(0, message);
+	CHECK(result.response.status == 504);
+	CHECK(head_field(result, "Trailjunction-Outcome") == "unknown");
+	system.thread().run(
+		[&]
+		{
+			for (int i = 0; i < system.workers(); ++i)
+				system.worker(i).request_proxy->faults().hold_answers = false;
+		});
+	CHECK(cluster::wait_until(
+		[&]
+		{ return head_field(system.request(0, tally_request("GET", "after-0")), "Trailjunction-Outcome") == "done"; },
+		millis{5'000}));
+	CHECK(executions(system)["late-1"] == 1);
+}
+
+TEST_CASE("a key makes a request run at most once, through whichever entry it comes again",
+		  "[process][requests][store]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	auto message = tally_request("POST", "merge-1");
+	message.headers.push_back({"Idempotency-Key", "merge-1"});
+	const auto first = system.request(0, message);
+	REQUIRE(head_field(first, "Trailjunction-Outcome") == "done");
+	// The answer is recorded after it was given, so a repetition at once may be told to come back.
+	CHECK(cluster::wait_until(
+		[&]
+		{
+			const auto again = system.request(1, message);
+			return head_field(again, "Trailjunction-Outcome") == "done" && again.response.body == first.response.body &&
+				   head_field(again, "Idempotent-Replay") == "yes";
+		},
+		millis{5'000}));
+	CHECK(executions(system)["merge-1"] == 1);
+	auto other = message;
+	other.body = "something else";
+	CHECK(head_field(system.request(1, other), "Trailjunction-Outcome") == "not-run");
+
+	// The store is away: nothing is gambled.
+	system.set_faults([](platform_faults& faults) { faults.table_down = true; });
+	auto away = tally_request("POST", "merge-2");
+	away.headers.push_back({"Idempotency-Key", "merge-2"});
+	away.headers.push_back({"Trailjunction-Deadline-Ms", "800"});
+	CHECK(head_field(system.request(0, away), "Trailjunction-Outcome") == "not-run");
+	CHECK(executions(system)["merge-2"] == 0);
+	system.set_faults([](platform_faults& faults) { faults.table_down = false; });
+	CHECK(cluster::wait_until([&] { return head_field(system.request(1, away), "Trailjunction-Outcome") == "done"; },
+							  millis{8'000}));
+	CHECK(executions(system)["merge-2"] == 1);
+}
+
+TEST_CASE("the same key at both entries at once runs once", "[process][requests][store]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	for (int i = 0; i < 8; ++i)
+	{
+		const auto job = "race-" + std::to_string(i);
+		auto message = tally_request("POST", job, "/tally/check?ms=20");
+		message.headers.push_back({"Idempotency-Key", job});
+		if (i % 2 == 0)
+			system.set_faults(
+				[](platform_faults& faults)
+				{
+					faults.lose_prefix = "claims/";
+					faults.lose_write_answers = 1;
+				});
+		std::vector<std::thread> callers;
+		for (int t = 0; t < 4; ++t)
+			callers.emplace_back([&, t] { (void)system.request(t % 2, message); });
+		for (auto& caller : callers)
+			caller.join();
+		CHECK(executions(system)[job] == 1);
+	}
+}
+
+TEST_CASE("no more than the slots run at a time, and refusals say when to come back", "[process][requests]")
+{
+	auto options = options_here();
+	options.agents = 1;
+	options.halls = 1;
+	options.entries = 1;
+	cluster system{options};
+	REQUIRE(system.wait_ready());
+	ledger book;
+	send_jobs(system, book, "flood-", 200, 60, "/tally/check?ms=40");
+	check_promises(system, book);
+	CHECK(system.thread().run([&] { return system.worker(0).upstream->most_running(); }) <= 8);
+	CHECK(told(book, "done") >= 24); // the slots and the queue
+	CHECK(told(book, "not-run") > 0);
+}
+
+TEST_CASE("a leaving worker gets nothing new within three seconds, from each of the sources", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	const auto served = [&](int worker)
+	{
+		return system.thread().run([&] { return system.worker(worker).upstream->journal().size(); });
+	};
+	const auto send_some = [&]
+	{
+		for (int i = 0; i < 40; ++i)
+			(void)system.request(i % 2, tally_request("GET", "some"));
+	};
+	REQUIRE(system.command(0, "drain worker w1").status == 200);
+	system.thread().run([&] { system.platform().worker(worker_id{"w2"}).leaving = true; });
+	std::this_thread::sleep_for(millis{3'000});
+	const auto first = served(0);
+	const auto second = served(1);
+	send_some();
+	CHECK(served(0) == first);
+	CHECK(served(1) == second);
+	REQUIRE(system.command(1, "undrain worker w1").status == 200);
+	CHECK(cluster::wait_until(
+		[&]
+		{
+			send_some();
+			return served(0) > first;
+		},
+		millis{5'000}));
+}
+
+TEST_CASE("planned stops of an agent and an entry cut nothing in flight", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	ledger book;
+	std::thread stopper{[&]
+						{
+							std::this_thread::sleep_for(millis{200});
+							system.worker(0).agent.signal(SIGTERM);
+							CHECK(system.worker(0).agent.wait() == 0);
+						}};
+	send_jobs(system, book, "stop-", 200, 6, "/tally/check?ms=60");
+	stopper.join();
+	check_promises(system, book);
+	CHECK(told(book, "unknown") == 0);
+
+	// An entry answers what it holds; callers that come afterwards are refused by the closed port.
+	std::vector<std::thread> callers;
+	std::atomic<int> answered{0};
+	for (int t = 0; t < 6; ++t)
+		callers.emplace_back(
+			[&]
+			{
+				const auto result = system.request(1, tally_request("GET", "last", "/tally/check?ms=1200"));
+				answered += head_field(result, "Trailjunction-Outcome") == "done" ? 1 : 0;
+			});
+	std::this_thread::sleep_for(millis{300});
+	system.entry(1).process.signal(SIGTERM);
+	CHECK(system.entry(1).process.wait() == 0);
+	for (auto& caller : callers)
+		caller.join();
+	CHECK(answered == 6);
+}
+
+TEST_CASE("bad requests get a clear error and stop nothing", "[process][requests]")
+{
+	cluster system{options_here()};
+	REQUIRE(system.wait_ready());
+	auto late = tally_request("GET", "bad-1");
+	late.headers.push_back({"Trailjunction-Deadline-Ms", "soon"});
+	const auto refused = system.request(0, late);
+	CHECK(refused.response.status == 400);
+	CHECK(refused.response.body.find("Trailjunction-Deadline-Ms") != std::string::npos);
+	CHECK(head_field(refused, "Trailjunction-Outcome") == "not-run");
+	auto big_head = tally_request("GET", "bad-2");
+	big_head.headers.push_back({"X-Big", std::string(64 * 1024, 'x')});
+	CHECK(system.request(0, big_head).response.status == 431);
+	auto big_body = tally_request("POST", "bad-3");
+	big_body.body = std::string(2 * 1024 * 1024, 'x');
+	CHECK(system.request(0, big_body).response.status == 413);
+	CHECK(system.request(0, {"GET", "/nobody/x", {}, ""}).response.status == 503);
+	CHECK(executions(system).count("bad-1") == 0);
+	CHECK(head_field(system.request(0, tally_request("GET", "good-0")), "Trailjunction-Outcome") == "done");
+}
