--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,231 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Slopes for docs/CAPACITY.md: an entry by number of agents, an agent by number of runs, journal by records.
+#include "bench.hpp"
+
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/decide.hpp>
+#include <trailjunction/wire.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+namespace trailjunction::bench
+{
+	namespace asio = boost::asio;
+	using namespace testkit;
+
+	namespace
+	{
+		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
+
+		/// Speaks as an agent does, with nothing behind it.
+		class fake_agent
+		{
+		public:
+			fake_agent(asio::io_context& io, std::string name, int runs)
+				: io_{io},
+				  name_{std::move(name)},
+				  runs_{runs},
+				  control_{io, *parse_endpoint("127.0.0.1:0")},
+				  requests_{io, *parse_endpoint("127.0.0.1:0")}
+			{
+				asio::co_spawn(io, accept(control_, true), asio::detached);
+				asio::co_spawn(io, accept(requests_, false), asio::detached);
+			}
+			[[nodiscard]] standin_worker declared() const
+			{
+				standin_worker worker;
+				worker.worker = worker_id{name_};
+				worker.hall = hall_id{"h1"};
+				worker.requests = to_string(requests_.local_endpoint());
+				worker.control = to_string(control_.local_endpoint());
+				return worker;
+			}
+
+		private:
+			asio::awaitable<void> accept(asio::ip::tcp::acceptor& from, bool control)
+			{
+				while (true)
+				{
+					auto [error, socket] = co_await from.async_accept(as_result);
+					if (error)
+						co_return;
+					const auto one = std::make_shared<link>(std::move(socket), link_limits{});
+					one->start(
+						[weak = std::weak_ptr<link>(one)](wire::envelope&& message)
+						{
+							if (const auto open = weak.lock(); open && message.__isset.hi)
+								(void)open->send(message);
+						},
+						[](const std::string&) {});
+					links_.push_back(one);
+					if (control)
+						asio::co_spawn(io_, beat(one), asio::detached);
+				}
+			}
+			asio::awaitable<void> beat(std::shared_ptr<link> to)
+			{
+				asio::steady_timer timer{io_};
+				while (to->is_open())
+				{
+					wire::envelope message;
+					message.__isset.beat = true;
+					message.beat.stamp_ms = to_millis(std::chrono::steady_clock::now());
+					message.beat.incarnation = 1;
+					message.beat.ready = true;
+					message.beat.capacity.cpu_milli = 32'000;
+					message.beat.capacity.memory_mib = 125'000;
+					message.beat.hall = "h1";
+					message.beat.service_name = "tally";
+					for (int i = 0; i < runs_; ++i)
+					{
+						wire::run_report report;
+						report.task = name_ + "-task-" + std::to_string(i);
+						report.run = 1;
+						report.state = wire::run_state::running;
+						message.beat.runs.push_back(report);
+					}
+					(void)to->send(message);
+					timer.expires_after(millis{500});
+					(void)co_await timer.async_wait(as_result);
+				}
+			}
+
+			asio::io_context& io_;
+			std::string name_;
+			int runs_;
+			asio::ip::tcp::acceptor control_;
+			asio::ip::tcp::acceptor requests_;
+			std::vector<std::shared_ptr<link>> links_;
+		};
+
+		/// An entry with so many agents, each with 13 runs: the share of runs to workers at the full size.
+		void entry_slope(int agents)
+		{
+			auto options = options_here();
+			options.agents = 0;
+			options.entries = 1;
+			standin_thread agents_thread;
+			std::vector<std::unique_ptr<fake_agent>> fakes;
+			cluster system{options};
+			agents_thread.run(
+				[&]
+				{
+					for (int i = 0; i < agents; ++i)
+						fakes.push_back(std::make_unique<fake_agent>(agents_thread.io(), "f" + std::to_string(i), 13));
+				});
+			system.thread().run(
+				[&]
+				{
+					for (const auto& fake : fakes)
+						system.platform().declare(fake->declared());
+				});
+			std::this_thread::sleep_for(std::chrono::seconds{4});
+			const auto before = cost_of(system.entry(0).process.id());
+			constexpr int seconds = 5;
+			std::this_thread::sleep_for(std::chrono::seconds{seconds});
+			const auto after = cost_of(system.entry(0).process.id());
+			const auto name = "entry_with_" + std::to_string(agents) + "_agents";
+			print_figure(name, "memory_mib", after.memory_mib);
+			print_figure(name, "core_share", (after.cpu_seconds - before.cpu_seconds) / seconds);
+			system.entry(0).process.kill();
+			agents_thread.stop();
+		}
+
+		/// A real agent with so many runs.
+		void agent_slope(int runs)
+		{
+			auto options = options_here();
+			options.agents = 1;
+			options.halls = 1;
+			options.entries = 1;
+			options.capacity = {100'000, 100'000, 0};
+			options.checkpoint_every = millis{30'000};
+			cluster system{options};
+			if (!system.wait_ready())
+				return;
+			for (int i = 0; i < runs; ++i)
+				(void)system.command(0, "submit task watcher-" + std::to_string(i) + " team sirr command forever");
+			std::this_thread::sleep_for(std::chrono::seconds{3});
+			const auto& worker = system.worker(0);
+			const auto bytes = read_metric(worker.admin, "trailjunction_control_bytes_total");
+			const auto before = cost_of(worker.agent.id());
+			constexpr int seconds = 10;
+			std::this_thread::sleep_for(std::chrono::seconds{seconds});
+			const auto after = cost_of(worker.agent.id());
+			const auto sent = read_metric(worker.admin, "trailjunction_control_bytes_total") - bytes;
+			const auto name = "agent_with_" + std::to_string(runs) + "_runs";
+			print_figure(name, "memory_mib", after.memory_mib);
+			print_figure(name, "core_share", (after.cpu_seconds - before.cpu_seconds) / seconds);
+			print_figure(name, "control_bytes_per_second", sent / seconds);
+		}
+
+		/// Journal work of one start and one end, without processes.
+		void journal_slope(int tasks)
+		{
+			shard_state shard;
+			journal_batch batch;
+			batch.number = {1};
+			for (int i = 0; i < tasks; ++i)
+			{
+				journal_record record;
+				record.kind = record_kind::submitted;
+				record.spec = task_spec{};
+				record.spec->id = task_id{"merge-" + std::to_string(i)};
+				record.spec->team = team_id{"sirr"};
+				record.spec->kind = kind_id{"merge"};
+				record.task = record.spec->id;
+				(void)apply(shard, record);
+			}
+			for (int i = 0; i < tasks; ++i)
+			{
+				journal_record record;
+				record.kind = record_kind::started;
+				record.task = task_id{"merge-" + std::to_string(i)};
+				record.run = {1};
+				record.worker = worker_id{"w" + std::to_string(i % 100)};
+				record.worker_life = {123'456'789};
+				batch.records.push_back(record);
+			}
+			const auto began = std::chrono::steady_clock::now();
+			const auto text = encode_batch(batch);
+			const auto encoded = std::chrono::steady_clock::now();
+			const auto decoded = decode_batch(text);
+			(void)apply(shard, *decoded);
+			const auto applied = std::chrono::steady_clock::now();
+			const auto snapshot = encode_snapshot(shard);
+			const auto written = std::chrono::steady_clock::now();
+			const auto restored = decode_snapshot(snapshot);
+			const auto read = std::chrono::steady_clock::now();
+			const auto per = [&](auto from, auto to)
+			{
+				return std::chrono::duration<double, std::micro>(to - from).count() / tasks;
+			};
+			const auto name = "journal_with_" + std::to_string(tasks) + "_records";
+			print_figure(name, "encode_us_per_record", per(began, encoded));
+			print_figure(name, "replay_us_per_record", per(encoded, applied));
+			print_figure(name, "bytes_per_record", static_cast<double>(text.size()) / tasks);
+			print_figure(name, "snapshot_encode_us_per_task", per(applied, written));
+			print_figure(name, "snapshot_read_us_per_task", restored.ok() ? per(written, read) : -1);
+			print_figure(name, "snapshot_bytes_per_task", static_cast<double>(snapshot.size()) / tasks);
+		}
+	}
+
+	void bench_capacity()
+	{
+		for (const int records : {1'000, 10'000, 40'000})
+			journal_slope(records);
+		for (const int runs : {0, 13, 40})
+			agent_slope(runs);
+		for (const int agents : {50, 200, 400})
+			entry_slope(agents);
+	}
+}
--- /dev/null
+++ b/bench/decisions.cpp
@@ -0,0 +1,355 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Placement: time by number of workers, and the policy against simple ones on fakes at its interfaces.
+#include "bench.hpp"
+
+#include <trailjunction/decide.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace trailjunction::bench
+{
+	namespace
+	{
+		// -------------------------------------------------------------- time of one decision
+
+		worker_view fresh_worker(std::size_t number)
+		{
+			worker_view view;
+			view.worker = worker_id{"w" + std::to_string(number)};
+			view.hall = hall_id{"h" + std::to_string(number % 3)};
+			view.rack = rack_id{"r" + std::to_string(number / 3)};
+			view.service = service_id{"tally"};
+			view.reachable = true;
+			view.capacity = {32'000, 125'000, 0};
+			return view;
+		}
+
+		void time_placements(std::size_t workers)
+		{
+			fleet places;
+			random_engine random{11};
+			for (std::size_t i = 0; i < workers; ++i)
+			{
+				auto view = fresh_worker(i);
+				view.claimed = {static_cast<std::int64_t>(random() % 30'000), 1'000, 0};
+				places.update(std::move(view));
+			}
+			const placement_weights weights;
+			const interference learned;
+			constexpr int rounds = 20'000;
+			task_spec task;
+			task.kind = kind_id{"merge"};
+			const auto began = std::chrono::steady_clock::now();
+			for (int i = 0; i < rounds; ++i)
+			{
+				task.claim = {static_cast<std::int64_t>(500 + random() % 1'500), 256, 0};
+				const auto decision = place(places, task, {}, weights, learned, began, random);
+				if (!decision.chosen)
+					continue;
+				places.claim(decision.chosen->worker, task, true);
+				places.claim(decision.chosen->worker, task, false);
+			}
+			const auto took = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - began);
+			print_figure("placement_time", "us_at_" + std::to_string(workers) + "_workers", took.count() / rounds);
+		}
+
+		// -------------------------------------------------------------- the policy on fakes
+
+		constexpr int worker_count = 11;
+		constexpr int kind_count_all = 6;
+		constexpr double base_us = 5'000;
+		constexpr double target_us = 9'000;
+		constexpr int steps = 6'000; ///< Of 100 ms each.
+		constexpr int lag = 10;      ///< Steps that a report is late.
+
+		/// What no policy knows.
+		struct hidden_truth
+		{
+			std::array<double, kind_count_all> slowdown{0.01, 0.03, 0.06,
+														0.12, 0.25, 0.4};              ///< Of the service, logarithmic.
+			std::array<double, kind_count_all> real_use{1.0, 0.6, 1.3, 1.0, 1.5, 0.8}; ///< Of what is declared.
+		};
+
+		struct fake_run
+		{
+			int kind{};
+			double work_left{}; ///< In steps at full speed.
+			double since_checkpoint{};
+			bool throttled{};
+			bool watcher{};
+			resources claim;
+		};
+
+		struct late_report
+		{
+			int due{};
+			int worker{};
+			double p99{};
+			std::vector<kind_id> beside;
+		};
+
+		enum class policy_kind
+		{
+			first_fit,
+			random,
+			least_loaded,
+			without_learning,
+			whole,
+		};
+
+		struct outcome_sums
+		{
+			double over_target{}; ///< Worker-steps with the service over its target.
+			double work_done{};   ///< Batch steps that counted.
+			double evictions{};
+			double overloads{}; ///< Claims beyond capacity: never allowed.
+			std::vector<double> latencies;
+		};
+
+		kind_id kind_name(int kind)
+		{
+			return kind_id{"kind-" + std::to_string(kind)};
+		}
+
+		/// One run of the experiment; the seed repeats arrivals and noise for every policy.
+		outcome_sums run_policy(policy_kind policy, const placement_weights& weights, bool with_response)
+		{
+			const hidden_truth truth;
+			random_engine arrivals{42};
+			random_engine noise{43};
+			random_engine choices{44};
+			std::normal_distribution<double> jitter{0, 0.15};
+			std::vector<std::vector<fake_run>> on(worker_count);
+			std::vector<harm_state> harm(worker_count);
+			std::vector<fake_run> waiting;
+			std::vector<late_report> reports;
+			std::vector<int> evictions_at;
+			interference learned;
+			outcome_sums sums;
+			const resources capacity{32'000, 125'000, 0};
+			for (int step = 0; step < steps; ++step)
+			{
+				const auto now = instant{std::chrono::milliseconds{100} * step};
+				// Noisy tasks arrive in waves.
+				const bool wave = step / 300 % 2 == 1;
+				const int arriving = arrivals() % 100 < (wave ? 12 : 6) ? 1 : 0;
+				for (int i = 0; i < arriving; ++i)
+				{
+					fake_run run;
+					run.kind =
+						wave ? static_cast<int>(3 + arrivals() % 3) : static_cast<int>(arrivals() % kind_count_all);
+					run.work_left = 50 + static_cast<double>(arrivals() % 400);
+					run.watcher = arrivals() % 40 == 0;
+					run.claim = {static_cast<std::int64_t>(2'000 + arrivals() % 4'000), 4'000, 0};
+					waiting.push_back(run);
+				}
+				// Place.
+				fleet places;
+				for (int w = 0; w < worker_count; ++w)
+				{
+					auto view = fresh_worker(static_cast<std::size_t>(w));
+					for (const auto& run : on[static_cast<std::size_t>(w)])
+					{
+						view.claimed += run.claim;
+						if (!run.throttled)
+							view.kinds.push_back({kind_name(run.kind), 1});
+						view.used.cpu_milli +=
+							static_cast<std::int64_t>(truth.real_use[static_cast<std::size_t>(run.kind)] *
+													  static_cast<double>(run.claim.cpu_milli));
+					}
+					const auto alone = learned.alone.find(service_id{"tally"});
+					if (alone != learned.alone.end())
+						view.headroom = std::log(target_us) - alone->second.log_latency;
+					places.update(std::move(view));
+				}
+				std::vector<fake_run> left;
+				for (auto& run : waiting)
+				{
+					task_spec task;
+					task.kind = kind_name(run.kind);
+					task.claim = run.claim;
+					std::optional<std::size_t> chosen;
+					const auto fits = [&](std::size_t w)
+					{
+						return run.claim.fits(places.workers()[w].space());
+					};
+					if (policy == policy_kind::first_fit)
+					{
+						for (std::size_t w = 0; w < worker_count && !chosen; ++w)
+							if (fits(w))
+								chosen = w;
+					}
+					else if (policy == policy_kind::random)
+					{
+						for (int tries = 0; tries < 30 && !chosen; ++tries)
+							if (const auto w = choices() % worker_count; fits(w))
+								chosen = w;
+					}
+					else if (policy == policy_kind::least_loaded)
+					{
+						for (std::size_t w = 0; w < worker_count; ++w)
+							if (fits(w) && (!chosen || places.workers()[w].space().cpu_milli >
+														   places.workers()[*chosen].space().cpu_milli))
+								chosen = w;
+					}
+					else
+					{
+						const auto decision = place(places, task, {}, weights, learned, now, choices);
+						if (decision.chosen)
+							chosen = static_cast<std::size_t>(std::stoul(decision.chosen->worker.str().substr(1)));
+					}
+					if (!chosen)
+					{
+						left.push_back(run);
+						continue;
+					}
+					places.claim(places.workers()[*chosen].worker, task, true);
+					on[*chosen].push_back(run);
+				}
+				waiting = std::move(left);
+				// Run, measure, report late.
+				for (std::size_t w = 0; w < worker_count; ++w)
+				{
+					double log_slowdown = 0;
+					double used = 0;
+					resources claimed;
+					std::vector<kind_id> beside;
+					for (const auto& run : on[w])
+					{
+						const auto kind = static_cast<std::size_t>(run.kind);
+						log_slowdown += truth.slowdown[kind] * (run.throttled ? 0.25 : 1);
+						used += truth.real_use[kind] * static_cast<double>(run.claim.cpu_milli) *
+								(run.throttled ? 0.25 : 1);
+						claimed += run.claim;
+						if (!run.throttled)
+							beside.push_back(kind_name(run.kind));
+					}
+					sums.overloads += claimed.fits(capacity) ? 0 : 1;
+					const double crowding = std::max(0.0, used / 32'000 - 1) * 2;
+					const double p99 = base_us * std::exp(log_slowdown + crowding + jitter(noise));
+					sums.over_target += p99 > target_us ? 1 : 0;
+					sums.latencies.push_back(p99);
+					if (step % 5 == 0)
+						reports.push_back({step + lag, static_cast<int>(w), p99, beside});
+					const double speed = std::min(1.0, 32'000 / std::max(used, 1.0));
+					for (auto& run : on[w])
+					{
+						const double moved = speed * (run.throttled ? 0.25 : 1);
+						sums.work_done += moved;
+						run.since_checkpoint = step % 20 == 0 ? 0 : run.since_checkpoint + moved;
+						run.work_left -= run.watcher ? 0 : moved;
+					}
+					std::erase_if(on[w], [](const fake_run& run) { return run.work_left <= 0; });
+				}
+				// Learn from what arrives now, and respond.
+				for (const auto& report : reports)
+				{
+					if (report.due != step)
+						continue;
+					const auto w = static_cast<std::size_t>(report.worker);
+					if (policy == policy_kind::whole)
+						learn(learned, {service_id{"tally"}, report.p99, report.beside});
+					if (!with_response)
+						continue;
+					note_latency(harm[w], report.p99, target_us, weights);
+					std::vector<harm_suspect> suspects;
+					for (std::size_t i = 0; i < on[w].size(); ++i)
+						suspects.push_back({task_id{std::to_string(i)}, kind_name(on[w][i].kind), on[w][i].throttled,
+											on[w][i].watcher,
+											millis{static_cast<std::int64_t>(on[w][i].since_checkpoint * 100)}});
+					std::erase_if(evictions_at, [step](int at) { return step - at > 600; });
+					const bool may_evict =
+						static_cast<std::int64_t>(evictions_at.size()) < weights.evictions_per_minute;
+					const auto move =
+						respond_to_harm(harm[w], suspects, service_id{"tally"}, learned, weights, may_evict, now);
+					if (move.what == harm_action::throttle)
+						on[w][move.which].throttled = true;
+					if (move.what == harm_action::unthrottle)
+						on[w][move.which].throttled = false;
+					if (move.what == harm_action::evict)
+					{
+						auto run = on[w][move.which];
+						run.throttled = false;
+						sums.evictions += 1;
+						sums.work_done -= run.since_checkpoint;
+						evictions_at.push_back(step);
+						waiting.push_back(run);
+						on[w].erase(on[w].begin() + static_cast<std::ptrdiff_t>(move.which));
+					}
+				}
+				std::erase_if(reports, [step](const late_report& report) { return report.due <= step; });
+			}
+			return sums;
+		}
+
+		void compare(const std::string& user, const placement_weights& weights)
+		{
+			struct line
+			{
+				const char* name;
+				policy_kind policy;
+				bool responds;
+			};
+			const std::vector<line> lines{{"first_fit", policy_kind::first_fit, false},
+										  {"random", policy_kind::random, false},
+										  {"least_loaded", policy_kind::least_loaded, false},
+										  {"without_learning", policy_kind::without_learning, true},
+										  {"without_response", policy_kind::whole, false},
+										  {"whole", policy_kind::whole, true}};
+			double best_over = 1e18;
+			double best_work = 0;
+			for (const auto& one : lines)
+			{
+				const auto sums = run_policy(one.policy, weights, one.responds);
+				const bool simple = one.policy == policy_kind::first_fit || one.policy == policy_kind::random ||
+									one.policy == policy_kind::least_loaded;
+				const std::string name = user + "/" + one.name;
+				const double over = sums.over_target / (steps * worker_count);
+				print_figure(name, "service_time_over_target", over, simple ? 0 : best_over);
+				print_figure(name, "service_p99_us", percentile(sums.latencies, 0.99));
+				print_figure(name, "batch_work_steps", sums.work_done, simple ? 0 : best_work);
+				print_figure(name, "evictions", sums.evictions);
+				print_figure(name, "capacity_violations", sums.overloads);
+				if (simple)
+				{
+					best_over = std::min(best_over, over);
+					best_work = std::max(best_work, sums.work_done);
+				}
+			}
+		}
+
+		void ablate(const placement_weights& whole)
+		{
+			const auto figure = [](const std::string& term, const placement_weights& weights)
+			{
+				const auto sums = run_policy(policy_kind::whole, weights, true);
+				print_figure("ablation/without_" + term, "service_time_over_target",
+							 sums.over_target / (steps * worker_count));
+				print_figure("ablation/without_" + term, "batch_work_steps", sums.work_done);
+			};
+			auto weights = whole;
+			weights.harm = 0;
+			figure("harm", weights);
+			weights = whole;
+			weights.packing = 0;
+			figure("packing", weights);
+			weights = whole;
+			weights.overuse = 0;
+			figure("overuse", weights);
+		}
+	}
+
+	void bench_decisions()
+	{
+		for (const std::size_t workers : {11U, 100U, 1'000U, 2'875U, 23'000U})
+			time_placements(workers);
+		const auto grangemouth = parse_config(R"({"placement":{"preset":"grangemouth"}})", {}).value().placement;
+		const auto sirr = parse_config(R"({"placement":{"preset":"sirr"}})", {}).value().placement;
+		compare("grangemouth", grangemouth);
+		compare("sirr", sirr);
+		ablate(grangemouth);
+	}
+}
--- /dev/null
+++ b/bench/tasks.cpp
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Tasks: starts a second against a store held to its rates, takeover, recovery.
+#include "bench.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <thread>
+
+namespace trailjunction::bench
+{
+	namespace asio = boost::asio;
+	using namespace testkit;
+
+	namespace
+	{
+		double seconds_since(instant then)
+		{
+			return std::chrono::duration<double>(std::chrono::steady_clock::now() - then).count();
+		}
+
+		void hold_to_rates(cluster& system)
+		{
+			system.set_faults(
+				[](platform_faults& faults)
+				{
+					faults.writes_per_second = 100;
+					faults.reads_per_second = 2'000;
+					faults.latency = millis{5};
+				});
+		}
+
+		/// Submits many tasks at once over several connections to each entry.
+		int submit_many(cluster& system, int tasks, const std::string& rest)
+		{
+			asio::io_context io;
+			std::vector<std::unique_ptr<http_client>> clients;
+			for (int i = 0; i < system.entries(); ++i)
+				clients.push_back(std::make_unique<http_client>(io, system.entry(i).operators, 256));
+			int next = 0;
+			int accepted = 0;
+			const auto loop = [&]() -> asio::awaitable<void>
+			{
+				while (next < tasks)
+				{
+					const int number = next++;
+					boost::json::object body;
+					body["command"] = absl::StrCat("submit task job-", number, " team sirr ", rest);
+					body["id"] = absl::StrCat("job-", number);
+					http_request request{"POST", "/v1/command", {}, boost::json::serialize(body)};
+					auto& client = *clients[static_cast<std::size_t>(number) % clients.size()];
+					const auto result = co_await client.send(std::move(request), std::chrono::steady_clock::now() +
+																					 std::chrono::seconds{20});
+					accepted += result.response.status == 200 ? 1 : 0;
+				}
+			};
+			for (int i = 0; i < 400; ++i)
+				asio::co_spawn(io, loop, asio::detached);
+			io.run();
+			return accepted;
+		}
+
+		double sum_metric(cluster& system, const std::string& name)
+		{
+			double sum = 0;
+			for (int i = 0; i < system.entries(); ++i)
+				sum += read_metric(system.entry(i).operators, name);
+			return sum;
+		}
+
+		/// Tasks wait for a quota; when it is lifted, all start as fast as the system can.
+		void starts_per_second(int tasks)
+		{
+			auto options = options_here();
+			options.agents = 8;
+			options.entries = 2;
+			options.shards = 4;
+			options.capacity = {20'000'000, 20'000'000, 0};
+			options.checkpoint_every = millis{60'000};
+			cluster system{options};
+			if (!system.wait_ready())
+				return;
+			hold_to_rates(system);
+			(void)system.command(0, "quota team sirr cpu 0 memory 0");
+			std::this_thread::sleep_for(std::chrono::seconds{2});
+			const auto submitting = std::chrono::steady_clock::now();
+			const int accepted = submit_many(system, tasks, "cpu 1000 memory 10 command \"work 0\"");
+			const auto name = "starts_" + std::to_string(tasks);
+			print_figure(name, "accepted", accepted, tasks);
+			print_figure(name, "submits_per_second", accepted / seconds_since(submitting));
+			const auto writes = system.thread().run([&] { return system.platform().load().writes; });
+			const auto entry_cpu =
+				cost_of(system.entry(0).process.id()).cpu_seconds + cost_of(system.entry(1).process.id()).cpu_seconds;
+			(void)system.command(0, "set /teams/sirr null");
+			const auto began = std::chrono::steady_clock::now();
+			double half = 0;
+			(void)cluster::wait_until(
+				[&]
+				{
+					const auto started = sum_metric(system, "trailjunction_starts_total");
+					if (half == 0 && started >= accepted / 2.0)
+						half = seconds_since(began);
+					return started >= accepted;
+				},
+				millis{60'000});
+			const auto decided = seconds_since(began);
+			(void)cluster::wait_until([&] { return sum_metric(system, "trailjunction_run_ends_total") >= accepted; },
+									  millis{60'000});
+			const auto ended = seconds_since(began);
+			const auto spent = system.thread().run([&] { return system.platform().load().writes; }) - writes;
+			const auto cpu = cost_of(system.entry(0).process.id()).cpu_seconds +
+							 cost_of(system.entry(1).process.id()).cpu_seconds - entry_cpu;
+			print_figure(name, "starts_decided_per_second", accepted / decided);
+			print_figure(name, "starts_to_end_per_second", accepted / ended);
+			print_figure(name, "store_writes_per_second", static_cast<double>(spent) / ended);
+			print_figure(name, "entry_cpu_us_per_task", cpu * 1e6 / accepted);
+		}
+
+		/// From an urgent submit to its start, with nothing wrong.
+		void urgent_latency()
+		{
+			auto options = options_here();
+			cluster system{options};
+			if (!system.wait_ready())
+				return;
+			hold_to_rates(system);
+			std::vector<double> times;
+			for (int i = 0; i < 40; ++i)
+			{
+				const auto task = "urgent-" + std::to_string(i);
+				const auto began = std::chrono::steady_clock::now();
+				if (system.command(i % 2, "submit task " + task + " team sirr urgency urgent command \"work 10\"")
+						.status != 200)
+					continue;
+				(void)cluster::wait_until(
+					[&]
+					{
+						for (const auto& event : system.events())
+							if (event.task == task && event.what == "start")
+								return true;
+						return false;
+					},
+					millis{10'000});
+				times.push_back(seconds_since(began) * 1'000);
+			}
+			print_figure("urgent_start", "p50_ms", percentile(times, 0.5));
+			print_figure("urgent_start", "p99_ms", percentile(times, 0.99));
+		}
+
+		/// From the death of an owner to the start of an urgent task that is submitted at once.
+		void urgent_after_owner_death(int held)
+		{
+			auto options = options_here();
+			options.shards = 4;
+			options.capacity = {20'000'000, 20'000'000, 0};
+			cluster system{options};
+			if (!system.wait_ready())
+				return;
+			hold_to_rates(system);
+			if (held > 0)
+			{
+				(void)system.command(0, "quota team sirr cpu 0 memory 0");
+				std::this_thread::sleep_for(std::chrono::seconds{1});
+				(void)submit_many(system, held, "command forever");
+			}
+			system.entry(0).process.kill();
+			const auto began = std::chrono::steady_clock::now();
+			std::vector<double> times;
+			for (int i = 0; i < 8; ++i)
+			{
+				const auto task = "urgent-" + std::to_string(i);
+				(void)cluster::wait_until(
+					[&] {
+						return system.command(1, "submit task " + task + " team ops urgency urgent command \"work 10\"")
+								   .status == 200;
+					},
+					millis{20'000});
+				(void)cluster::wait_until(
+					[&]
+					{
+						for (const auto& event : system.events())
+							if (event.task == task && event.what == "start")
+								return true;
+						return false;
+					},
+					millis{20'000});
+				times.push_back(seconds_since(began));
+			}
+			print_figure("urgent_after_owner_death_" + std::to_string(held), "first_start_s", times.front());
+			print_figure("urgent_after_owner_death_" + std::to_string(held), "all_8_started_s", times.back());
+		}
+	}
+
+	void bench_tasks()
+	{
+		urgent_latency();
+		urgent_after_owner_death(0);
+		urgent_after_owner_death(20'000);
+		starts_per_second(5'000);
+		starts_per_second(30'000);
+	}
+}
--- a/packages/decide/include/trailjunction/decide.hpp
+++ b/packages/decide/include/trailjunction/decide.hpp
@@ -3,6 +3,7 @@
 /// \brief Umbrella header of the decide package: pure decisions over plain structs, the time an argument.
 #pragma once
 
+#include "decide/process/harm_response.hpp"
 #include "decide/process/interference.hpp"
 #include "decide/process/journal_record.hpp"
 #include "decide/process/membership.hpp"
--- a/packages/decide/include/trailjunction/decide/process/placement.hpp
+++ b/packages/decide/include/trailjunction/decide/process/placement.hpp
@@ -43,6 +43,7 @@
 		resources used;         ///< As measured, late.
 		double failure_score{}; ///< Fades with time.
 		std::vector<kind_count> kinds;
+		double headroom{0.7}; ///< Natural logarithm of the service's target over its latency with nothing beside it.
 
 		/// \brief What is left for claims.
 		[[nodiscard]] resources space() const noexcept
@@ -84,6 +85,9 @@
 	[[nodiscard]] refusal check_worker(const worker_view& worker, const task_spec& task,
 									   std::span<const worker_id> failed_on, instant now) noexcept;
 
+	/// \brief The expected logarithmic slowdown of a worker's service by what runs there now.
+	[[nodiscard]] double slowdown_now(const worker_view& worker, const interference& learned);
+
 	/// \brief The cost of putting a task there.
 	[[nodiscard]] score_terms score_worker(const worker_view& worker, const task_spec& task,
 										   const placement_weights& weights, const interference& learned);
--- a/packages/decide/include/trailjunction/decide/request/balance.hpp
+++ b/packages/decide/include/trailjunction/decide/request/balance.hpp
@@ -28,8 +28,8 @@
 		std::int64_t reported{};  ///< In flight and queued at the agent, all entries, by its last reply.
 		std::int64_t slots{8};    ///< Requests that its upstream serves at a time.
 		instant reported_at{};    ///< When that reply came.
-		instant silent_since{};    ///< While it holds requests: when it last answered one, or was given the first.
-		double latency_us{};       ///< Moving mean of the time to an answer, 0: none yet.
+		instant silent_since{};   ///< While it holds requests: when it last answered one, or was given the first.
+		double latency_us{};      ///< Moving mean of the time to an answer, 0: none yet.
 		double deviation_us{};    ///< Moving mean deviation from it.
 		double failure_share{};   ///< Moving share of tries that failed.
 		std::int64_t tries{};     ///< Tries that ended.
--- a/packages/decide/include/trailjunction/decide/version/config_document.hpp
+++ b/packages/decide/include/trailjunction/decide/version/config_document.hpp
@@ -24,7 +24,7 @@
 		std::int64_t slots{8};        ///< A worker's, for its upstream.
 		std::int64_t queue{16};       ///< Requests that wait at an agent.
 		std::int64_t connections{64}; ///< From an agent to its upstream.
-		double retry_share{0.1};      ///< Extra tries for each first try.
+		double retry_share{0.09};     ///< Extra tries for each first try.
 		bool hedge{true};
 		millis deadline{10'000}; ///< Of a request that names none.
 		double eject_latency_factor{4};
--- a/packages/decide/src/process/interference.cpp
+++ b/packages/decide/src/process/interference.cpp
@@ -52,6 +52,9 @@
 			alone.weight = fade(alone.weight, learned.memory);
 			return;
 		}
+		// The service alone has its part in what is not explained, the less the better it is known.
+		alone.log_latency += residual * step_size(alone.weight, static_cast<double>(sample.beside.size()));
+		alone.weight = fade(alone.weight, learned.memory);
 		const double share = residual / static_cast<double>(sample.beside.size());
 		for (const auto& kind : sample.beside)
 		{
--- a/packages/decide/src/process/placement.cpp
+++ b/packages/decide/src/process/placement.cpp
@@ -12,7 +12,8 @@
 {
 	namespace
 	{
-		constexpr std::size_t looked_at = 24; ///< Candidates that are scored.
+		constexpr std::size_t looked_at = 24;   ///< Candidates that are scored.
+		constexpr double latency_spread = 0.12; ///< Of the logarithm of a measured p99 around its expectation.
 		constexpr std::size_t runners_up_kept = 3;
 		constexpr std::array<std::string_view, 7> refusal_names{"none",       "unreachable",  "leaving", "quarantined",
 																"other hall", "failed there", "no room"};
@@ -22,11 +23,25 @@
 			return whole <= 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
 		}
 
+		/// The chance that a service misses its target, by the logarithm of its expected latency over the target.
+		double chance_over_target(double log_ratio)
+		{
+			return 1 / (1 + std::exp(-log_ratio / latency_spread));
+		}
+
 		double harm_of(const worker_view& worker, const task_spec& task, const interference& learned)
 		{
 			// A batch task harms the service that is there; a replica suffers from the batch tasks that are there.
+			if (!task.replica && worker.service.empty())
+				return 0;
 			if (!task.replica)
-				return worker.service.empty() ? 0 : expected_slowdown(learned, worker.service, task.kind);
+			{
+				// What counts is the service missing its target: a worker far below it, or over it anyway, loses
+				// little.
+				const double before = slowdown_now(worker, learned);
+				const double after = before + expected_slowdown(learned, worker.service, task.kind);
+				return chance_over_target(after - worker.headroom) - chance_over_target(before - worker.headroom);
+			}
 			double sum = 0;
 			const service_id service{task.kind.str()};
 			for (const auto& other : worker.kinds)
@@ -90,6 +105,15 @@
 		return task.claim.fits(worker.space()) ? refusal::none : refusal::no_room;
 	}
 
+	double slowdown_now(const worker_view& worker, const interference& learned)
+	{
+		double sum = 0;
+		for (const auto& other : worker.kinds)
+			if (other.count > 0 && other.kind.str() != worker.service.str())
+				sum += other.count * expected_slowdown(learned, worker.service, other.kind);
+		return sum;
+	}
+
 	score_terms score_worker(const worker_view& worker, const task_spec& task, const placement_weights& weights,
 							 const interference& learned)
 	{
--- a/packages/decide/src/version/config_document.cpp
+++ b/packages/decide/src/version/config_document.cpp
@@ -36,11 +36,12 @@
 			reader.read("far_hall_us", out.far_hall_us, 0, largest_us);
 		}
 
-		/// Sirr: throughput and evictions first. Grangemouth, the default: tail latency first.
+		/// Sirr: throughput and evictions first, so harm is avoided by placement and throttles are for emergencies: a
+		/// throttled task stays four times as long. Grangemouth, the default: tail latency first.
 		void apply_preset(field_reader& reader, const std::string& preset, placement_weights& out)
 		{
 			if (preset == "sirr")
-				out = {.harm = 2, .packing = 1, .throttle_at = 1.1, .evict_at = 2, .evictions_per_minute = 2};
+				out = {.harm = 6, .packing = 0.5, .throttle_at = 10, .evict_at = 20, .evictions_per_minute = 1};
 			else if (preset != "grangemouth")
 				reader.fault("preset", absl::StrCat("is '", preset, "', one of grangemouth, sirr is wanted"));
 		}
--- a/packages/entry/src/process/task_owner.cpp
+++ b/packages/entry/src/process/task_owner.cpp
@@ -191,7 +191,8 @@
 			keeper.lose("the member lease lapsed during the takeover");
 	}
 
-	/// The member lease had lapsed: whoever saw that may own the shards by now. They are taken again, under a new epoch.
+	/// The member lease had lapsed: whoever saw that may own the shards by now. They are taken again, under a new
+	/// epoch.
 	void task_owner::step_down()
 	{
 		for (const auto& keeper : keepers_)
--- a/packages/entry/src/process/worker_directory.cpp
+++ b/packages/entry/src/process/worker_directory.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace trailjunction
 {
@@ -194,6 +195,7 @@
 		view.failure_score = failure_score(worker.health, health_policy{}, worker.heard);
 		for (const auto& kind : beat.kinds)
 			view.kinds.push_back({kind_id{kind.kind}, kind.count});
+		view.headroom = headroom_of(worker.service);
 		fleet_.update(std::move(view));
 		learn_samples(worker, beat);
 	}
@@ -266,16 +268,20 @@
 		(void)to->send(message);
 	}
 
+	double worker_directory::headroom_of(const service_id& service) const
+	{
+		const auto target = config_.services.find(service);
+		const auto alone = learned_.alone.find(service);
+		if (target == config_.services.end() || alone == learned_.alone.end())
+			return worker_view{}.headroom;
+		return std::log(std::chrono::duration<double, std::micro>(target->second.target).count()) -
+			   alone->second.log_latency;
+	}
+
 	double worker_directory::batch_harm(const known_worker& worker) const
 	{
 		const auto* view = fleet_.find(worker.place.worker);
-		if (view == nullptr)
-			return 0;
-		double sum = 0;
-		for (const auto& kind : view->kinds)
-			if (kind.kind.str() != worker.service.str())
-				sum += kind.count * expected_slowdown(learned_, worker.service, kind.kind);
-		return sum;
+		return view == nullptr ? 0 : std::expm1(slowdown_now(*view, learned_));
 	}
 
 	asio::awaitable<void> worker_directory::push_directory()
--- a/packages/entry/src/process/worker_directory.hpp
+++ b/packages/entry/src/process/worker_directory.hpp
@@ -100,6 +100,7 @@
 		void learn_samples(known_worker& worker, const wire::heartbeat& beat);
 		void note_silence(instant now);
 		void send_config(const std::shared_ptr<link>& to);
+		[[nodiscard]] double headroom_of(const service_id& service) const;
 		[[nodiscard]] double batch_harm(const known_worker& worker) const;
 
 		boost::asio::io_context& io_;
--- a/packages/query/src/parse.cpp
+++ b/packages/query/src/parse.cpp
@@ -181,6 +181,14 @@
 				return "workers, services, tasks, requests, config, teams, members or shards";
 			if (which.find("resolution") != std::string::npos)
 				return "done or retry";
+			if (which.find("name_tag") != std::string::npos)
+				return "a name";
+			if (which.find("value_tag") != std::string::npos)
+				return "a value";
+			if (which.find("field_tag") != std::string::npos)
+				return "a field";
+			if (which.find("condition_tag") != std::string::npos)
+				return "a condition";
 			if (which.find("boost") != std::string::npos)
 				return "another word";
 			return which;
--- a/packages/testkit/include/trailjunction/testkit/cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/cluster.hpp
@@ -33,6 +33,7 @@
 		resources capacity{4'000, 8'192, 0};
 		std::string times; ///< JSON members of "times"; empty: the defaults.
 		millis checkpoint_every{500};
+		bool proxies{true};             ///< Between entries and agents; without them nothing is added to latencies.
 		std::vector<std::string> racks; ///< By worker; empty: three workers to a rack.
 	};
 
@@ -44,7 +45,8 @@
 		std::unique_ptr<fault_proxy> request_proxy;  ///< Between entries and the agent's request links.
 		std::unique_ptr<fault_proxy> control_proxy;  ///< Between entries and the agent's control links.
 		std::unique_ptr<fault_proxy> platform_proxy; ///< Between the agent and the platform.
-		std::string settings;                        ///< The settings file.
+		endpoint upstream_address;
+		std::string settings; ///< The settings file.
 		endpoint admin;
 		child_process agent;
 	};
@@ -104,6 +106,11 @@
 		{
 			return entries_[static_cast<std::size_t>(index)];
 		}
+		/// \brief Where a worker's upstream listens.
+		[[nodiscard]] const endpoint& upstream_address(int index) const
+		{
+			return workers_[static_cast<std::size_t>(index)].upstream_address;
+		}
 		[[nodiscard]] int workers() const noexcept
 		{
 			return static_cast<int>(workers_.size());
--- a/packages/testkit/src/cluster.cpp
+++ b/packages/testkit/src/cluster.cpp
@@ -113,10 +113,11 @@
 			{
 				worker.upstream = std::make_unique<upstream_standin>(thread_.io());
 				upstream = worker.upstream->listen();
+				worker.upstream_address = upstream;
 				worker.request_proxy = std::make_unique<fault_proxy>(thread_.io(), requests);
-				declared.requests = to_string(worker.request_proxy->listen());
+				declared.requests = to_string(options_.proxies ? worker.request_proxy->listen() : requests);
 				worker.control_proxy = std::make_unique<fault_proxy>(thread_.io(), control);
-				declared.control = to_string(worker.control_proxy->listen());
+				declared.control = to_string(options_.proxies ? worker.control_proxy->listen() : control);
 				worker.platform_proxy = std::make_unique<fault_proxy>(thread_.io(), platform_address_);
 				platform = worker.platform_proxy->listen();
 				platform_->declare(declared);
--- /dev/null
+++ b/tests/catalogue.cpp
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The documents are held against the code.
+#include "tests.hpp"
+
+#include <trailjunction/core/event.hpp>
+
+#include <fstream>
+#include <sstream>
+
+using namespace trailjunction;
+
+namespace
+{
+	std::string read(const std::string& path)
+	{
+		std::ifstream file{std::string{TRAILJUNCTION_SOURCE} + "/" + path};
+		std::ostringstream text;
+		text << file.rdbuf();
+		return text.str();
+	}
+}
+
+TEST_CASE("the catalogue has every event, and no other", "[docs]")
+{
+	const auto catalogue = read("docs/EVENTS.md");
+	std::size_t lines = 0;
+	for (std::size_t at = catalogue.find("\n| E"); at != std::string::npos; at = catalogue.find("\n| E", at + 1))
+		++lines;
+	CHECK(lines == all_events().size());
+	for (const auto what : all_events())
+	{
+		const auto line = "| E" + std::to_string(static_cast<int>(what)) + " | " + std::string{to_string(what)} + " |";
+		INFO(line);
+		CHECK(catalogue.find(line) != std::string::npos);
+	}
+}
--- /dev/null
+++ b/tests/decide.cpp
@@ -0,0 +1,352 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Decisions as pure functions: routing, limits, slots, placement, interference, shards.
+#include "tests.hpp"
+
+#include <cmath>
+#include <set>
+
+using namespace trailjunction;
+
+namespace
+{
+	const instant start{std::chrono::hours{1}};
+
+	std::vector<target_view> make_targets(int count)
+	{
+		std::vector<target_view> targets;
+		for (int i = 0; i < count; ++i)
+		{
+			target_view view;
+			view.worker = worker_id{"w" + std::to_string(i)};
+			view.hall = hall_id{"h1"};
+			view.connected = true;
+			view.joined = start - std::chrono::minutes{10};
+			view.latency_us = 2'000;
+			view.tries = 100;
+			targets.push_back(view);
+		}
+		return targets;
+	}
+
+	std::vector<int> choose_often(const std::vector<target_view>& targets, instant now, int times = 4'000)
+	{
+		random_engine random{3};
+		std::vector<int> count(targets.size());
+		for (int i = 0; i < times; ++i)
+			if (const auto chosen = choose_target(targets, {}, hall_id{"h1"}, {}, now, random))
+				++count[*chosen];
+		return count;
+	}
+
+	task_spec spec_of(const std::string& id, std::int64_t cpu = 1'000)
+	{
+		task_spec spec;
+		spec.id = task_id{id};
+		spec.team = team_id{"sirr"};
+		spec.kind = kind_id{"merge"};
+		spec.claim = {cpu, 256, 0};
+		return spec;
+	}
+
+	journal_record record_of(record_kind kind, const std::string& id, std::uint64_t run = 0)
+	{
+		journal_record record;
+		record.kind = kind;
+		record.task = task_id{id};
+		record.run = {run};
+		record.worker = worker_id{"w1"};
+		record.worker_life = {7};
+		return record;
+	}
+
+	journal_record submission(const task_spec& spec)
+	{
+		auto record = record_of(record_kind::submitted, spec.id.str());
+		record.spec = spec;
+		return record;
+	}
+}
+
+TEST_CASE("a worker that answers nothing is avoided before any try has failed", "[decide]")
+{
+	auto targets = make_targets(4);
+	note_sent(targets[0], start);
+	const auto count = choose_often(targets, start + millis{500});
+	CHECK(count[0] == 0);
+	note_returned(targets[0], true, start + millis{500});
+	CHECK(choose_often(targets, start + millis{501})[0] > 500);
+}
+
+TEST_CASE("slow, far, crowded and harmed workers get less; newcomers get a little at first", "[decide]")
+{
+	auto targets = make_targets(5);
+	targets[0].latency_us = 20'000;
+	targets[1].hall = hall_id{"h2"};
+	targets[2].batch_harm = 2;
+	targets[3].joined = start - millis{100};
+	const auto count = choose_often(targets, start);
+	for (int i = 0; i < 4; ++i)
+		CHECK(count[static_cast<std::size_t>(i)] < count[4]);
+}
+
+TEST_CASE("an outlier is ejected, but never so many that none are left", "[decide]")
+{
+	auto targets = make_targets(10);
+	int ejected = 0;
+	for (std::size_t which = 0; which < targets.size(); ++which)
+		for (int i = 0; i < 40; ++i)
+			ejected += learn_from_try(targets, which, {true, false, 0}, {}, start) ? 1 : 0;
+	CHECK(ejected == 3); // 0.3 of ten
+	CHECK(choose_often(targets, start)[9] > 0);
+}
+
+TEST_CASE("retries never exceed their share, whatever fails", "[decide]")
+{
+	retry_budget budget;
+	int extra = 0;
+	constexpr int tries = 10'000;
+	for (int i = 0; i < tries; ++i)
+	{
+		earn_retry(budget);
+		extra += spend_retry(budget) ? 1 : 0;
+	}
+	CHECK(extra <= tries / 10 + 10);
+}
+
+TEST_CASE("the concurrency limit shrinks when workers are crowded and grows back", "[decide]")
+{
+	concurrency_limit limit;
+	for (int i = 0; i < 20; ++i)
+	{
+		REQUIRE(enter(limit));
+		leave(limit, true, start + millis{200} * i);
+	}
+	const double low = limit.limit;
+	CHECK(low < 64);
+	CHECK(low >= limit.least);
+	for (int round = 0; round < 200; ++round)
+	{
+		int inside = 0;
+		while (enter(limit))
+			++inside;
+		for (int i = 0; i < inside; ++i)
+			leave(limit, false, start + std::chrono::minutes{1});
+	}
+	CHECK(limit.limit > low);
+}
+
+TEST_CASE("slots are never exceeded; quick work goes ahead; what cannot make its deadline is refused", "[decide]")
+{
+	slot_table table;
+	table.limits = {2, 4};
+	const auto late = start + std::chrono::seconds{1};
+	CHECK(admit(table, {1, late, false}, start).what == admission::run);
+	CHECK(admit(table, {2, late, false}, start).what == admission::run);
+	CHECK(admit(table, {3, late, false}, start).what == admission::queued);
+	CHECK(admit(table, {4, late, true}, start).what == admission::queued);
+	CHECK(admit(table, {5, start + millis{1}, false}, start).what == admission::refused);
+	CHECK(admit(table, {6, late, false}, start).what == admission::queued);
+	CHECK(admit(table, {7, late, false}, start).what == admission::queued);
+	const auto full = admit(table, {8, late, false}, start);
+	CHECK(full.what == admission::refused);
+	CHECK(full.retry_after.count() > 0);
+	release_slot(table, micros{2'000});
+	const auto turn = next_turn(table, start);
+	REQUIRE(turn.start.size() == 1);
+	CHECK(turn.start[0] == 4);
+	CHECK(table.running == 2);
+	CHECK(forget_queued(table, 3));
+	CHECK_FALSE(forget_queued(table, 3));
+	CHECK(next_turn(table, start + std::chrono::seconds{2}).expired.size() == 2);
+}
+
+TEST_CASE("interference is learned from late samples and separates kinds that run together", "[decide]")
+{
+	interference learned;
+	random_engine random{9};
+	std::normal_distribution<double> noise{0, 0.1};
+	const service_id service{"tally"};
+	const std::vector<kind_id> kinds{kind_id{"harmless"}, kind_id{"harmful"}};
+	for (int i = 0; i < 2'000; ++i)
+	{
+		std::vector<kind_id> beside;
+		double log_latency = std::log(5'000.0);
+		for (std::size_t k = 0; k < kinds.size(); ++k)
+			if (random() % 2 == 0)
+			{
+				beside.push_back(kinds[k]);
+				log_latency += k == 1 ? 0.6 : 0.0;
+			}
+		const bool outlier = random() % 50 == 0;
+		learn(learned, {service, std::exp(log_latency + noise(random)) * (outlier ? 100 : 1), beside});
+	}
+	CHECK(expected_slowdown(learned, service, kinds[0]) < 0.15);
+	CHECK(expected_slowdown(learned, service, kinds[1]) == Approx(0.6).margin(0.15));
+	CHECK(expected_slowdown(learned, service, kind_id{"never seen"}) == learned.prior_slowdown);
+}
+
+TEST_CASE("placement holds to capacity, halls, quarantine and what failed before", "[decide]")
+{
+	fleet places;
+	random_engine random{1};
+	for (int i = 0; i < 200; ++i)
+	{
+		worker_view view;
+		view.worker = worker_id{"w" + std::to_string(i)};
+		view.hall = hall_id{i % 2 == 0 ? "even" : "odd"};
+		view.reachable = i != 4;
+		view.leaving = i == 6;
+		view.quarantined_until = i == 8 ? start + millis{1} : instant{};
+		view.capacity = {4'000, 8'000, 0};
+		view.blocked = {static_cast<std::int64_t>(i) * 10, 0, 0};
+		places.update(std::move(view));
+	}
+	auto spec = spec_of("t");
+	spec.hall = hall_id{"even"};
+	const std::vector<worker_id> failed{worker_id{"w10"}};
+	for (int i = 0; i < 500; ++i)
+	{
+		const auto decision = place(places, spec, failed, {}, {}, start, random);
+		if (!decision.chosen)
+			break;
+		const auto* view = places.find(decision.chosen->worker);
+		REQUIRE(view->hall == spec.hall);
+		REQUIRE(check_worker(*view, spec, failed, start) == refusal::none);
+		places.claim(decision.chosen->worker, spec, true);
+		REQUIRE((places.find(decision.chosen->worker)->claimed + view->blocked).fits(view->capacity));
+	}
+	CHECK(places.find(worker_id{"w10"})->claimed == resources{});
+	CHECK_FALSE(place(places, spec_of("big", 5'000), {}, {}, {}, start, random).chosen);
+	places.remove(worker_id{"w0"});
+	CHECK(places.find(worker_id{"w0"}) == nullptr);
+	CHECK(places.workers().size() == 199);
+}
+
+TEST_CASE("a shard refuses records that do not fit, and run numbers make late ones harmless", "[decide]")
+{
+	shard_state shard;
+	REQUIRE(apply(shard, submission(spec_of("a"))).ok());
+	CHECK_FALSE(apply(shard, submission(spec_of("a"))).ok());
+	CHECK_FALSE(apply(shard, record_of(record_kind::started, "a", 2)).ok());
+	REQUIRE(apply(shard, record_of(record_kind::started, "a", 1)).ok());
+	CHECK(shard.team_use.at(team_id{"sirr"}).cpu_milli == 1'000);
+	REQUIRE(apply(shard, record_of(record_kind::fenced, "a", 1)).ok());
+	REQUIRE(apply(shard, record_of(record_kind::released, "a", 1)).ok());
+	REQUIRE(apply(shard, record_of(record_kind::started, "a", 2)).ok());
+	auto late = record_of(record_kind::ended, "a", 1);
+	late.how = run_end::finished;
+	CHECK_FALSE(apply(shard, late).ok());
+	late.run = {2};
+	CHECK(apply(shard, late).ok());
+	CHECK(shard.tasks.at(task_id{"a"}).phase == task_phase::finished);
+	CHECK(shard.team_use.at(team_id{"sirr"}) == resources{});
+	CHECK_FALSE(apply(shard, record_of(record_kind::cancelled, "a")).ok());
+}
+
+TEST_CASE("a shard that is replayed or restored is the shard that was written", "[decide]")
+{
+	shard_state shard;
+	random_engine random{17};
+	std::vector<journal_batch> batches;
+	for (std::uint64_t number = 1; number <= 200; ++number)
+	{
+		journal_batch batch{{number}, {1 + number / 50}, member_id{"e1"}, {}};
+		for (int i = 0; i < 10; ++i)
+		{
+			const auto id = "t" + std::to_string(random() % 60);
+			auto record = record_of(static_cast<record_kind>(1 + random() % 9), id, random() % 4);
+			record.how = static_cast<run_end>(random() % 5);
+			record.checkpoint = checkpoint_id{"c" + std::to_string(number)};
+			record.reason = "because \"quoted\"";
+			if (random() % 3 == 0)
+				record = submission(spec_of(id));
+			if (apply(shard, record).ok())
+				batch.records.push_back(record);
+		}
+		batches.push_back(batch);
+	}
+	shard_state replayed;
+	for (const auto& batch : batches)
+	{
+		const auto decoded = decode_batch(encode_batch(batch));
+		REQUIRE(decoded.ok());
+		REQUIRE(apply(replayed, *decoded).ok());
+	}
+	const absl::StatusOr<shard_state> restored = decode_snapshot(encode_snapshot(replayed));
+	REQUIRE(restored.ok());
+	for (const auto* other : std::vector<const shard_state*>{&replayed, &restored.value()})
+	{
+		REQUIRE(other->tasks.size() == shard.tasks.size());
+		CHECK(other->waiting == shard.waiting);
+		for (const auto& [id, task] : shard.tasks)
+		{
+			const auto& same = other->tasks.at(id);
+			CHECK(same.phase == task.phase);
+			CHECK(same.run == task.run);
+			CHECK(same.checkpoint == task.checkpoint);
+			CHECK(same.failures == task.failures);
+		}
+	}
+	CHECK_FALSE(apply(replayed, batches.front()).ok());
+	CHECK_FALSE(decode_batch("{\"n\":1}").ok());
+	CHECK_FALSE(decode_snapshot("[]").ok());
+}
+
+TEST_CASE("an agent refuses what is stale, foreign or too large, and pauses what nobody confirms", "[decide]")
+{
+	const protocol_times times;
+	run_table table;
+	table.life = {7};
+	table.room.capacity = {2'000, 1'000, 0};
+	start_order order{task_id{"a"}, {1}, {0}, {5}, start, {7}, kind_id{"merge"}, {1'000, 256, 0}, false, {}, "", false};
+	CHECK(accept_start(table, order, times, start).what == start_end::ignored); // not ready
+	table.ready = true;
+	CHECK(accept_start(table, order, times, start + times.run_lease).what == start_end::ignored);
+	CHECK(accept_start(table, order, times, start).what == start_end::accepted);
+	CHECK(accept_start(table, order, times, start).what == start_end::known);
+	auto older = order;
+	older.task = task_id{"b"};
+	older.owner_epoch = {4};
+	CHECK(accept_start(table, older, times, start).what == start_end::ignored);
+	auto large = order;
+	large.task = task_id{"c"};
+	large.claim.cpu_milli = 1'500;
+	CHECK(accept_start(table, large, times, start).what == start_end::refused);
+	CHECK(accept_start(table, large, times, start).what == start_end::known); // the refusal stands
+	table.runs.at(task_id{"a"}).state = agent_run_state::running;
+	CHECK(lapse(table, times, start + times.run_lease - millis{1}).pause.empty());
+	CHECK(lapse(table, times, start + times.run_lease).pause.size() == 1);
+	const run_grant late{task_id{"a"}, {1}, {0}, {5}, start, {7}};
+	CHECK(apply_grant(table, late, times, start + times.run_lease) == grant_end::expired);
+	auto fresh = late;
+	fresh.stamp = start + times.run_lease;
+	CHECK(apply_grant(table, fresh, times, start + times.run_lease) == grant_end::resumed);
+	fresh.owner_epoch = {4};
+	CHECK(apply_grant(table, fresh, times, start + times.run_lease) == grant_end::old_epoch);
+}
+
+TEST_CASE("one bad task does not quarantine a worker; many failing ones do, for longer each time", "[decide]")
+{
+	worker_health health;
+	const health_policy policy;
+	for (int i = 0; i < 20; ++i)
+		CHECK_FALSE(note_end(health, task_id{"poison"}, true, i > 0, policy, start));
+	bool quarantined = false;
+	for (int i = 0; i < 3; ++i)
+		quarantined = note_end(health, task_id{"t" + std::to_string(i)}, true, false, policy, start) || quarantined;
+	CHECK(quarantined);
+	CHECK(health.quarantined_until == start + policy.first_quarantine);
+}
+
+TEST_CASE("settings faults are all named, with path and reason", "[settings]")
+{
+	const auto refused = parse_config(
+		R"({"requests":{"slots":0,"hedge":"yes","nothing":1},"teams":{"sirr":{"cpu":-1}},"placement":{"preset":"x"}})",
+		{});
+	REQUIRE_FALSE(refused.ok());
+	const std::string text{refused.status().message()};
+	for (const auto* path :
+		 {"/requests/slots", "/requests/hedge", "/requests/nothing", "/teams/sirr/cpu", "/placement/preset"})
+		CHECK(text.find(path) != std::string::npos);
+}
--- a/tests/requests_under_faults.cpp
+++ b/tests/requests_under_faults.cpp
@@ -180,8 +180,10 @@
 	REQUIRE(system.wait_ready());
 	ledger book;
 	warm_up(system);
-	system.thread().run([&] {
-		system.worker(0).upstream->behaviour().hang = true;
+	system.thread().run(
+		[&]
+		{
+			system.worker(0).upstream->behaviour().hang = true;
 			system.worker(1).upstream->behaviour().cut_answer = true;
 		});
 	send_jobs(system, book, "sick-", 80, 8, "/tally/check?ms=3");
--- a/tests/tests.hpp
+++ b/tests/tests.hpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <trailjunction/core/event.hpp>
 #include <trailjunction/decide.hpp>
 #include <trailjunction/testkit/cluster.hpp>
 
