Agents are sent their own part of the configuration

Also: /requests/connections was read and never used; two events had no place in the code.

Change: an entry cuts out the request limits and the worker's own member (config_for_agent); the slots are bounded by the connections; the events are gone; the start bench uses fake agents, since the stand-in of the platform was the limit before (heartbeats late, runs fenced at 30,000 tasks on 8 workers).

Figures: bytes of a change to an agent: before the whole document (some 60 KB at the full size), after request limits and one worker (under 300 bytes by the settings' own length).

--- /dev/null
+++ b/bench/fake_agent.cpp
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: MIT
+#include "fake_agent.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace trailjunction::bench
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
+		constexpr auto heartbeat = millis{500};
+	}
+
+	fake_agent::fake_agent(asio::io_context& io, std::string name, int runs)
+		: io_{io},
+		  name_{std::move(name)},
+		  runs_{runs},
+		  control_{io, *parse_endpoint("127.0.0.1:0")},
+		  requests_{io, *parse_endpoint("127.0.0.1:0")}
+	{
+		asio::co_spawn(io, accept(control_, true), asio::detached);
+		asio::co_spawn(io, accept(requests_, false), asio::detached);
+	}
+
+	testkit::standin_worker fake_agent::declared() const
+	{
+		testkit::standin_worker worker;
+		worker.worker = worker_id{name_};
+		worker.hall = hall_id{"h1"};
+		worker.requests = to_string(requests_.local_endpoint());
+		worker.control = to_string(control_.local_endpoint());
+		return worker;
+	}
+
+	asio::awaitable<void> fake_agent::accept(asio::ip::tcp::acceptor& from, bool control)
+	{
+		while (true)
+		{
+			auto [error, socket] = co_await from.async_accept(as_result);
+			if (error)
+				co_return;
+			const auto one = std::make_shared<link>(std::move(socket), link_limits{});
+			one->start([this, weak = std::weak_ptr<link>(one)](wire::envelope&& message)
+					   { take(weak.lock(), std::move(message)); },
+					   [](const std::string&) {});
+			links_.push_back(one);
+			if (control)
+				asio::co_spawn(io_, beat(one), asio::detached);
+		}
+	}
+
+	void fake_agent::take(const std::shared_ptr<link>& from, wire::envelope&& message)
+	{
+		if (message.__isset.hi && from)
+		{
+			(void)from->send(message);
+		}
+		else if (message.__isset.start)
+		{
+			wire::run_report report;
+			report.task = message.start.task;
+			report.run = message.start.run;
+			report.shard = message.start.shard;
+			report.state = wire::run_state::finished;
+			ended_[report.task] = report;
+		}
+		else if (message.__isset.lease)
+		{
+			for (const auto& known : message.lease.acknowledged)
+				ended_.erase(known.task);
+		}
+	}
+
+	wire::envelope fake_agent::make_beat() const
+	{
+		wire::envelope message;
+		message.__isset.beat = true;
+		auto& beat = message.beat;
+		beat.stamp_ms = to_millis(std::chrono::steady_clock::now());
+		beat.incarnation = 1;
+		beat.ready = true;
+		beat.capacity.cpu_milli = 32'000;
+		beat.capacity.memory_mib = 125'000;
+		beat.hall = "h1";
+		beat.service_name = "tally";
+		for (int i = 0; i < runs_; ++i)
+		{
+			wire::run_report report;
+			report.task = name_ + "-task-" + std::to_string(i);
+			report.run = 1;
+			report.state = wire::run_state::running;
+			beat.runs.push_back(report);
+		}
+		for (const auto& [task, report] : ended_)
+			beat.runs.push_back(report);
+		return message;
+	}
+
+	asio::awaitable<void> fake_agent::beat(std::shared_ptr<link> to)
+	{
+		asio::steady_timer timer{io_};
+		while (to->is_open())
+		{
+			(void)to->send(make_beat());
+			timer.expires_after(heartbeat);
+			(void)co_await timer.async_wait(as_result);
+		}
+	}
+}
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -42,7 +42,8 @@
 		process_cost cost;
 		std::ifstream stat{"/proc/" + std::to_string(process) + "/stat"};
 		std::string text;
-		std::getline(stat, text);
+		if (!std::getline(stat, text))
+			return cost; // the process has ended
 		std::istringstream fields{text.substr(text.rfind(')') + 2)};
 		std::string skipped;
 		constexpr int before_times = 11;
--- a/packages/agent/src/process/control_duty.cpp
+++ b/packages/agent/src/process/control_duty.cpp
@@ -421,7 +421,6 @@
 			return;
 		}
 		config_ = *std::move(document);
-		config_text_ = message.document;
 		const auto mine = config_.workers.find(settings_.worker);
 		table_.room.reserved = mine == config_.workers.end() ? resources{} : mine->second.reserved;
 		log_event(event::config_applied, {{"version", message.version}});
@@ -443,7 +442,9 @@
 
 	void control_duty::push_rules()
 	{
-		(void)rules_.push({config_.requests.slots, config_.requests.queue, table_.leaving});
+		// A slot is one connection to the upstream at a time.
+		const auto slots = std::min(config_.requests.slots, config_.requests.connections);
+		(void)rules_.push({slots, config_.requests.queue, table_.leaving});
 	}
 
 	void control_duty::leave()
--- a/packages/agent/src/process/control_duty.hpp
+++ b/packages/agent/src/process/control_duty.hpp
@@ -130,7 +130,6 @@
 		std::deque<past_sample> samples_;
 		std::deque<ended_task> ended_;
 		config_document config_;
-		std::string config_text_;
 		instant renewed_{}; ///< When the last renewal that succeeded was about to be sent.
 		bool stopping_{};
 		prometheus::Gauge& runs_gauge_;
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -22,14 +22,12 @@
 		process_ready = 101,
 		process_stopping = 102,
 		process_stopped = 103,
-		settings_refused = 104,
 		listen_failed = 105,
 		// 2xx: links and requests
 		link_opened = 200,
 		link_closed = 201,
 		frame_refused = 202,
 		late_answer_dropped = 203,
-		request_refused = 204,
 		worker_ejected = 205,
 		// 3xx: platform
 		platform_unreachable = 300,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -13,25 +13,21 @@
 	{
 		/// Events that an operator should look at.
 		constexpr event warnings[] = {
-			event::settings_refused,     event::listen_failed,       event::frame_refused, event::worker_ejected,
-			event::platform_unreachable, event::member_renewed_late, event::shard_lost,    event::run_fenced,
-			event::run_paused,           event::run_stopped,         event::grant_refused, event::task_parked,
-			event::worker_quarantined,   event::config_refused,
+			event::listen_failed,       event::frame_refused, event::worker_ejected, event::platform_unreachable,
+			event::member_renewed_late, event::shard_lost,    event::run_fenced,     event::run_paused,
+			event::run_stopped,         event::grant_refused, event::task_parked,    event::worker_quarantined,
+			event::config_refused,
 		};
 
 		constexpr std::initializer_list<event> every_event = {
-			event::process_started,      event::process_ready,    event::process_stopping,
-			event::process_stopped,      event::settings_refused, event::listen_failed,
-			event::link_opened,          event::link_closed,      event::frame_refused,
-			event::late_answer_dropped,  event::request_refused,  event::worker_ejected,
-			event::platform_unreachable, event::platform_back,    event::write_resolved,
-			event::member_renewed_late,  event::shard_taken,      event::shard_lost,
-			event::shard_recovered,      event::snapshot_written, event::run_fenced,
-			event::run_released,         event::run_paused,       event::run_stopped,
-			event::grant_refused,        event::start_refused,    event::task_parked,
-			event::worker_quarantined,   event::run_adopted,      event::config_applied,
-			event::config_refused,       event::command_accepted, event::command_refused,
-			event::worker_leaving,
+			event::process_started,     event::process_ready,       event::process_stopping,     event::process_stopped,
+			event::listen_failed,       event::link_opened,         event::link_closed,          event::frame_refused,
+			event::late_answer_dropped, event::worker_ejected,      event::platform_unreachable, event::platform_back,
+			event::write_resolved,      event::member_renewed_late, event::shard_taken,          event::shard_lost,
+			event::shard_recovered,     event::snapshot_written,    event::run_fenced,           event::run_released,
+			event::run_paused,          event::run_stopped,         event::grant_refused,        event::start_refused,
+			event::task_parked,         event::worker_quarantined,  event::run_adopted,          event::config_applied,
+			event::config_refused,      event::command_accepted,    event::command_refused,      event::worker_leaving,
 		};
 	}
 
@@ -47,8 +43,6 @@
 			return "process_stopping";
 		case event::process_stopped:
 			return "process_stopped";
-		case event::settings_refused:
-			return "settings_refused";
 		case event::listen_failed:
 			return "listen_failed";
 		case event::link_opened:
@@ -59,8 +53,6 @@
 			return "frame_refused";
 		case event::late_answer_dropped:
 			return "late_answer_dropped";
-		case event::request_refused:
-			return "request_refused";
 		case event::worker_ejected:
 			return "worker_ejected";
 		case event::platform_unreachable:
--- a/packages/decide/include/trailjunction/decide/version/config_document.hpp
+++ b/packages/decide/include/trailjunction/decide/version/config_document.hpp
@@ -12,6 +12,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
+#include <boost/json/value.hpp>
 
 #include <string>
 #include <string_view>
@@ -85,6 +86,11 @@
 	[[nodiscard]] absl::StatusOr<std::string> change_config(std::string_view text, std::string_view path,
 															std::string_view value);
 
+	/// \brief The part of a document that concerns one worker's agent: request limits and its own declarations.
+	/// \details At the full size the whole document would be thousands of times larger than what an agent needs of it.
+	/// \param document The whole document, parsed.
+	[[nodiscard]] std::string config_for_agent(const boost::json::value& document, const worker_id& worker);
+
 	/// \brief The balance policy that a configuration asks for.
 	[[nodiscard]] balance_policy balance_of(const request_config& requests) noexcept;
 }
--- a/packages/decide/src/version/config_document.cpp
+++ b/packages/decide/src/version/config_document.cpp
@@ -137,6 +137,22 @@
 		return changed;
 	}
 
+	std::string config_for_agent(const json::value& document, const worker_id& worker)
+	{
+		json::object out;
+		const auto* whole = document.if_object();
+		if (whole == nullptr)
+			return "{}";
+		if (const auto* requests = whole->if_contains("requests"))
+			out["requests"] = *requests;
+		const auto* workers = whole->if_contains("workers");
+		const auto* own =
+			workers != nullptr && workers->is_object() ? workers->get_object().if_contains(worker.str()) : nullptr;
+		if (own != nullptr)
+			out["workers"] = json::object{{worker.str(), *own}};
+		return json::serialize(out);
+	}
+
 	balance_policy balance_of(const request_config& requests) noexcept
 	{
 		balance_policy policy;
--- a/packages/entry/src/process/worker_directory.cpp
+++ b/packages/entry/src/process/worker_directory.cpp
@@ -2,6 +2,7 @@
 #include "worker_directory.hpp"
 
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/core/json.hpp>
 
 #include <absl/container/flat_hash_set.h>
 #include <boost/asio/co_spawn.hpp>
@@ -148,7 +149,7 @@
 	{
 		worker.connection = std::make_shared<agent_connection>(io_, worker.place.control, settings_.member, life_);
 		const auto name = worker.place.worker;
-		worker.connection->start({[this](const std::shared_ptr<link>& open) { send_config(open); },
+		worker.connection->start({[this, name](const std::shared_ptr<link>& open) { send_config(open, name); },
 								  [this, name](const std::shared_ptr<link>& from, wire::envelope&& message)
 								  { take(name, from, std::move(message)); },
 								  [](const std::shared_ptr<link>&) {
@@ -164,7 +165,7 @@
 			return;
 		take_beat(*known, message.beat);
 		if (known->config < config_.version)
-			send_config(from);
+			send_config(from, worker);
 		if (on_beat_)
 			on_beat_(*known, message.beat);
 	}
@@ -253,18 +254,18 @@
 	void worker_directory::configure(const config_document& document, const std::string& text)
 	{
 		config_ = document;
-		config_text_ = text;
+		config_value_ = parse_json(text).value_or(boost::json::object{});
 		for (const auto& [name, worker] : workers_)
 			if (worker.connection && worker.connection->current())
-				send_config(worker.connection->current());
+				send_config(worker.connection->current(), name);
 	}
 
-	void worker_directory::send_config(const std::shared_ptr<link>& to)
+	void worker_directory::send_config(const std::shared_ptr<link>& to, const worker_id& worker)
 	{
 		wire::envelope message;
 		message.__isset.conf = true;
 		message.conf.version = static_cast<std::int64_t>(config_.version.value);
-		message.conf.document = config_text_;
+		message.conf.document = config_for_agent(config_value_, worker);
 		(void)to->send(message);
 	}
 
--- a/packages/entry/src/process/worker_directory.hpp
+++ b/packages/entry/src/process/worker_directory.hpp
@@ -18,6 +18,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
 
 #include <functional>
 #include <memory>
@@ -99,7 +100,7 @@
 		void take_beat(known_worker& worker, const wire::heartbeat& beat);
 		void learn_samples(known_worker& worker, const wire::heartbeat& beat);
 		void note_silence(instant now);
-		void send_config(const std::shared_ptr<link>& to);
+		void send_config(const std::shared_ptr<link>& to, const worker_id& worker);
 		[[nodiscard]] double headroom_of(const service_id& service) const;
 		[[nodiscard]] double batch_harm(const known_worker& worker) const;
 
@@ -113,7 +114,7 @@
 		fleet fleet_;
 		interference learned_;
 		config_document config_;
-		std::string config_text_{"{}"};
-		instant listed_at_{}; ///< When the list was first read.
+		boost::json::value config_value_; ///< The same document, for cutting out what each agent needs.
+		instant listed_at_{};             ///< When the list was first read.
 	};
 }
