--- a/bench/requests.cpp
+++ b/bench/requests.cpp
@@ -406,8 +406,10 @@
 			const auto agent_before = cost_of(system.worker(0).agent.id());
 			std::atomic<std::int64_t> answered{0};
 			const auto time = std::chrono::seconds{4};
+			constexpr int thread_count = 2;
 			std::vector<std::thread> threads;
-			for (int t = 0; t < 2; ++t)
+			threads.reserve(thread_count);
+			for (int t = 0; t < thread_count; ++t)
 				threads.emplace_back(
 					[&]
 					{
--- a/bench/tasks.cpp
+++ b/bench/tasks.cpp
@@ -40,6 +40,7 @@
 		{
 			asio::io_context io;
 			std::vector<std::unique_ptr<http_client>> clients;
+			clients.reserve(static_cast<std::size_t>(system.entries()));
 			for (int i = 0; i < system.entries(); ++i)
 				clients.push_back(std::make_unique<http_client>(io, system.entry(i).operators, 256));
 			int next = 0;
--- a/packages/agent/src/process/control_duty.cpp
+++ b/packages/agent/src/process/control_duty.cpp
@@ -288,15 +288,16 @@
 		{
 			if (run.state == agent_run_state::ended || run.throttled)
 				continue;
+			const auto& kind = run.kind.str();
 			const auto found =
-				std::find_if(kinds.begin(), kinds.end(), [&](const auto& one) { return one.kind == run.kind.str(); });
+				std::find_if(kinds.begin(), kinds.end(), [&kind](const auto& one) { return one.kind == kind; });
 			if (found != kinds.end())
 			{
 				++found->count;
 				continue;
 			}
 			wire::kind_amount one;
-			one.kind = run.kind.str();
+			one.kind = kind;
 			one.count = 1;
 			one.replica = run.replica;
 			kinds.push_back(std::move(one));
--- a/packages/agent/src/request/request_duty.cpp
+++ b/packages/agent/src/request/request_duty.cpp
@@ -20,7 +20,7 @@
 	{
 		constexpr auto as_result = asio::experimental::as_tuple(asio::use_awaitable);
 		constexpr std::size_t ring_capacity = 64;
-		constexpr std::size_t largest_answer = 3U * 1024 * 1024; ///< Leaves room for heads within a frame.
+		constexpr std::size_t largest_answer = std::size_t{3} * 1024 * 1024; ///< Leaves room for heads within a frame.
 		constexpr auto queue_check = millis{20};
 		constexpr std::size_t latencies_kept = 4096; ///< In one interval.
 
--- a/packages/decide/src/process/shard_state.cpp
+++ b/packages/decide/src/process/shard_state.cpp
@@ -270,7 +270,7 @@
 		shard.current = batch.owner_epoch;
 		shard.owner = batch.owner;
 		for (const auto& record : batch.records)
-			if (const auto status = apply(shard, record); !status.ok())
+			if (auto status = apply(shard, record); !status.ok())
 				return absl::DataLossError(absl::StrCat("batch ", batch.number.value, ": ", status.message()));
 		return absl::OkStatus();
 	}
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -35,7 +35,7 @@
 		const auto file = trailjunction::read_settings_file(path);
 		if (!file.ok())
 			return file.status();
-		const auto settings = trailjunction::read_entry_settings(*file);
+		auto settings = trailjunction::read_entry_settings(*file);
 		if (!settings.ok())
 			return absl::InvalidArgumentError(path + ":\n" + std::string{settings.status().message()});
 		return settings;
--- a/packages/entry/src/process/shard_keeper.cpp
+++ b/packages/entry/src/process/shard_keeper.cpp
@@ -108,7 +108,7 @@
 		}
 		std::sort(tail.begin(), tail.end(), by_number);
 		for (const auto& batch : tail)
-			if (const auto status = apply(state_, batch); !status.ok())
+			if (auto status = apply(state_, batch); !status.ok())
 				co_return status;
 		written_ = state_.applied;
 		co_return absl::OkStatus();
@@ -193,7 +193,7 @@
 	{
 		if (standing_ != shard_standing::owned || handing_over_)
 			return absl::UnavailableError("this entry does not own the shard");
-		if (const auto status = apply(state_, record); !status.ok())
+		if (auto status = apply(state_, record); !status.ok())
 			return status;
 		if (record.kind != record_kind::checkpointed)
 			++undurable_[record.task];
--- a/packages/store/src/platform_client.cpp
+++ b/packages/store/src/platform_client.cpp
@@ -22,7 +22,7 @@
 		constexpr auto first_pause = millis{20}; ///< Between tries, doubled up to the longest.
 		constexpr auto longest_pause = millis{500};
 		constexpr std::size_t connections = 8;
-		constexpr std::size_t largest_answer = 256U * 1024 * 1024;
+		constexpr std::size_t largest_answer = std::size_t{256} * 1024 * 1024;
 		constexpr std::string_view row_path = "/v1/table/rows/";
 
 		instant now()
