An old estimate of a worker's latency fades

Cause: a worker that came back from a drain got nothing for more than 5 s in one of several runs of its test. With two usable workers both choices are always compared, so the one with the worse old estimate is never tried, and its estimate never changes. Ruled out: the drain itself (the agent and the directory had it as not leaving within a second).

Change: what was learned counts half as much after each 2 s without a try.

Conclusion: an estimate needs an age.

--- a/packages/decide/include/trailjunction/decide/request/balance.hpp
+++ b/packages/decide/include/trailjunction/decide/request/balance.hpp
@@ -29,6 +29,7 @@
 		std::int64_t slots{8};    ///< Requests that its upstream serves at a time.
 		instant reported_at{};    ///< When that reply came.
 		instant silent_since{};   ///< While it holds requests: when it last answered one, or was given the first.
+		instant answered_at{};    ///< When the last try ended that says something of its latency.
 		double latency_us{};      ///< Moving mean of the time to an answer, 0: none yet.
 		double deviation_us{};    ///< Moving mean deviation from it.
 		double failure_share{};   ///< Moving share of tries that failed.
@@ -50,6 +51,8 @@
 		millis eject_time{2'000};        ///< The first ejection.
 		double eject_at_most{0.3};       ///< The share of workers that may be ejected at a time.
 		double first_guess_us{2'000};    ///< The latency assumed before the first answer.
+		millis estimate_half_life{
+			2'000}; ///< What was learned of a worker counts half as much after this without a try.
 	};
 
 	/// \brief The time to an answer that is expected of a worker, in microseconds.
--- a/packages/decide/src/request/balance.cpp
+++ b/packages/decide/src/request/balance.cpp
@@ -52,6 +52,16 @@
 			return std::clamp(share, least_start_share, 1.0);
 		}
 
+		/// Between 1 for a worker that has just been tried and 0: an old estimate, however bad, is tried again some
+		/// time.
+		double freshness(const target_view& target, const balance_policy& policy, instant now)
+		{
+			if (target.answered_at == instant{})
+				return 1;
+			const auto age = std::chrono::duration<double>(now - target.answered_at);
+			return std::exp2(-age / std::chrono::duration<double>(policy.estimate_half_life));
+		}
+
 		/// The median over at most median_sample workers, spread evenly over all: enough to tell what is usual.
 		double median_latency(std::span<const target_view> targets, std::int64_t tries_at_least)
 		{
@@ -92,7 +102,8 @@
 		// A worker that holds requests and answers none is expected to take as long again.
 		const auto silence = target.in_flight > 0 ? now - target.silent_since : instant::duration{};
 		const double stalled = std::chrono::duration<double, std::micro>(silence).count();
-		const double service = std::max(stalled, target.latency_us > 0 ? target.latency_us : policy.first_guess_us);
+		const double learned = target.latency_us > 0 ? target.latency_us : policy.first_guess_us;
+		const double service = std::max(stalled, learned * freshness(target, policy, now));
 		const auto held = now - target.reported_at <= policy.report_lifetime
 							  ? std::max(target.in_flight, target.reported)
 							  : target.in_flight;
@@ -140,6 +151,7 @@
 		if (result.refused)
 			return false;
 		++target.tries;
+		target.answered_at = now;
 		target.failure_share += failure_rate * ((result.failed ? 1.0 : 0.0) - target.failure_share);
 		if (!result.failed && result.latency_us > 0)
 		{
--- a/tests/decide.cpp
+++ b/tests/decide.cpp
@@ -90,6 +90,17 @@
 		CHECK(count[static_cast<std::size_t>(i)] < count[4]);
 }
 
+TEST_CASE("an old estimate, however bad, is tried again", "[decide]")
+{
+	auto targets = make_targets(2);
+	for (auto& target : targets)
+		target.answered_at = start;
+	targets[0].latency_us = 8'000;
+	CHECK(choose_often(targets, start)[0] == 0);
+	targets[1].answered_at = start + std::chrono::seconds{10}; // only the other one is used
+	CHECK(choose_often(targets, start + std::chrono::seconds{10})[0] > 0);
+}
+
 TEST_CASE("an outlier is ejected, but never so many that none are left", "[decide]")
 {
 	auto targets = make_targets(10);
