--- a/packages/decide/src/process/shard_state.cpp
+++ b/packages/decide/src/process/shard_state.cpp
@@ -255,7 +255,7 @@
 		const auto found = shard.tasks.find(record.task);
 		if (found == shard.tasks.end())
 			return absl::NotFoundError(absl::StrCat("no task ", record.task.str()));
-		const auto status = change(shard, found->second, record);
+		auto status = change(shard, found->second, record);
 		forget_oldest(shard);
 		return status;
 	}
--- a/packages/entry/src/request/claim_keeper.cpp
+++ b/packages/entry/src/request/claim_keeper.cpp
@@ -25,7 +25,7 @@
 		constexpr int claim_rounds = 3;
 		constexpr auto busy_pause = millis{50};
 		constexpr auto settle_time = std::chrono::seconds{60};
-		constexpr std::size_t largest_recorded = 16 * 1024;
+		constexpr std::size_t largest_recorded = std::size_t{16} * 1024;
 
 		std::string print_of(const caller_request& request)
 		{
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -72,9 +72,8 @@
 
 	/// One connection: requests are read and answered one after the other.
 	template <typename State>
-	static asio::awaitable<void> serve_connection(std::shared_ptr<State> state, asio::ip::tcp::socket socket)
+	static asio::awaitable<void> serve_connection(std::shared_ptr<State> state, beast::tcp_stream stream)
 	{
-		beast::tcp_stream stream{std::move(socket)};
 		beast::flat_buffer buffer;
 		bool keep = true;
 		while (keep && !state->stopping)
@@ -146,7 +145,7 @@
 			beast::error_code ignored;
 			socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
 			++state->connections;
-			asio::co_spawn(state->io, serve_connection(state, std::move(socket)), asio::detached);
+			asio::co_spawn(state->io, serve_connection(state, beast::tcp_stream{std::move(socket)}), asio::detached);
 		}
 	}
 
--- a/packages/testkit/src/fault_proxy.cpp
+++ b/packages/testkit/src/fault_proxy.cpp
@@ -17,7 +17,7 @@
 
 	namespace
 	{
-		constexpr std::size_t read_bytes = 64 * 1024;
+		constexpr std::size_t read_bytes = std::size_t{64} * 1024;
 		constexpr auto hold_check = millis{5};
 		constexpr std::size_t most_chunks = 4'096;
 
--- a/packages/wire/src/link.cpp
+++ b/packages/wire/src/link.cpp
@@ -12,7 +12,7 @@
 
 	namespace
 	{
-		constexpr std::size_t read_bytes = 64 * 1024;
+		constexpr std::size_t read_bytes = std::size_t{64} * 1024;
 	}
 
 	link::link(asio::ip::tcp::socket socket, link_limits limits)
--- a/tests/query.cpp
+++ b/tests/query.cpp
@@ -45,7 +45,7 @@
 	CHECK(error_of("frob").find("column 1: a command") == 0);
 	CHECK(error_of("show tasks where phase ~ x").find("comparison") != std::string::npos);
 	CHECK(error_of("drain worker").find("a name expected, found the end") != std::string::npos);
-	CHECK(error_of(R"(submit task "open)") != "");
+	CHECK_FALSE(error_of(R"(submit task "open)").empty());
 }
 
 TEST_CASE("tables are filtered by value, ordered and cut", "[query]")
--- a/tests/requests_under_faults.cpp
+++ b/tests/requests_under_faults.cpp
@@ -191,7 +191,7 @@
 	CHECK(told(book, "done") > 20);
 	system.thread().run([&] { system.worker(2).upstream->behaviour().fail = true; });
 	const auto failing = system.request(0, tally_request("GET", "failing-0"));
-	CHECK(head_field(failing, "Trailjunction-Outcome") != "");
+	CHECK_FALSE(head_field(failing, "Trailjunction-Outcome").empty());
 }
 
 TEST_CASE("answers come late and out of order: each caller gets its own", "[process][requests]")
@@ -398,10 +398,10 @@
 	CHECK(refused.response.body.find("Trailjunction-Deadline-Ms") != std::string::npos);
 	CHECK(head_field(refused, "Trailjunction-Outcome") == "not-run");
 	auto big_head = tally_request("GET", "bad-2");
-	big_head.headers.push_back({"X-Big", std::string(40 * 1024, 'x')});
+	big_head.headers.push_back({"X-Big", std::string(std::size_t{40} * 1024, 'x')});
 	CHECK(system.request(0, big_head).response.status == 431);
 	auto big_body = tally_request("POST", "bad-3");
-	big_body.body = std::string(2 * 1024 * 1024, 'x');
+	big_body.body = std::string(std::size_t{2} * 1024 * 1024, 'x');
 	CHECK(system.request(0, big_body).response.status == 413);
 	CHECK(system.request(0, {"GET", "/nobody/x", {}, ""}).response.status == 503);
 	CHECK(executions(system).count("bad-1") == 0);
