The spread of a worker's latency fades as well

The estimate faded, but the deviation, which a busy machine had made large, did not, and is a part of the cost. Ruled out: the configuration (the agent's own part holds no drain after the undrain) and the directory. Change: estimate and deviation fade together. Conclusion: whatever is learned of a worker must fade, or it is never tried.

--- a/packages/decide/src/request/balance.cpp
+++ b/packages/decide/src/request/balance.cpp
@@ -103,7 +103,8 @@
 		const auto silence = target.in_flight > 0 ? now - target.silent_since : instant::duration{};
 		const double stalled = std::chrono::duration<double, std::micro>(silence).count();
 		const double learned = target.latency_us > 0 ? target.latency_us : policy.first_guess_us;
-		const double service = std::max(stalled, learned * freshness(target, policy, now));
+		const double spread = target.deviation_us * (1 + target.failure_share);
+		const double service = std::max(stalled, (learned + spread) * freshness(target, policy, now));
 		const auto held = now - target.reported_at <= policy.report_lifetime
 							  ? std::max(target.in_flight, target.reported)
 							  : target.in_flight;
@@ -111,8 +112,7 @@
 		const double waiting = std::max(0.0, static_cast<double>(held) + 1 - slots) / slots;
 		const double crowding = static_cast<double>(held) / slots;
 		const double distance = target.hall == own_hall ? 0 : policy.far_hall_us;
-		const double spread = target.deviation_us * (1 + target.failure_share);
-		return ((service + spread) * (1 + waiting + crowding) * (1 + target.batch_harm) + distance) /
+		return (service * (1 + waiting + crowding) * (1 + target.batch_harm) + distance) /
 			   start_share(target, policy, now);
 	}
 
--- a/tests/decide.cpp
+++ b/tests/decide.cpp
@@ -96,6 +96,7 @@
 	for (auto& target : targets)
 		target.answered_at = start;
 	targets[0].latency_us = 8'000;
+	targets[0].deviation_us = 20'000; // fades as well
 	CHECK(choose_often(targets, start)[0] == 0);
 	targets[1].answered_at = start + std::chrono::seconds{10}; // only the other one is used
 	CHECK(choose_often(targets, start + std::chrono::seconds{10})[0] > 0);
