--- a/packages/agent/include/trailjunction/agent.hpp
+++ b/packages/agent/include/trailjunction/agent.hpp
@@ -4,4 +4,7 @@
 #pragma once
 
 #include "agent/agent_process.hpp"
+#include "agent/job_agent_process.hpp"
+#include "agent/job_agent_settings.hpp"
 #include "agent/settings.hpp"
+#include "agent/worker_port.hpp"
--- /dev/null
+++ b/packages/agent/src/connection/owner_links.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: MIT
+#include "owner_links.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/net/coroutines.hpp>
+#include <trailjunction/net/listener.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		/// Between two reports without news: several in each lease, so that a lost one costs nothing.
+		constexpr auto report_every = millis{500};
+		constexpr auto accept_pause = millis{50};
+
+		/// An owner confirms each report, so a link without a word for three of them is of no use.
+		constexpr link_limits limits{.silence = 3 * report_every};
+	}
+
+	owner_links::owner_links(asio::io_context& io, run_keeper& runs) : io_{io}, runs_{runs}, acceptor_{io}
+	{
+	}
+
+	absl::Status owner_links::listen(const endpoint& where)
+	{
+		if (auto status = open_listener(acceptor_, where); !status.ok())
+			return status;
+		asio::co_spawn(io_, accept_forever(), asio::detached);
+		asio::co_spawn(io_, report_forever(), asio::detached);
+		return absl::OkStatus();
+	}
+
+	asio::awaitable<void> owner_links::accept_forever()
+	{
+		while (true)
+		{
+			auto [error, socket] = co_await acceptor_.async_accept(as_result);
+			if (error == asio::error::operation_aborted)
+				co_return;
+			if (error)
+				co_await pause_for(io_, accept_pause);
+			else
+				take(std::move(socket));
+		}
+	}
+
+	void owner_links::take(asio::ip::tcp::socket socket)
+	{
+		const auto one = std::make_shared<link>(std::move(socket), limits);
+		// The link holds these handlers until it has closed, and then lets go of them.
+		one->start([this, one](wire::envelope&& message) { on_message(one, std::move(message)); },
+				   [this, one](const std::string& reason)
+				   {
+					   if (owner_ != one)
+						   return;
+					   owner_.reset();
+					   log_event(event::link_closed, {{"reason", reason}, {"epoch", highest_.value}});
+				   });
+	}
+
+	void owner_links::on_message(const std::shared_ptr<link>& from, wire::envelope&& message)
+	{
+		if (message.__isset.claim)
+			on_claim(from, message.claim);
+		if (from != owner_)
+			return; // an owner that was superseded has nothing to say
+		if (message.__isset.confirm)
+			runs_.confirm(message.confirm);
+		if (message.__isset.job_begin)
+			runs_.start(std::move(message.job_begin));
+		if (message.__isset.job_halt)
+			runs_.stop(message.job_halt);
+	}
+
+	void owner_links::on_claim(const std::shared_ptr<link>& from, const wire::job_claim& claim)
+	{
+		const epoch claimed{static_cast<std::uint64_t>(claim.epoch)};
+		if (claimed < highest_)
+		{
+			log_event(event::grant_refused, {{"member", claim.member}, {"epoch", claim.epoch}, {"seen", highest_.value}});
+			from->close("superseded");
+			return;
+		}
+		const auto before = owner_;
+		owner_ = from;
+		highest_ = claimed;
+		if (before && before != from)
+			before->close("another link claims");
+		runs_.set_lease(millis{claim.run_lease_ms});
+		log_event(event::link_opened, {{"member", claim.member}, {"epoch", claim.epoch}});
+		send_report(true);
+	}
+
+	void owner_links::report_soon()
+	{
+		if (report_posted_)
+			return;
+		report_posted_ = true;
+		asio::post(io_,
+				   [this]
+				   {
+					   report_posted_ = false;
+					   send_report(false);
+				   });
+	}
+
+	asio::awaitable<void> owner_links::report_forever()
+	{
+		while (true)
+		{
+			co_await pause_for(io_, report_every);
+			send_report(false);
+		}
+	}
+
+	void owner_links::send_report(bool full)
+	{
+		if (!owner_)
+			return;
+		wire::envelope message;
+		message.__set_job_status(runs_.report(full));
+		if (owner_->send(message) == 0)
+			owner_->close("cannot send");
+	}
+}
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -3,16 +3,54 @@
 /// \brief The program `trailjunction-agent`.
 #include <trailjunction/agent.hpp>
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/platform/table_store.hpp>
+#include <trailjunction/platform/worker_client.hpp>
+#include <trailjunction/platform/worker_front.hpp>
 
 #include <boost/program_options.hpp>
 
 #include <iostream>
+#include <memory>
 
 namespace po = boost::program_options;
 using trailjunction::exit_code;
 
 namespace
 {
+	trailjunction::agent_carriers platform_carriers()
+	{
+		using namespace trailjunction;
+		return {[](boost::asio::io_context& io, endpoint where)
+				{ return std::make_unique<platform::table_store>(io, where); },
+				[](boost::asio::io_context& io, endpoint where)
+				{ return std::make_unique<platform::worker_client>(io, where); },
+				[](worker_listener& listener)
+				{
+					return platform::make_worker_front(
+						{[&listener](worker_heartbeat heartbeat) { listener.worker_seen(std::move(heartbeat)); },
+						 [&listener](worker_life life) { listener.worker_left(life); }});
+				}};
+	}
+
+	/// Runs or only checks an agent that runs tasks of jobs.
+	int run_jobs(const std::string& path, const boost::json::value& file, bool only_check)
+	{
+		const auto settings = trailjunction::read_job_agent_settings(file);
+		if (!settings.ok())
+		{
+			std::cerr << "trailjunction-agent: " << path << ":\n" << settings.status().message() << "\n";
+			return static_cast<int>(exit_code::usage);
+		}
+		if (only_check)
+		{
+			std::cout << path << ": ok\n";
+			return static_cast<int>(exit_code::ok);
+		}
+		trailjunction::start_log("trailjunction-agent");
+		return static_cast<int>(trailjunction::run_job_agent(*settings, platform_carriers()));
+	}
+
 	int run(int argc, char** argv)
 	{
 		po::options_description options{"Usage: trailjunction-agent --settings FILE\n\nOptions"};
@@ -50,6 +88,8 @@
 			std::cerr << "trailjunction-agent: " << file.status().message() << "\n";
 			return static_cast<int>(exit_code::usage);
 		}
+		if (file->is_object() && trailjunction::text_or(file->get_object(), "mode") == "jobs")
+			return run_jobs(path, *file, given.count("check") != 0);
 		const auto settings = trailjunction::read_agent_settings(*file);
 		if (!settings.ok())
 		{
--- /dev/null
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -0,0 +1,440 @@
+// SPDX-License-Identifier: MIT
+#include "run_keeper.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/net/coroutines.hpp>
+#include <trailjunction/wire/job_messages.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		/// How long a worker may hold a listing back. Shorter than half of the time between two reports is of no use,
+		/// longer ones would delay the extension of the lease.
+		constexpr auto listing_wait = millis{400};
+		/// For an answer on the same machine; above the slowest seen on a calm day by far.
+		constexpr auto answer_time = millis{400};
+		/// A start that the worker carries out later than this is refused by it, so an order that got lost cannot
+		/// surprise anybody for longer.
+		constexpr auto start_window = millis{1'500};
+		/// A start with less time than this left would be refused as late anyway.
+		constexpr auto least_window = millis{100};
+		constexpr auto retry_pause = millis{100};
+		/// Failed listings in a row after which the worker counts as not answering.
+		constexpr int unresponsive_after = 2;
+
+		/// A figure that moved by less than this share is not worth a message.
+		constexpr double figure_step = 0.2;
+
+		constexpr pacing_policy pacing{};
+
+		bool moved(std::int64_t before, std::int64_t now) noexcept
+		{
+			return std::abs(static_cast<double>(now - before)) > figure_step * static_cast<double>(before);
+		}
+	}
+
+	run_keeper::run_keeper(asio::io_context& io, port_maker make_port, millis longest_lease,
+						   std::function<void()> on_news)
+		: io_{io},
+		  make_port_{std::move(make_port)},
+		  longest_lease_{longest_lease},
+		  on_news_{std::move(on_news)}
+	{
+		asio::co_spawn(io_, list_forever(), asio::detached);
+	}
+
+	void run_keeper::worker_seen(worker_heartbeat heartbeat)
+	{
+		if (!worker_ || worker_->life != heartbeat.life)
+		{
+			begin_life(heartbeat);
+			return;
+		}
+		if (heartbeat.sequence < worker_->sequence)
+			return; // overtaken on its way
+		const bool news = heartbeat.draining != worker_->draining;
+		if (news)
+			log_event(event::worker_leaving, {{"worker", heartbeat.life.str()}, {"draining", heartbeat.draining ? 1 : 0}});
+		worker_ = std::move(heartbeat);
+		if (news)
+			on_news_();
+	}
+
+	void run_keeper::begin_life(const worker_heartbeat& heartbeat)
+	{
+		log_event(event::worker_seen, {{"worker", heartbeat.life.str()}, {"before", worker_ ? worker_->life.str() : ""}});
+		if (!port_ || worker_->address != heartbeat.address)
+			port_ = make_port_(heartbeat.address);
+		worker_ = heartbeat;
+		// The worker's clock has gone on since the last life of this agent, so this token is above its token.
+		fencing_token_ = heartbeat.clock_ms;
+		clock_ms_ = 0;
+		deadline_ms_ = 0;
+		ends_kept_ = 0;
+		ends_reported_ = 0;
+		failed_listings_ = 0;
+		listed_once_ = false;
+		runs_.clear();
+		purposes_.clear();
+		ordering_.clear();
+		stopping_.clear();
+		ends_.clear();
+		refusals_.clear();
+		started_.clear();
+		pacing_ = {};
+		on_news_();
+	}
+
+	void run_keeper::worker_left(const worker_life& life)
+	{
+		if (!is_current(life))
+			return;
+		log_event(event::worker_gone, {{"worker", life.str()}});
+		worker_->draining = true;
+		on_news_();
+	}
+
+	void run_keeper::set_lease(millis lease) noexcept
+	{
+		lease_ = std::min(lease, longest_lease_);
+	}
+
+	bool run_keeper::is_current(const worker_life& life) const noexcept
+	{
+		return worker_ && worker_->life == life;
+	}
+
+	bool run_keeper::has_ended(const task_run& what) const noexcept
+	{
+		return std::any_of(ends_.begin(), ends_.end(), [&](const listed_end& end) { return end.what == what; });
+	}
+
+	order_authority run_keeper::authority() const
+	{
+		return {worker_->life, fencing_token_};
+	}
+
+	std::int64_t run_keeper::worker_now_ms(instant now) const noexcept
+	{
+		return clock_ms_ + std::chrono::duration_cast<millis>(now - clock_read_).count();
+	}
+
+	void run_keeper::note_result(const order_result& result, instant answered)
+	{
+		if (result.how == order_end::fenced)
+			fencing_token_ = std::max(fencing_token_, result.clock_ms);
+		if (result.clock_ms <= clock_ms_)
+			return;
+		clock_ms_ = result.clock_ms;
+		clock_read_ = answered;
+	}
+
+	asio::awaitable<void> run_keeper::list_forever()
+	{
+		while (true)
+		{
+			if (!worker_)
+			{
+				co_await pause_for(io_, retry_pause);
+				continue;
+			}
+			const auto port = port_;
+			const auto life = worker_->life;
+			listing_order order{deadline_ms_, ends_kept_, listed_once_ ? listing_wait : millis{0}};
+			const auto deadline = steady_now() + order.wait + answer_time;
+			auto result = co_await port->list(authority(), order, deadline);
+			if (!is_current(life))
+				continue;
+			note_result(result, steady_now());
+			if (result.how == order_end::done)
+			{
+				apply_listing(std::move(result.listing));
+				continue;
+			}
+			if (++failed_listings_ == unresponsive_after)
+			{
+				log_event(event::worker_silent, {{"worker", life.str()}, {"how", static_cast<int>(result.how)}});
+				on_news_();
+			}
+			co_await pause_for(io_, retry_pause);
+		}
+	}
+
+	void run_keeper::apply_listing(worker_listing listing)
+	{
+		if (failed_listings_ >= unresponsive_after)
+			on_news_();
+		failed_listings_ = 0;
+		++listings_;
+		absl::flat_hash_map<task_run, kept_run> now_running;
+		for (auto& run : listing.running)
+		{
+			const auto before = runs_.find(run.what);
+			kept_run kept{std::move(run)};
+			if (before != runs_.end())
+			{
+				kept.reported_figure = before->second.reported_figure;
+				kept.changed = before->second.changed || before->second.listed.checkpoint != kept.listed.checkpoint;
+			}
+			kept.changed = kept.changed || moved(kept.reported_figure, kept.listed.figure);
+			now_running.emplace(kept.listed.what, std::move(kept));
+		}
+		runs_ = std::move(now_running);
+		ends_.clear();
+		for (auto& end : listing.ended)
+			if (end.number > ends_kept_)
+				ends_.push_back(std::move(end));
+		if ((!ends_.empty() && ends_.back().number > ends_reported_) || !listed_once_)
+			on_news_();
+		listed_once_ = true;
+		if (!pacing_now_)
+			asio::co_spawn(io_, pace_fillers(), asio::detached);
+	}
+
+	void run_keeper::start(wire::job_start order)
+	{
+		const auto what = from_wire(order.what);
+		if (!is_current(worker_life{order.worker}))
+			return; // the owner learns of the new incarnation from the next report
+		purposes_[what] = {millis{order.latency_target_ms}, order.filler};
+		if (runs_.contains(what))
+		{
+			started(what);
+			return;
+		}
+		if (has_ended(what) || order.known_running || ordering_.contains(what))
+			return;
+		if (worker_->draining || closing_)
+		{
+			refuse(what, start_refusal::leaving);
+			return;
+		}
+		ordering_.insert(what);
+		asio::co_spawn(io_, carry_out_start(std::move(order)), asio::detached);
+	}
+
+	asio::awaitable<void> run_keeper::carry_out_start(wire::job_start order)
+	{
+		const auto what = from_wire(order.what);
+		const auto life = worker_->life;
+		const auto port = port_;
+		const auto clock = worker_now_ms(steady_now());
+		run_start call{what, std::move(order.payload), std::move(order.checkpoint),
+						 std::min(clock + start_window.count(), deadline_ms_)};
+		if (clock_ms_ == 0 || call.deadline_ms < clock + least_window.count())
+		{
+			ordering_.erase(what);
+			refuse(what, start_refusal::never_started);
+			co_return;
+		}
+		++open_orders_;
+		const auto result = co_await port->start(authority(), std::move(call), steady_now() + answer_time);
+		--open_orders_;
+		if (!is_current(life))
+			co_return;
+		note_result(result, steady_now());
+		switch (result.how)
+		{
+		case order_end::done:
+			started(what);
+			break;
+		case order_end::unknown:
+			co_await settle_start(what, life);
+			break;
+		case order_end::no_room:
+			refuse(what, start_refusal::no_room);
+			break;
+		case order_end::superseded:
+			refuse(what, start_refusal::superseded);
+			break;
+		case order_end::unhealthy:
+		case order_end::not_sent:
+			refuse(what, start_refusal::unhealthy);
+			break;
+		case order_end::invalid:
+			refuse(what, start_refusal::invalid);
+			break;
+		case order_end::late:
+		case order_end::fenced:
+		case order_end::other_life:
+			refuse(what, start_refusal::never_started);
+			break;
+		}
+		if (is_current(life))
+			ordering_.erase(what);
+	}
+
+	asio::awaitable<bool> run_keeper::wait_for_listing(const worker_life& life)
+	{
+		// The listing that is under way may have been made before; the one after it was not.
+		const auto wanted = listings_ + 2;
+		while (is_current(life) && listings_ < wanted)
+			co_await pause_for(io_, retry_pause);
+		co_return is_current(life);
+	}
+
+	asio::awaitable<void> run_keeper::settle_start(task_run what, worker_life life)
+	{
+		++open_orders_;
+		log_event(event::start_unanswered, {{"task", to_string(what.task)}, {"run", what.run}});
+		while (is_current(life))
+		{
+			if (runs_.contains(what))
+			{
+				started(what);
+				break;
+			}
+			if (has_ended(what))
+				break;
+			// A run that was stopped can never start there any more, so the answer to a stop settles the start.
+			const auto port = port_;
+			const auto result = co_await port->stop(authority(), what, steady_now() + answer_time);
+			if (!is_current(life))
+				break;
+			note_result(result, steady_now());
+			if (result.how != order_end::done && result.how != order_end::superseded)
+			{
+				co_await pause_for(io_, retry_pause);
+				continue;
+			}
+			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
+			{
+				refuse(what, start_refusal::never_started);
+				break;
+			}
+		}
+		--open_orders_;
+	}
+
+	void run_keeper::stop(const wire::job_stop& order)
+	{
+		const auto what = from_wire(order.what);
+		if (!is_current(worker_life{order.worker}) || has_ended(what) || !stopping_.insert(what).second)
+			return;
+		asio::co_spawn(io_, carry_out_stop(what, worker_->life), asio::detached);
+	}
+
+	asio::awaitable<void> run_keeper::carry_out_stop(task_run what, worker_life life)
+	{
+		++open_orders_;
+		while (is_current(life))
+		{
+			const auto port = port_;
+			const auto result = co_await port->stop(authority(), what, steady_now() + answer_time);
+			if (!is_current(life))
+				break;
+			note_result(result, steady_now());
+			if (result.how == order_end::done || result.how == order_end::superseded)
+			{
+				if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
+					refuse(what, start_refusal::never_started);
+				break;
+			}
+			co_await pause_for(io_, retry_pause);
+		}
+		if (is_current(life))
+			stopping_.erase(what);
+		--open_orders_;
+	}
+
+	void run_keeper::refuse(const task_run& what, start_refusal why)
+	{
+		log_event(event::start_refused,
+				  {{"task", to_string(what.task)}, {"run", what.run}, {"why", to_string(why)}});
+		refusals_.push_back({what, why});
+		purposes_.erase(what);
+		on_news_();
+	}
+
+	void run_keeper::started(const task_run& what)
+	{
+		started_.push_back(what);
+		on_news_();
+	}
+
+	void run_keeper::confirm(const wire::job_confirm& answer)
+	{
+		if (!is_current(worker_life{answer.worker}))
+			return;
+		if (clock_ms_ > 0)
+			deadline_ms_ = std::max(deadline_ms_,
+									worker_deadline_ms(clock_ms_, clock_read_, from_millis(answer.stamp_ms), lease_));
+		ends_kept_ = std::max(ends_kept_, answer.ends_kept);
+		for (const auto& end : ends_)
+			if (end.number <= ends_kept_)
+				purposes_.erase(end.what);
+	}
+
+	wire::job_report run_keeper::report(bool full)
+	{
+		wire::job_report out;
+		out.stamp_ms = to_millis(steady_now());
+		out.full = full;
+		if (!worker_ || !listed_once_)
+			return out;
+		out.worker = worker_->life.str();
+		out.service_name = worker_->service.str();
+		out.labels = worker_->labels;
+		out.capacity.cpu_milli = worker_->capacity.cpu_milli;
+		out.capacity.memory_mib = worker_->capacity.memory_mib;
+		out.capacity.accelerators = worker_->capacity.accelerators;
+		out.draining = worker_->draining || closing_;
+		out.remaining_ms = worker_->remaining.count();
+		out.responsive = failed_listings_ < unresponsive_after;
+		for (auto& [what, run] : runs_)
+		{
+			if (!full && !run.changed)
+				continue;
+			run.changed = false;
+			run.reported_figure = run.listed.figure;
+			out.running.push_back(to_wire(run.listed));
+		}
+		for (const auto& end : ends_)
+			if (full || end.number > ends_reported_)
+				out.ended.push_back(to_wire(end));
+		if (!ends_.empty())
+			ends_reported_ = std::max(ends_reported_, ends_.back().number);
+		for (const auto& refusal : refusals_)
+			out.refused.push_back(to_wire(refusal));
+		refusals_.clear();
+		for (const auto& what : started_)
+			out.started.push_back(to_wire(what));
+		started_.clear();
+		return out;
+	}
+
+	asio::awaitable<void> run_keeper::pace_fillers()
+	{
+		pacing_now_ = true;
+		std::vector<serving_measure> serving;
+		for (const auto& [what, run] : runs_)
+			if (const auto purpose = purposes_.find(what);
+				purpose != purposes_.end() && purpose->second.latency_target.count() > 0)
+				serving.push_back({purpose->second.latency_target, run.listed.figure});
+		if (adjust_pace(pacing_, serving, pacing, steady_now()))
+			log_event(event::fillers_paced, {{"worker", worker_->life.str()}, {"percent", pacing_.percent}});
+		std::vector<task_run> differing;
+		for (const auto& [what, run] : runs_)
+			if (const auto purpose = purposes_.find(what); purpose != purposes_.end() && purpose->second.filler &&
+														   run.listed.pace_percent != pacing_.percent)
+				differing.push_back(what);
+		const auto life = worker_->life;
+		for (const auto& what : differing)
+		{
+			const auto port = port_;
+			const auto result = co_await port->pace(authority(), what, pacing_.percent, steady_now() + answer_time);
+			if (!is_current(life))
+				break;
+			note_result(result, steady_now());
+		}
+		pacing_now_ = false;
+	}
+}
--- /dev/null
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The runs of one worker: orders to it, its listings, its lease.
+#pragma once
+
+#include <trailjunction/agent/job_agent_process.hpp>
+#include <trailjunction/jobs/filler_pacing.hpp>
+#include <trailjunction/jobs/run_lease.hpp>
+
+#include <trailjunction/wire/job_messages.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief Carries out an owner's orders on the worker and tells what came of them.
+	/// \details Keeps nothing that the worker does not list again: an agent that restarts learns everything from the
+	/// first listing, except what its runs are for, which the owner tells again.
+	class run_keeper final : public worker_listener
+	{
+	public:
+		using port_maker = std::function<std::unique_ptr<worker_port>(endpoint)>;
+
+		/// \param on_news Called when there is something to report soon.
+		run_keeper(boost::asio::io_context& io, port_maker make_port, millis longest_lease,
+				   std::function<void()> on_news);
+
+		void worker_seen(worker_heartbeat heartbeat) override;
+		void worker_left(const worker_life& life) override;
+
+		/// \brief How long runs go on after a confirmation, as the owner counts.
+		void set_lease(millis lease) noexcept;
+
+		void start(wire::job_start order);
+		void stop(const wire::job_stop& order);
+		void confirm(const wire::job_confirm& answer);
+
+		/// \brief What an owner should know now.
+		/// \param full Everything, for an owner that knows nothing yet.
+		[[nodiscard]] wire::job_report report(bool full);
+
+		/// \brief Refuses further starts: the agent is about to stop.
+		void close_to_starts() noexcept
+		{
+			closing_ = true;
+		}
+		/// \brief Orders whose outcome is not known yet.
+		[[nodiscard]] std::size_t open_orders() const noexcept
+		{
+			return open_orders_;
+		}
+
+	private:
+		struct run_purpose
+		{
+			millis latency_target{};
+			bool filler{};
+		};
+		struct kept_run
+		{
+			listed_run listed;
+			bool changed{};                  ///< Since the last report.
+			std::int64_t reported_figure{-1};
+		};
+
+		boost::asio::awaitable<void> list_forever();
+		boost::asio::awaitable<void> carry_out_start(wire::job_start order);
+		boost::asio::awaitable<void> carry_out_stop(task_run what, worker_life life);
+		boost::asio::awaitable<void> settle_start(task_run what, worker_life life);
+		boost::asio::awaitable<void> pace_fillers();
+		boost::asio::awaitable<bool> wait_for_listing(const worker_life& life);
+		void apply_listing(worker_listing listing);
+		void note_result(const order_result& result, instant answered);
+		void begin_life(const worker_heartbeat& heartbeat);
+		void refuse(const task_run& what, start_refusal why);
+		void started(const task_run& what);
+		[[nodiscard]] bool is_current(const worker_life& life) const noexcept;
+		[[nodiscard]] bool has_ended(const task_run& what) const noexcept;
+		[[nodiscard]] order_authority authority() const;
+		[[nodiscard]] std::int64_t worker_now_ms(instant now) const noexcept;
+
+		boost::asio::io_context& io_;
+		port_maker make_port_;
+		millis longest_lease_;
+		std::function<void()> on_news_;
+		std::shared_ptr<worker_port> port_;
+		std::optional<worker_heartbeat> worker_;
+		millis lease_{};
+		std::int64_t fencing_token_{};
+		std::int64_t clock_ms_{}; ///< The worker's clock in an answer that had arrived by clock_read_.
+		instant clock_read_{};
+		std::int64_t deadline_ms_{}; ///< Up to which the runs are confirmed, on the worker's clock.
+		std::int64_t ends_kept_{};
+		std::int64_t ends_reported_{};
+		std::uint64_t listings_{}; ///< Answered so far; a counter for those who wait for a fresh one.
+		int failed_listings_{};
+		bool listed_once_{};
+		absl::flat_hash_map<task_run, kept_run> runs_;
+		absl::flat_hash_map<task_run, run_purpose> purposes_;
+		absl::flat_hash_set<task_run> ordering_;
+		absl::flat_hash_set<task_run> stopping_;
+		std::vector<listed_end> ends_;
+		std::vector<refused_run> refusals_;
+		std::vector<task_run> started_;
+		pacing_state pacing_;
+		bool pacing_now_{};
+		bool closing_{};
+		std::size_t open_orders_{};
+	};
+}
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -31,6 +31,23 @@
 			event::task_parked,       event::worker_quarantined,   event::run_adopted,
 			event::member_superseded, event::config_applied,       event::config_refused,
 			event::command_accepted,  event::command_refused,      event::worker_leaving,
+			event::worker_seen,
+			event::worker_gone,
+			event::worker_silent,
+			event::start_unanswered,
+			event::fillers_paced,
+			event::run_ordered,
+			event::run_ended,
+			event::run_taken_back,
+			event::worker_lapsed,
+			event::worker_avoided,
+			event::job_accepted,
+			event::job_refused,
+			event::job_unknown,
+			event::job_cancelled,
+			event::job_ended,
+			event::job_taken_up,
+			event::row_unreadable,
 		};
 	}
 
@@ -104,6 +121,40 @@
 			return "command_refused";
 		case event::worker_leaving:
 			return "worker_leaving";
+		case event::worker_seen:
+			return "worker_seen";
+		case event::worker_gone:
+			return "worker_gone";
+		case event::worker_silent:
+			return "worker_silent";
+		case event::start_unanswered:
+			return "start_unanswered";
+		case event::fillers_paced:
+			return "fillers_paced";
+		case event::run_ordered:
+			return "run_ordered";
+		case event::run_ended:
+			return "run_ended";
+		case event::run_taken_back:
+			return "run_taken_back";
+		case event::worker_lapsed:
+			return "worker_lapsed";
+		case event::worker_avoided:
+			return "worker_avoided";
+		case event::job_accepted:
+			return "job_accepted";
+		case event::job_refused:
+			return "job_refused";
+		case event::job_unknown:
+			return "job_unknown";
+		case event::job_cancelled:
+			return "job_cancelled";
+		case event::job_ended:
+			return "job_ended";
+		case event::job_taken_up:
+			return "job_taken_up";
+		case event::row_unreadable:
+			return "row_unreadable";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/include/trailjunction/entry.hpp
+++ b/packages/entry/include/trailjunction/entry.hpp
@@ -4,5 +4,8 @@
 #pragma once
 
 #include "entry/entry_process.hpp"
+#include "entry/job_entry_process.hpp"
+#include "entry/job_entry_settings.hpp"
+#include "entry/job_gateway.hpp"
 #include "entry/query_client.hpp"
 #include "entry/settings.hpp"
--- /dev/null
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Takes jobs, cancels them, and tells how they stand.
+#pragma once
+
+#include <trailjunction/jobs/job_configuration.hpp>
+#include <trailjunction/jobs/job_state.hpp>
+#include <trailjunction/store/row_store.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace trailjunction
+{
+	/// \brief How a call about a job ended.
+	enum class job_call_end
+	{
+		done,
+		absent,      ///< Proved: there is no such job.
+		refused,     ///< Proved: nothing was done; retry_after says when to come back.
+		unknown,     ///< It may have been done, or may be done later.
+	};
+
+	/// \brief What came of handing a job in, or of cancelling it.
+	struct job_call_result
+	{
+		job_call_end how{job_call_end::unknown};
+		millis retry_after{};
+		std::string reason;
+	};
+
+	/// \brief What came of asking for a job.
+	struct job_status_result
+	{
+		job_call_end how{job_call_end::refused};
+		job_status status{job_status::queued}; ///< Only where how is done.
+	};
+
+	/// \brief How many jobs wait for their first task, by queue, as the owner last said.
+	struct queue_depths
+	{
+		absl::flat_hash_map<queue_id, std::int64_t> waiting;
+		instant read_at{};
+	};
+
+	/// \brief The calls that a client may make; lives on one io_context.
+	class job_gateway
+	{
+	public:
+		job_gateway(boost::asio::io_context& io, row_store& store);
+
+		/// \brief Accepts a job: done once the store keeps it, also where it is kept already.
+		[[nodiscard]] boost::asio::awaitable<job_call_result> submit(queue_policy queue, job_id id, job_spec spec,
+																	 instant deadline);
+
+		[[nodiscard]] boost::asio::awaitable<job_status_result> status(job_id id, instant deadline);
+
+		[[nodiscard]] boost::asio::awaitable<job_call_result> cancel(job_id id, instant deadline);
+
+		/// \brief Jobs of a queue that wait for their first task; nothing where that is not known well enough now.
+		[[nodiscard]] std::optional<std::int64_t> waiting(const queue_id& queue, instant now) const;
+
+		/// \brief The configuration in force; nothing while none is known.
+		[[nodiscard]] std::shared_ptr<const job_configuration> configuration() const noexcept
+		{
+			return configuration_;
+		}
+
+		/// \brief Puts a configuration in force, unless a newer one is.
+		void apply(job_configuration configuration);
+		void note_depths(queue_depths depths);
+
+	private:
+		boost::asio::awaitable<job_call_result> commit_until(row_change change, job_id id, instant deadline);
+
+		boost::asio::io_context& io_;
+		row_store& store_;
+		std::shared_ptr<const job_configuration> configuration_;
+		queue_depths depths_;
+	};
+}
--- /dev/null
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+#include "agent_peer.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/net/coroutines.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto dial_time = millis{500};  ///< For a connection within a region.
+		constexpr auto dial_pause = millis{200}; ///< Between two tries: a restarted agent is back within some of them.
+
+		/// Agents report twice a second, so a link without a word for three reports is of no use.
+		constexpr link_limits limits{.silence = millis{1'500}};
+	}
+
+	agent_peer::agent_peer(asio::io_context& io, std::string name, endpoint where, wire::job_claim claim,
+						   report_handler on_report)
+		: io_{io},
+		  name_{std::move(name)},
+		  where_{std::move(where)},
+		  claim_{std::move(claim)},
+		  on_report_{std::move(on_report)}
+	{
+	}
+
+	void agent_peer::start()
+	{
+		asio::co_spawn(
+			io_, [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->dial_forever(); }, asio::detached);
+	}
+
+	void agent_peer::stop()
+	{
+		stopped_ = true;
+		if (link_)
+			link_->close("the term is over");
+	}
+
+	void agent_peer::move_to(endpoint where)
+	{
+		if (where == where_)
+			return;
+		where_ = std::move(where);
+		if (link_)
+			link_->close("the agent has moved");
+	}
+
+	void agent_peer::send(const wire::envelope& message)
+	{
+		if (is_connected() && link_->send(message) == 0)
+			link_->close("cannot send");
+	}
+
+	asio::awaitable<void> agent_peer::dial_forever()
+	{
+		while (!stopped_)
+		{
+			boost::beast::tcp_stream stream{io_};
+			stream.expires_after(dial_time);
+			auto [error] = co_await stream.async_connect(where_, as_result);
+			if (stopped_)
+				co_return;
+			if (error)
+			{
+				co_await pause_for(io_, dial_pause);
+				continue;
+			}
+			asio::steady_timer closed{io_, instant::max()};
+			link_ = std::make_shared<link>(stream.release_socket(), limits);
+			link_->start(
+				[self = shared_from_this()](wire::envelope&& message)
+				{
+					if (message.__isset.job_status && !self->stopped_)
+						self->on_report_(*self, std::move(message.job_status));
+				},
+				[self = shared_from_this(), &closed](const std::string& reason)
+				{
+					log_event(event::link_closed, {{"agent", self->name_}, {"reason", reason}});
+					closed.cancel();
+				});
+			wire::envelope hello;
+			hello.__set_claim(claim_);
+			send(hello);
+			(void)co_await closed.async_wait(as_result);
+			link_.reset();
+			if (!stopped_)
+				co_await pause_for(io_, dial_pause);
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The link of an owner of jobs to one agent.
+#pragma once
+
+#include <trailjunction/core/ids.hpp>
+#include <trailjunction/jobs/job_placement.hpp>
+#include <trailjunction/jobs/worker_trust.hpp>
+#include <trailjunction/net/endpoint.hpp>
+#include <trailjunction/wire/link.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace trailjunction
+{
+	/// \brief What the owner knows of the worker beside an agent.
+	struct worker_facts
+	{
+		worker_life life; ///< Empty while the agent knows of none.
+		service_id service;
+		std::vector<std::string> labels;
+		resources capacity;
+		bool draining{};
+		bool responsive{};
+		worker_trust trust;
+		std::int64_t ends_seen{}; ///< Reported up to here.
+		std::int64_t ends_kept{}; ///< Durable up to here.
+	};
+
+	/// \brief Dials an agent, claims the jobs there, and dials again whenever the link is lost.
+	class agent_peer : public std::enable_shared_from_this<agent_peer>
+	{
+	public:
+		using report_handler = std::function<void(agent_peer&, wire::job_report&&)>;
+
+		agent_peer(boost::asio::io_context& io, std::string name, endpoint where, wire::job_claim claim,
+				   report_handler on_report);
+
+		/// \brief Begins to dial.
+		void start();
+		/// \brief Closes the link for good.
+		void stop();
+		/// \brief Dials another address from now on.
+		void move_to(endpoint where);
+
+		[[nodiscard]] bool is_connected() const noexcept
+		{
+			return link_ != nullptr && link_->is_open();
+		}
+		/// \brief Sends a message, if there is a link; what is lost is settled by the next full report.
+		void send(const wire::envelope& message);
+
+		[[nodiscard]] const std::string& name() const noexcept
+		{
+			return name_;
+		}
+
+		worker_facts worker;
+
+	private:
+		boost::asio::awaitable<void> dial_forever();
+
+		boost::asio::io_context& io_;
+		std::string name_;
+		endpoint where_;
+		wire::job_claim claim_;
+		report_handler on_report_;
+		std::shared_ptr<link> link_;
+		bool stopped_{};
+	};
+}
--- /dev/null
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/field_reader.hpp>
+#include <trailjunction/entry/job_entry_settings.hpp>
+#include <trailjunction/net/program.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace
+	{
+		constexpr allowed_range time_range{100, 3'600'000};
+
+		/// Half of what counts as a short fault: a dead owner is replaced before anybody calls it an outage.
+		constexpr int leases_in_contact = 2;
+		/// Runs outlive a fault of this many contact times, where the worker allows it.
+		constexpr int contacts_in_run_lease = 2;
+		constexpr int renewals_in_lease = 4;
+		constexpr int looks_in_lease = 4;
+	}
+
+	absl::StatusOr<job_entry_settings> read_job_entry_settings(const boost::json::value& value)
+	{
+		job_entry_settings out;
+		field_faults faults;
+		field_reader reader{value, "", faults};
+		for (const auto* name : {"mode", "member", "data_centre", "listen", "store"})
+			reader.require(name);
+		std::string mode;
+		reader.read("mode", mode);
+		std::string member;
+		reader.read("member", member);
+		out.member = member_id{member};
+		reader.read("data_centre", out.data_centre);
+		reader.read_object("listen",
+						   [&](field_reader& listen)
+						   {
+							   for (const auto* name : {"callers", "readiness", "metrics"})
+								   listen.require(name);
+							   read_endpoint(listen, "callers", out.callers);
+							   read_endpoint(listen, "readiness", out.readiness);
+							   read_endpoint(listen, "metrics", out.metrics);
+						   });
+		read_endpoint(reader, "store", out.store);
+		reader.read("contact_ms", out.contact, time_range);
+		reader.read("longest_run_lease_ms", out.longest_run_lease, time_range);
+		reader.read("status_kept_ms", out.status_kept, time_range);
+		reader.read("stop_within_ms", out.stop_within, time_range);
+		reader.finish();
+		if (!faults.empty())
+			return to_status(faults);
+		return out;
+	}
+
+	ownership_times ownership_times_of(const job_entry_settings& settings) noexcept
+	{
+		ownership_times out;
+		out.lease = settings.contact / leases_in_contact;
+		out.renew_every = out.lease / renewals_in_lease;
+		out.observe_every = out.lease / looks_in_lease;
+		return out;
+	}
+
+	run_lease_times run_lease_times_of(const job_entry_settings& settings) noexcept
+	{
+		run_lease_times out;
+		out.lease = std::min(settings.longest_run_lease, contacts_in_run_lease * settings.contact);
+		return out;
+	}
+}
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -2,11 +2,17 @@
 /// \file
 /// \brief The program `trailjunction`.
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/core/json.hpp>
 #include <trailjunction/entry.hpp>
+#include <trailjunction/platform/job_front.hpp>
+#include <trailjunction/platform/operator_rows.hpp>
+#include <trailjunction/platform/table_store.hpp>
 
 #include <boost/program_options.hpp>
 
 #include <iostream>
+#include <memory>
+#include <optional>
 #include <vector>
 
 namespace po = boost::program_options;
@@ -30,15 +36,45 @@
 		return static_cast<int>(code);
 	}
 
-	absl::StatusOr<trailjunction::entry_settings> load(const std::string& path)
+	/// Exactly one of both, by the mode that the settings name.
+	struct any_settings
+	{
+		std::optional<trailjunction::entry_settings> requests;
+		std::optional<trailjunction::job_entry_settings> jobs;
+	};
+
+	absl::Status at_path(const std::string& path, const absl::Status& fault)
+	{
+		return absl::InvalidArgumentError(path + ":\n" + std::string{fault.message()});
+	}
+
+	absl::StatusOr<any_settings> load(const std::string& path)
 	{
 		const auto file = trailjunction::read_settings_file(path);
 		if (!file.ok())
 			return file.status();
+		any_settings out;
+		if (file->is_object() && trailjunction::text_or(file->get_object(), "mode") == "jobs")
+		{
+			auto settings = trailjunction::read_job_entry_settings(*file);
+			if (!settings.ok())
+				return at_path(path, settings.status());
+			out.jobs = *std::move(settings);
+			return out;
+		}
 		auto settings = trailjunction::read_entry_settings(*file);
 		if (!settings.ok())
-			return absl::InvalidArgumentError(path + ":\n" + std::string{settings.status().message()});
-		return settings;
+			return at_path(path, settings.status());
+		out.requests = *std::move(settings);
+		return out;
+	}
+
+	trailjunction::entry_carriers platform_carriers()
+	{
+		using namespace trailjunction;
+		return {[](boost::asio::io_context& io, endpoint where)
+				{ return std::make_unique<platform::table_store>(io, where); },
+				platform::make_job_front, platform::configuration_row(), platform::decode_configuration};
 	}
 
 	int run_entry_command(const po::variables_map& given)
@@ -49,7 +85,9 @@
 		if (!settings.ok())
 			return fail(std::string{settings.status().message()}, exit_code::usage);
 		trailjunction::start_log("trailjunction");
-		return static_cast<int>(trailjunction::run_entry(*settings));
+		if (settings->jobs)
+			return static_cast<int>(trailjunction::run_job_entry(*settings->jobs, platform_carriers()));
+		return static_cast<int>(trailjunction::run_entry(*settings->requests));
 	}
 
 	int run_check_command(const std::vector<std::string>& words)
--- /dev/null
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: MIT
+#include "../version/configuration_follower.hpp"
+#include "job_owner.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/core/ring.hpp>
+#include <trailjunction/entry/job_entry_process.hpp>
+#include <trailjunction/net/coroutines.hpp>
+#include <trailjunction/net/process_metrics.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto stop_check = millis{20};
+		/// The balancer asks each second and needs two misses.
+		constexpr auto notice_time = millis{2'300};
+		/// Kept at the end of the time for a stop.
+		constexpr auto stop_reserve = millis{500};
+		constexpr std::size_t depths_ring = 64;
+
+		/// Everything that serves clients; lives on the request thread.
+		struct client_side
+		{
+			client_side(asio::io_context& io, const job_entry_settings& settings, const entry_carriers& carriers)
+				: store{carriers.make_store(io, *settings.store)},
+				  gateway{io, *store},
+				  callers{io, http_limits{}, carriers.make_job_handler(gateway)},
+				  readiness{io, http_limits{},
+							[this](http_request) -> asio::awaitable<http_response>
+							{
+								const bool ready = gateway.configuration() != nullptr && !stopping;
+								co_return ready ? json_response(200, "{}") : error_response(503, "not ready");
+							}},
+				  figures{io, http_limits{},
+						  [this](http_request request) -> asio::awaitable<http_response>
+						  {
+							  const auto answer = answer_health(request, metrics, [] { return std::string{}; });
+							  co_return answer.value_or(error_response(404, "no such path"));
+						  }}
+			{
+			}
+
+			[[nodiscard]] absl::Status listen(const job_entry_settings& settings)
+			{
+				for (const auto& status : {callers.listen(*settings.callers).status(),
+										   readiness.listen(*settings.readiness).status(),
+										   figures.listen(*settings.metrics).status()})
+					if (!status.ok())
+						return status;
+				return absl::OkStatus();
+			}
+
+			process_metrics metrics;
+			std::unique_ptr<row_store> store;
+			job_gateway gateway;
+			bool stopping{};
+			http_server callers;
+			http_server readiness;
+			http_server figures;
+		};
+
+		/// Unready first, then no new connections, then the requests in flight, then the end.
+		asio::awaitable<void> stop_clients(asio::io_context& io, client_side& clients, const std::atomic<bool>& owner_left,
+										   millis most)
+		{
+			const auto until = steady_now() + most - stop_reserve;
+			clients.stopping = true;
+			co_await pause_for(io, std::min(notice_time, most / 2));
+			clients.callers.stop();
+			while ((clients.callers.in_flight() > 0 || !owner_left) && steady_now() < until)
+				co_await pause_for(io, stop_check);
+			co_await pause_for(io, stop_check); // for the last answers to be written
+			io.stop();
+		}
+	}
+
+	exit_code run_job_entry(const job_entry_settings& settings, const entry_carriers& carriers)
+	{
+		asio::io_context request_io{1};
+		asio::io_context owner_io{1};
+		client_side clients{request_io, settings, carriers};
+		if (const auto status = clients.listen(settings); !status.ok())
+		{
+			log_event(event::listen_failed, {{"reason", std::string{status.message()}}});
+			return exit_code::failed;
+		}
+		log_event(event::process_started, {{"member", settings.member.str()}});
+		ring<queue_depths> depths{request_io.get_executor(), depths_ring,
+								  [&](queue_depths&& value) { clients.gateway.note_depths(std::move(value)); }};
+		const auto owner_store = carriers.make_store(owner_io, *settings.store);
+		job_owner owner{owner_io, settings, *owner_store,
+						[&](queue_depths value)
+						{
+							// A full ring means that newer depths than these wait already.
+							(void)depths.push(std::move(value));
+						}};
+		std::atomic<bool> owner_left{false};
+		asio::co_spawn(
+			owner_io,
+			[&]() -> asio::awaitable<void>
+			{
+				co_await owner.run();
+				owner_left = true;
+			},
+			asio::detached);
+		asio::co_spawn(request_io, follow_configuration(request_io, *clients.store, carriers, clients.gateway),
+					   asio::detached);
+		on_stop_signal(request_io,
+					   [&]
+					   {
+						   log_event(event::process_stopping, {{"member", settings.member.str()}});
+						   asio::post(owner_io, [&] { owner.leave(); });
+						   asio::co_spawn(request_io, stop_clients(request_io, clients, owner_left, settings.stop_within),
+										  asio::detached);
+					   });
+		std::thread owner_thread{[&] { owner_io.run(); }};
+		request_io.run();
+		owner_io.stop();
+		owner_thread.join();
+		log_event(event::process_stopped, {{"member", settings.member.str()}});
+		return exit_code::ok;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/job_owner.cpp
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: MIT
+#include "job_owner.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/core/random.hpp>
+#include <trailjunction/jobs/job_tables.hpp>
+#include <trailjunction/net/coroutines.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto read_time = millis{600};
+		constexpr auto commit_time = millis{600};
+		constexpr auto retry_pause = millis{100};
+		/// Spreads the tries of several standbys: the loser's try is a wasted transaction, no more.
+		constexpr std::uint64_t most_jitter_ms = 60;
+
+		row_name owner_row()
+		{
+			return {owner_table, owner_key};
+		}
+
+		row_range owner_range()
+		{
+			return {owner_table, job_partition, owner_key, "", 1};
+		}
+	}
+
+	job_owner::job_owner(asio::io_context& io, const job_entry_settings& settings, row_store& store,
+						 job_term::depth_handler on_depths)
+		: io_{io},
+		  settings_{settings},
+		  store_{store},
+		  on_depths_{std::move(on_depths)},
+		  times_{ownership_times_of(settings)},
+		  incarnation_{static_cast<std::int64_t>(random_u64() >> 1U)}
+	{
+	}
+
+	void job_owner::leave()
+	{
+		leaving_ = true;
+		if (term_)
+			term_->release();
+	}
+
+	asio::awaitable<void> job_owner::run()
+	{
+		while (!leaving_)
+		{
+			co_await look();
+			if (leaving_ || !may_take_over(seen_, times_, steady_now()))
+			{
+				co_await pause_for(io_, times_.observe_every + millis{random_u64() % most_jitter_ms});
+				continue;
+			}
+			auto owned = co_await take_over();
+			if (!owned)
+				continue;
+			term_ = std::make_shared<job_term>(io_, settings_, store_, *std::move(owned), on_depths_);
+			const auto loaded = co_await term_->load();
+			if (!loaded.ok())
+				log_event(event::platform_unreachable, {{"call", "load jobs"}, {"reason", loaded.ToString()}});
+			if (leaving_)
+				term_->release();
+			if (loaded.ok())
+				co_await term_->work();
+			term_.reset();
+			seen_ = {};
+		}
+		left_ = true;
+	}
+
+	asio::awaitable<void> job_owner::look()
+	{
+		const auto page = co_await store_.read(owner_range(), steady_now() + read_time);
+		const auto now = steady_now();
+		if (!page.ok())
+		{
+			note_failed_look(seen_);
+			log_event(event::platform_unreachable, {{"call", "read owner"}, {"reason", page.status().ToString()}});
+			co_return;
+		}
+		if (page->rows.empty())
+		{
+			seen_row_ = {};
+			note_look(seen_, 0, false, now);
+			co_return;
+		}
+		const auto row = decode_ownership(page->rows.front().value);
+		if (!row.ok())
+		{
+			log_event(event::row_unreadable, {{"row", owner_key}, {"reason", row.status().ToString()}});
+			co_return;
+		}
+		if (seen_.version != page->rows.front().version)
+			tell_depths(*row, now);
+		seen_row_ = *row;
+		note_look(seen_, page->rows.front().version, row->released, now);
+	}
+
+	void job_owner::tell_depths(const stored::ownership& row, instant read_at)
+	{
+		queue_depths depths;
+		for (const auto& depth : row.depths)
+			depths.waiting[queue_id{depth.name}] = depth.waiting;
+		depths.read_at = read_at;
+		on_depths_(std::move(depths));
+	}
+
+	asio::awaitable<std::optional<owned_row>> job_owner::take_over()
+	{
+		owned_row out;
+		out.row.epoch = seen_row_.epoch + 1;
+		out.row.member = settings_.member.str();
+		out.row.incarnation = incarnation_;
+		row_change change;
+		change.partition = job_partition;
+		change.expected.push_back({owner_row(), seen_.version});
+		change.put.push_back({owner_row(), encode_ownership(out.row)});
+		out.renewal_sent = steady_now();
+		while (true)
+		{
+			const auto result = co_await store_.commit(change, steady_now() + commit_time);
+			if (result.how == commit_end::applied)
+			{
+				out.version = result.version;
+				out.store_ms = result.store_ms;
+				break;
+			}
+			if (result.how == commit_end::conflict)
+			{
+				const auto row = result.rows.empty() ? absl::StatusOr<stored::ownership>{absl::DataLossError("no row")}
+													 : decode_ownership(result.rows.front().value);
+				if (!row.ok() || row->epoch != out.row.epoch || row->incarnation != incarnation_)
+					co_return std::nullopt;
+				out.version = result.rows.front().version;
+				out.store_ms = result.store_ms;
+				break;
+			}
+			if (result.how == commit_end::refused)
+				co_return std::nullopt;
+			co_await pause_for(io_, retry_pause);
+		}
+		log_event(event::shard_taken, {{"epoch", out.row.epoch}, {"from", seen_row_.member}});
+		co_return out;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/job_owner.hpp
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Stands by, takes over, and works as the owner of the jobs.
+#pragma once
+
+#include "job_term.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace trailjunction
+{
+	/// \brief The owning duty of an entry; runs on its own thread.
+	class job_owner
+	{
+	public:
+		job_owner(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store,
+				  job_term::depth_handler on_depths);
+
+		/// \brief Stands by and owns in turns, until leave().
+		[[nodiscard]] boost::asio::awaitable<void> run();
+
+		/// \brief The planned stop: gives the jobs back, so that a successor need not wait for the lease to run out.
+		void leave();
+
+		[[nodiscard]] bool has_left() const noexcept
+		{
+			return left_;
+		}
+
+	private:
+		boost::asio::awaitable<void> look();
+		boost::asio::awaitable<std::optional<owned_row>> take_over();
+		void tell_depths(const stored::ownership& row, instant read_at);
+
+		boost::asio::io_context& io_;
+		const job_entry_settings& settings_;
+		row_store& store_;
+		job_term::depth_handler on_depths_;
+		ownership_times times_;
+		ownership_sighting seen_;
+		stored::ownership seen_row_;
+		std::int64_t incarnation_{};
+		std::shared_ptr<job_term> term_;
+		bool leaving_{};
+		bool left_{};
+	};
+}
--- /dev/null
+++ b/packages/entry/src/process/job_term.cpp
@@ -0,0 +1,240 @@
+// SPDX-License-Identifier: MIT
+#include "job_term.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/jobs/job_tables.hpp>
+#include <trailjunction/net/coroutines.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		/// For one answer to a transaction; a slow store takes a third of it.
+		constexpr auto commit_time = millis{600};
+		constexpr auto retry_pause = millis{40};
+		/// Between two transactions, so that a busy moment costs some dozen of them a second and not hundreds.
+		constexpr auto least_gap = millis{20};
+		/// Rows of jobs in one transaction; the store takes 100 entries, two are the owner's row and its condition.
+		constexpr std::size_t most_rows = 90;
+		/// Bytes of values in one transaction: the store takes 1 MB with base64 and names.
+		constexpr std::size_t most_bytes = 500'000;
+		/// Jobs whose rows are removed in one transaction; each has three.
+		constexpr std::size_t most_forgotten = 8;
+		constexpr auto sweep_every = millis{1'000};
+
+		stored::queue_depth depth_row(const queue_id& queue, std::int64_t waiting)
+		{
+			stored::queue_depth out;
+			out.name = queue.str();
+			out.waiting = waiting;
+			return out;
+		}
+
+		row_name owner_row()
+		{
+			return {owner_table, owner_key};
+		}
+	}
+
+	job_term::job_term(asio::io_context& io, const job_entry_settings& settings, row_store& store, owned_row owned,
+					   depth_handler on_depths)
+		: io_{io},
+		  settings_{settings},
+		  store_{store},
+		  owned_{std::move(owned)},
+		  on_depths_{std::move(on_depths)},
+		  ownership_{ownership_times_of(settings)},
+		  run_lease_{run_lease_times_of(settings)},
+		  began_{steady_now()},
+		  committed_{began_},
+		  work_{io}
+	{
+	}
+
+	std::int64_t job_term::store_now_ms(instant now) const noexcept
+	{
+		return owned_.store_ms + std::chrono::duration_cast<millis>(now - owned_.renewal_sent).count();
+	}
+
+	bool job_term::may_act(instant now) const noexcept
+	{
+		return !over_ && holds_lease(owned_.renewal_sent, ownership_, now);
+	}
+
+	void job_term::wake()
+	{
+		placing_wanted_ = true;
+		work_.cancel();
+	}
+
+	void job_term::release()
+	{
+		releasing_ = true;
+		wake();
+	}
+
+	asio::awaitable<void> job_term::wait_for_work()
+	{
+		while (true)
+		{
+			const auto now = steady_now();
+			const bool work = placing_wanted_ || releasing_ || !table_.unsaved.empty();
+			const auto due = work ? committed_ + least_gap : committed_ + ownership_.renew_every;
+			if (now >= due)
+				co_return;
+			work_.expires_at(due);
+			(void)co_await work_.async_wait(as_result);
+		}
+	}
+
+	asio::awaitable<void> job_term::work()
+	{
+		const auto self = shared_from_this();
+		asio::co_spawn(io_, [self]() -> asio::awaitable<void> { co_await self->follow_submissions(); }, asio::detached);
+		asio::co_spawn(io_, [self]() -> asio::awaitable<void> { co_await self->follow_agents(); }, asio::detached);
+		while (!over_)
+		{
+			co_await wait_for_work();
+			const auto now = steady_now();
+			placing_wanted_ = false;
+			lose_lapsed(now);
+			if (may_act(now) && !releasing_)
+				place_waiting(now);
+			auto next = make_batch(now);
+			const bool last = releasing_;
+			if (!co_await commit(next))
+				break;
+			act_on(next, steady_now());
+			if (last)
+				break;
+		}
+		over_ = true;
+		for (const auto& [name, peer] : peers_)
+			peer->stop();
+	}
+
+	job_term::batch job_term::make_batch(instant now)
+	{
+		batch out;
+		out.change.partition = job_partition;
+		out.change.expected.push_back({owner_row(), owned_.version});
+		++owned_.row.sequence;
+		owned_.row.released = releasing_;
+		owned_.row.depths.clear();
+		for (const auto& [queue, waiting] : waiting_jobs(table_))
+			owned_.row.depths.push_back(depth_row(queue, waiting));
+		out.change.put.push_back({owner_row(), encode_ownership(owned_.row)});
+		std::size_t bytes = 0;
+		for (const auto& id : table_.unsaved)
+		{
+			if (out.saved.size() == most_rows || bytes > most_bytes)
+				break;
+			auto& job = *find_job(table_, id);
+			if (has_ended(job.status) && job.ended_ms == 0)
+				job.ended_ms = store_now_ms(now);
+			auto row = encode_progress(job);
+			bytes += row.size();
+			out.change.put.push_back({{progress_table, id.str()}, std::move(row)});
+			out.saved.push_back(id);
+		}
+		for (const auto& id : out.saved)
+			table_.unsaved.erase(id);
+		const auto is_saved = [&](const task_run& what) { return !table_.unsaved.contains(what.task.job); };
+		std::copy_if(unsent_starts_.begin(), unsent_starts_.end(), std::back_inserter(out.starts), is_saved);
+		std::erase_if(unsent_starts_, is_saved);
+		// With everything saved, all ends that were reported by now are.
+		if (table_.unsaved.empty())
+			for (const auto& [name, peer] : peers_)
+				if (peer->worker.ends_seen > peer->worker.ends_kept)
+					out.ends.push_back({peer, peer->worker.life, peer->worker.ends_seen});
+		add_forgotten(out, now);
+		return out;
+	}
+
+	void job_term::add_forgotten(batch& out, instant now)
+	{
+		if (now - swept_ < sweep_every || !out.saved.empty())
+			return;
+		swept_ = now;
+		const auto clock = store_now_ms(now);
+		for (const auto& [id, job] : table_.jobs)
+		{
+			if (out.forgotten.size() == most_forgotten)
+				break;
+			const bool old = has_ended(job->status) && job->ended_ms > 0 &&
+							 clock - job->ended_ms > settings_.status_kept.count();
+			const bool runs = std::any_of(job->tasks.begin(), job->tasks.end(),
+										  [](const job_task& task)
+										  { return task.phase == task_stage::ordered || task.phase == task_stage::running; });
+			if (!old || runs)
+				continue;
+			out.forgotten.push_back(id);
+			out.change.remove.push_back({submissions_table, id.str()});
+			out.change.remove.push_back({submissions_table, cancellation_key(id)});
+			out.change.remove.push_back({progress_table, id.str()});
+		}
+	}
+
+	asio::awaitable<bool> job_term::commit(batch& what)
+	{
+		what.sent = steady_now();
+		while (true)
+		{
+			const auto result = co_await store_.commit(what.change, steady_now() + commit_time);
+			if (result.how == commit_end::applied)
+			{
+				owned_.version = result.version;
+				owned_.store_ms = result.store_ms;
+				break;
+			}
+			if (result.how == commit_end::conflict)
+			{
+				// An earlier try whose answer was lost may have been the one that changed the row.
+				const auto row = result.rows.empty() ? absl::StatusOr<stored::ownership>{absl::DataLossError("no row")}
+													 : decode_ownership(result.rows.front().value);
+				if (!row.ok() || row->epoch != owned_.row.epoch || row->incarnation != owned_.row.incarnation ||
+					row->sequence != owned_.row.sequence)
+				{
+					log_event(event::shard_lost, {{"epoch", owned_.row.epoch}, {"to", row.ok() ? row->member : ""}});
+					co_return false;
+				}
+				owned_.version = result.rows.front().version;
+				owned_.store_ms = result.store_ms > 0 ? result.store_ms : store_now_ms(what.sent);
+				break;
+			}
+			log_event(event::platform_unreachable, {{"call", "commit"}, {"reason", result.reason}});
+			if (result.how == commit_end::refused)
+				co_await pause_for(io_, retry_pause);
+		}
+		owned_.renewal_sent = what.sent;
+		committed_ = steady_now();
+		co_return true;
+	}
+
+	void job_term::act_on(const batch& done, instant now)
+	{
+		for (const auto& id : done.forgotten)
+			table_.jobs.erase(id);
+		for (const auto& ends : done.ends)
+			if (ends.peer->worker.life == ends.life)
+				ends.peer->worker.ends_kept = std::max(ends.peer->worker.ends_kept, ends.through);
+		for (const auto& what : done.starts)
+			order_start(what, false);
+		for (const auto& id : done.saved)
+			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
+				log_event(event::job_ended, {{"job", id.str()}, {"status", to_string(job->status)}});
+		stop_needless();
+		queue_depths depths;
+		for (const auto& depth : owned_.row.depths)
+			depths.waiting[queue_id{depth.name}] = depth.waiting;
+		depths.read_at = now;
+		on_depths_(std::move(depths));
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/job_term.hpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief One term of ownership of the jobs.
+#pragma once
+
+#include "../connection/agent_peer.hpp"
+
+#include <trailjunction/entry/job_entry_settings.hpp>
+#include <trailjunction/entry/job_gateway.hpp>
+#include <trailjunction/jobs/job_placement.hpp>
+#include <trailjunction/jobs/job_rows.hpp>
+#include <trailjunction/jobs/job_table.hpp>
+#include <trailjunction/jobs/run_listing.hpp>
+#include <trailjunction/store/row_store.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief The row by which a member owns the jobs, and when it was last renewed.
+	struct owned_row
+	{
+		stored::ownership row;
+		std::int64_t version{};
+		instant renewal_sent{};
+		std::int64_t store_ms{}; ///< The store's clock at the renewal.
+	};
+
+	/// \brief Places and follows all jobs from a takeover until another member takes over.
+	/// \details Whatever changes a job is written in one transaction with the owner's row, under the condition that the
+	/// row is still this owner's latest. Orders to agents and acknowledgements of ends follow only after that.
+	class job_term : public std::enable_shared_from_this<job_term>
+	{
+	public:
+		using depth_handler = std::function<void(queue_depths)>;
+
+		job_term(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store, owned_row owned,
+				 depth_handler on_depths);
+
+		/// \brief Reads all jobs and agents; unavailable where the store did not let it.
+		[[nodiscard]] boost::asio::awaitable<absl::Status> load();
+
+		/// \brief Works until the row is lost or released.
+		[[nodiscard]] boost::asio::awaitable<void> work();
+
+		/// \brief Gives the row back with the next transaction.
+		void release();
+
+	private:
+		struct kept_ends
+		{
+			std::shared_ptr<agent_peer> peer;
+			worker_life life;
+			std::int64_t through{};
+		};
+		struct batch
+		{
+			row_change change;
+			std::vector<job_id> saved;
+			std::vector<job_id> forgotten;
+			std::vector<task_run> starts;
+			std::vector<kept_ends> ends;
+			instant sent{};
+		};
+
+		// job_term.cpp: the transactions
+		[[nodiscard]] batch make_batch(instant now);
+		void add_forgotten(batch& out, instant now);
+		boost::asio::awaitable<bool> commit(batch& what);
+		void act_on(const batch& done, instant now);
+		boost::asio::awaitable<void> wait_for_work();
+		void wake();
+		[[nodiscard]] std::int64_t store_now_ms(instant now) const noexcept;
+		[[nodiscard]] bool may_act(instant now) const noexcept;
+
+		// job_term_inputs.cpp: what comes from the store
+		boost::asio::awaitable<void> follow_submissions();
+		boost::asio::awaitable<void> follow_agents();
+		boost::asio::awaitable<void> reread(const char* table, std::int64_t& version);
+		void take_submissions(const std::vector<stored_row>& rows);
+		void take_progress(const std::vector<stored_row>& rows);
+		void take_agents(const std::vector<stored_row>& rows);
+
+		// job_term_workers.cpp: what comes from and goes to workers
+		void on_report(agent_peer& peer, wire::job_report&& report);
+		void note_worker(agent_peer& peer, const wire::job_report& report);
+		void note_ends(agent_peer& peer, const wire::job_report& report, instant now);
+		void note_refusals(agent_peer& peer, const wire::job_report& report, instant now);
+		void note_running(agent_peer& peer, const wire::job_report& report, instant now);
+		void reconcile(agent_peer& peer, const wire::job_report& report);
+		void confirm(agent_peer& peer, const wire::job_report& report, instant now);
+		void lose_worker(const worker_life& life, std::string_view why, instant now);
+		void lose_lapsed(instant now);
+		void place_waiting(instant now);
+		void stop_needless();
+		void order_start(const task_run& what, bool known_running);
+		void order_stop(agent_peer& peer, const task_run& what);
+		[[nodiscard]] agent_peer* peer_of(const worker_life& life) const noexcept;
+		[[nodiscard]] std::vector<worker_room> view_workers(instant now) const;
+
+		boost::asio::io_context& io_;
+		const job_entry_settings& settings_;
+		row_store& store_;
+		owned_row owned_;
+		depth_handler on_depths_;
+		ownership_times ownership_;
+		run_lease_times run_lease_;
+		job_table table_;
+		absl::flat_hash_map<job_id, std::string> unread_progress_; ///< Rows whose submission was not read yet.
+		std::vector<task_run> unsent_starts_;
+		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
+		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
+		instant began_{};
+		instant committed_{};
+		instant swept_{};
+		std::int64_t submissions_version_{};
+		std::int64_t agents_version_{};
+		boost::asio::steady_timer work_;
+		bool placing_wanted_{true};
+		bool releasing_{};
+		bool over_{};
+	};
+}
--- /dev/null
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: MIT
+#include "job_term.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/jobs/job_tables.hpp>
+#include <trailjunction/net/coroutines.hpp>
+
+#include <absl/strings/match.h>
+#include <absl/strings/strip.h>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto read_time = millis{2'000};
+		/// How long the store holds a feed back: short, so that a feed that went silent is noticed soon.
+		constexpr auto feed_wait = millis{2'000};
+		constexpr auto agents_wait = millis{10'000};
+		constexpr auto feed_reserve = millis{600};
+		constexpr auto retry_pause = millis{100};
+
+		row_range whole_table(const char* table)
+		{
+			return {table, job_partition, "", "", 0};
+		}
+	}
+
+	asio::awaitable<absl::Status> job_term::load()
+	{
+		const auto submissions = co_await read_all(store_, whole_table(submissions_table), steady_now() + read_time);
+		if (!submissions.ok())
+			co_return submissions.status();
+		const auto progress = co_await read_all(store_, whole_table(progress_table), steady_now() + read_time);
+		if (!progress.ok())
+			co_return progress.status();
+		const auto agents = co_await read_all(store_, whole_table(agents_table), steady_now() + read_time);
+		if (!agents.ok())
+			co_return agents.status();
+		take_progress(progress->rows);
+		take_submissions(submissions->rows);
+		take_agents(agents->rows);
+		submissions_version_ = submissions->version;
+		agents_version_ = agents->version;
+		log_event(event::shard_recovered, {{"epoch", owned_.row.epoch},
+										   {"jobs", table_.jobs.size()},
+										   {"workers", table_.placed.size()},
+										   {"agents", peers_.size()}});
+		co_return absl::OkStatus();
+	}
+
+	void job_term::take_progress(const std::vector<stored_row>& rows)
+	{
+		for (const auto& row : rows)
+			unread_progress_[job_id{row.name.key}] = row.value;
+	}
+
+	void job_term::take_submissions(const std::vector<stored_row>& rows)
+	{
+		const auto now = steady_now();
+		for (const auto& row : rows)
+		{
+			if (row.removed)
+				continue;
+			if (absl::EndsWith(row.name.key, cancellation_suffix))
+			{
+				cancel_job(table_, job_id{std::string{absl::StripSuffix(row.name.key, cancellation_suffix)}});
+				continue;
+			}
+			const job_id id{row.name.key};
+			if (find_job(table_, id) != nullptr)
+				continue;
+			auto job = decode_submission(id, row.value, now);
+			if (!job.ok())
+			{
+				log_event(event::row_unreadable, {{"job", id.str()}, {"reason", job.status().ToString()}});
+				continue;
+			}
+			if (const auto found = unread_progress_.find(id); found != unread_progress_.end())
+			{
+				const auto status = decode_progress(*job, found->second, now);
+				unread_progress_.erase(found);
+				if (!status.ok())
+				{
+					log_event(event::row_unreadable, {{"job", id.str()}, {"reason", status.ToString()}});
+					continue;
+				}
+			}
+			add_job(table_, *std::move(job));
+		}
+		wake();
+	}
+
+	void job_term::take_agents(const std::vector<stored_row>& rows)
+	{
+		for (const auto& row : rows)
+		{
+			if (row.removed)
+				continue;
+			const auto agent = decode_agent(row.value);
+			const auto where = agent.ok() ? parse_endpoint(agent->address) : absl::StatusOr<endpoint>{agent.status()};
+			if (!where.ok())
+			{
+				log_event(event::row_unreadable, {{"agent", row.name.key}, {"reason", where.status().ToString()}});
+				continue;
+			}
+			auto& peer = peers_[row.name.key];
+			if (peer)
+			{
+				peer->move_to(*where);
+				continue;
+			}
+			wire::job_claim claim;
+			claim.epoch = owned_.row.epoch;
+			claim.member = owned_.row.member;
+			claim.run_lease_ms = run_lease_.lease.count();
+			peer = std::make_shared<agent_peer>(io_, row.name.key, *where, std::move(claim),
+												[weak = weak_from_this()](agent_peer& from, wire::job_report&& report)
+												{
+													if (const auto self = weak.lock(); self && !self->over_)
+														self->on_report(from, std::move(report));
+												});
+			peer->start();
+		}
+	}
+
+	asio::awaitable<void> job_term::reread(const char* table, std::int64_t& version)
+	{
+		const auto page = co_await read_all(store_, whole_table(table), steady_now() + read_time);
+		if (!page.ok() || over_)
+			co_return;
+		if (std::string_view{table} == submissions_table)
+			take_submissions(page->rows);
+		else
+			take_agents(page->rows);
+		version = page->version;
+	}
+
+	asio::awaitable<void> job_term::follow_submissions()
+	{
+		while (!over_)
+		{
+			const auto page = co_await store_.follow(submissions_table, submissions_version_, feed_wait,
+													 steady_now() + feed_wait + feed_reserve);
+			if (over_)
+				co_return;
+			if (page.ok())
+			{
+				if (!page->rows.empty())
+					take_submissions(page->rows);
+				submissions_version_ = std::max(submissions_version_, page->version);
+				continue;
+			}
+			if (absl::IsOutOfRange(page.status()))
+				co_await reread(submissions_table, submissions_version_);
+			co_await pause_for(io_, retry_pause);
+		}
+	}
+
+	asio::awaitable<void> job_term::follow_agents()
+	{
+		while (!over_)
+		{
+			const auto page =
+				co_await store_.follow(agents_table, agents_version_, agents_wait, steady_now() + agents_wait + feed_reserve);
+			if (over_)
+				co_return;
+			if (page.ok())
+			{
+				take_agents(page->rows);
+				agents_version_ = std::max(agents_version_, page->version);
+				continue;
+			}
+			if (absl::IsOutOfRange(page.status()))
+				co_await reread(agents_table, agents_version_);
+			co_await pause_for(io_, retry_pause);
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -0,0 +1,291 @@
+// SPDX-License-Identifier: MIT
+#include "job_term.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/wire/job_messages.hpp>
+
+namespace trailjunction
+{
+	namespace
+	{
+		/// Without new work for a worker that had no room or refused a start: its picture here is out of date.
+		constexpr auto no_room_pause = millis{300};
+		constexpr auto unhealthy_pause = millis{1'000};
+
+		constexpr trust_policy trust{};
+		constexpr placement_policy placing{};
+
+		std::int64_t unix_now_ms()
+		{
+			return std::chrono::duration_cast<millis>(std::chrono::system_clock::now().time_since_epoch()).count();
+		}
+	}
+
+	agent_peer* job_term::peer_of(const worker_life& life) const noexcept
+	{
+		for (const auto& [name, peer] : peers_)
+			if (peer->worker.life == life && peer->is_connected())
+				return peer.get();
+		return nullptr;
+	}
+
+	void job_term::on_report(agent_peer& peer, wire::job_report&& report)
+	{
+		if (report.worker.empty())
+			return; // the agent does not know its worker yet
+		const auto now = steady_now();
+		note_worker(peer, report);
+		note_ends(peer, report, now);
+		note_refusals(peer, report, now);
+		note_running(peer, report, now);
+		if (report.full)
+			reconcile(peer, report);
+		confirm(peer, report, now);
+		if (report.full || !report.ended.empty() || !report.refused.empty())
+			wake();
+	}
+
+	void job_term::note_worker(agent_peer& peer, const wire::job_report& report)
+	{
+		const worker_life life{report.worker};
+		auto& worker = peer.worker;
+		if (worker.life != life)
+		{
+			const auto before = worker.life;
+			worker = {};
+			worker.life = life;
+			// A worker that shows a new incarnation has ended the one before and all that ran in it.
+			if (!before.empty())
+				lose_worker(before, "restarted", steady_now());
+			wake();
+		}
+		worker.service = service_id{report.service_name};
+		worker.labels = report.labels;
+		worker.capacity = {report.capacity.cpu_milli, report.capacity.memory_mib, report.capacity.accelerators};
+		worker.draining = report.draining;
+		worker.responsive = report.responsive;
+	}
+
+	void job_term::note_ends(agent_peer& peer, const wire::job_report& report, instant now)
+	{
+		for (const auto& row : report.ended)
+		{
+			const auto end = from_wire(row);
+			const auto effect = end_run(table_, end.what, end.how, end.checkpoint, now);
+			peer.worker.ends_seen = std::max(peer.worker.ends_seen, end.number);
+			if (effect == end_effect::ignored)
+				continue;
+			log_event(event::run_ended, {{"task", to_string(end.what.task)},
+										 {"run", end.what.run},
+										 {"how", to_string(end.how)},
+										 {"worker", report.worker}});
+			const bool judged = end.how == run_outcome::done || end.how == run_outcome::failed;
+			if (judged && note_end(peer.worker.trust, end.what.task.job, end.how == run_outcome::failed, trust, now))
+				log_event(event::worker_avoided, {{"worker", report.worker}});
+		}
+	}
+
+	void job_term::note_refusals(agent_peer& peer, const wire::job_report& report, instant now)
+	{
+		auto& avoided_until = peer.worker.trust.avoided_until;
+		for (const auto& row : report.refused)
+		{
+			const auto refusal = from_wire(row);
+			log_event(event::run_taken_back, {{"task", to_string(refusal.what.task)},
+											  {"run", refusal.what.run},
+											  {"why", to_string(refusal.why)},
+											  {"worker", report.worker}});
+			switch (refusal.why)
+			{
+			case start_refusal::invalid:
+				end_run(table_, refusal.what, run_outcome::failed, "", now);
+				continue;
+			case start_refusal::superseded:
+				end_run(table_, refusal.what, run_outcome::lapsed, "", now);
+				continue;
+			case start_refusal::no_room:
+				avoided_until = std::max(avoided_until, now + no_room_pause);
+				break;
+			case start_refusal::unhealthy:
+				avoided_until = std::max(avoided_until, now + unhealthy_pause);
+				break;
+			case start_refusal::leaving:
+				peer.worker.draining = true;
+				break;
+			case start_refusal::never_started:
+				break;
+			}
+			release_run(table_, refusal.what, now);
+		}
+	}
+
+	void job_term::note_running(agent_peer& peer, const wire::job_report& report, instant now)
+	{
+		for (const auto& row : report.started)
+			confirm_run(table_, from_wire(row), now);
+		for (const auto& row : report.running)
+		{
+			const auto run = from_wire(row);
+			auto* task = find_task(table_, run.what.task);
+			if (task == nullptr || task->run != run.what.run || task->worker != peer.worker.life)
+			{
+				order_stop(peer, run.what);
+				continue;
+			}
+			confirm_run(table_, run.what, now);
+			note_checkpoint(table_, run.what, run.checkpoint);
+			task->figure = run.figure;
+		}
+	}
+
+	void job_term::reconcile(agent_peer& peer, const wire::job_report& report)
+	{
+		absl::flat_hash_set<task_run> listed;
+		for (const auto& row : report.running)
+			listed.insert(from_wire(row.what));
+		const auto placed = table_.placed.find(peer.worker.life);
+		if (placed == table_.placed.end())
+			return;
+		for (const auto& key : placed->second)
+		{
+			const task_run what{key, find_task(table_, key)->run};
+			// A run whose start is not durable yet is ordered once it is.
+			const bool unsaved = std::find(unsent_starts_.begin(), unsent_starts_.end(), what) != unsent_starts_.end();
+			if (!unsaved)
+				order_start(what, listed.contains(what));
+		}
+	}
+
+	void job_term::confirm(agent_peer& peer, const wire::job_report& report, instant now)
+	{
+		if (!report.responsive || !may_act(now))
+			return;
+		wire::job_confirm answer;
+		answer.worker = report.worker;
+		answer.stamp_ms = report.stamp_ms;
+		answer.ends_kept = peer.worker.ends_kept;
+		wire::envelope message;
+		message.__set_confirm(answer);
+		peer.send(message);
+		confirmed_[peer.worker.life] = now;
+	}
+
+	void job_term::lose_worker(const worker_life& life, std::string_view why, instant now)
+	{
+		const auto placed = table_.placed.find(life);
+		if (placed == table_.placed.end())
+			return;
+		const std::vector<task_key> keys(placed->second.begin(), placed->second.end());
+		log_event(event::worker_lapsed, {{"worker", life.str()}, {"why", why}, {"runs", keys.size()}});
+		for (const auto& key : keys)
+			end_run(table_, {key, find_task(table_, key)->run}, run_outcome::lapsed, "", now);
+	}
+
+	void job_term::lose_lapsed(instant now)
+	{
+		std::vector<worker_life> lapsed;
+		for (const auto& [life, keys] : table_.placed)
+		{
+			const auto confirmed = confirmed_.find(life);
+			if (now >= lease_over(confirmed == confirmed_.end() ? began_ : confirmed->second, run_lease_))
+				lapsed.push_back(life);
+		}
+		for (const auto& life : lapsed)
+			lose_worker(life, "lease over", now);
+	}
+
+	std::vector<worker_room> job_term::view_workers(instant now) const
+	{
+		std::vector<worker_room> out;
+		for (const auto& [name, peer] : peers_)
+		{
+			const auto& worker = peer->worker;
+			if (worker.life.empty())
+				continue;
+			worker_room view;
+			view.life = worker.life;
+			view.service = worker.service;
+			view.labels = worker.labels;
+			view.capacity = worker.capacity;
+			view.accepts = peer->is_connected() && worker.responsive && !worker.draining &&
+						   now >= worker.trust.avoided_until;
+			out.push_back(std::move(view));
+		}
+		return out;
+	}
+
+	void job_term::place_waiting(instant now)
+	{
+		auto waiting = waiting_tasks(table_, unix_now_ms());
+		if (waiting.empty())
+			return;
+		auto workers = view_workers(now);
+		charge_workers(workers, table_);
+		for (const auto& one : place_tasks(workers, table_, std::move(waiting), placing, now))
+		{
+			const auto& life = workers[one.worker].life;
+			const auto what = assign(table_, one.task, life, now);
+			// A worker that was never confirmed has no lease yet; its runs count from here.
+			confirmed_.try_emplace(life, now);
+			unsent_starts_.push_back(what);
+			log_event(event::run_ordered,
+					  {{"task", to_string(what.task)}, {"run", what.run}, {"worker", life.str()}});
+		}
+	}
+
+	void job_term::stop_needless()
+	{
+		for (const auto& what : needless_runs(table_))
+		{
+			auto& task = *find_task(table_, what.task);
+			if (task.stop_ordered)
+				continue;
+			if (auto* peer = peer_of(task.worker); peer != nullptr)
+			{
+				order_stop(*peer, what);
+				task.stop_ordered = true;
+			}
+		}
+	}
+
+	void job_term::order_stop(agent_peer& peer, const task_run& what)
+	{
+		wire::job_stop order;
+		order.what = to_wire(what);
+		order.worker = peer.worker.life.str();
+		wire::envelope message;
+		message.__set_job_halt(std::move(order));
+		peer.send(message);
+	}
+
+	void job_term::order_start(const task_run& what, bool known_running)
+	{
+		const auto* job = find_job(table_, what.task.job);
+		const auto* task = find_task(table_, what.task);
+		if (job == nullptr || task->run != what.run || task->worker.empty())
+			return;
+		auto* peer = peer_of(task->worker);
+		if (peer == nullptr)
+			return; // the full report of its next link brings this up again
+		if (has_ended(job->status))
+		{
+			order_stop(*peer, what);
+			return;
+		}
+		const auto& group = job->spec.groups[what.task.group];
+		wire::job_start order;
+		order.what = to_wire(what);
+		order.worker = task->worker.str();
+		if (!known_running)
+		{
+			order.payload = job->spec.payload;
+			order.checkpoint = task->checkpoint;
+		}
+		order.latency_target_ms = group.latency_target.count();
+		order.filler = group.filler;
+		order.known_running = known_running;
+		wire::envelope message;
+		message.__set_job_begin(std::move(order));
+		peer->send(message);
+	}
+}
--- /dev/null
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/entry/job_gateway.hpp>
+#include <trailjunction/jobs/job_rows.hpp>
+#include <trailjunction/jobs/job_tables.hpp>
+#include <trailjunction/net/coroutines.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		/// For one answer of the store: some times what it takes when it is slow.
+		constexpr auto try_time = millis{700};
+		/// Between two tries after a refusal; each one is a call that the store counts.
+		constexpr auto retry_pause = millis{60};
+		/// Refusals are retried for so long; a client that is told sooner comes back sooner.
+		constexpr auto refused_for = millis{400};
+		/// Kept for the way of the answer to the client.
+		constexpr auto answer_reserve = millis{150};
+		/// When a client that was refused may come back.
+		constexpr auto come_back_after = millis{1'000};
+		/// Depths older than this are not told: the pages allow two seconds, less the way.
+		constexpr auto depths_valid = millis{1'800};
+
+		const stored_row* find_row(const std::vector<stored_row>& rows, const std::string& key) noexcept
+		{
+			const auto found =
+				std::find_if(rows.begin(), rows.end(), [&](const stored_row& row) { return row.name.key == key; });
+			return found == rows.end() || found->version == 0 ? nullptr : &*found;
+		}
+
+		/// The rows of one job in a table: its own and what sorts right behind it.
+		row_range rows_of(const char* table, const job_id& id)
+		{
+			return {table, job_partition, id.str(), cancellation_key(id) + "~", 0};
+		}
+	}
+
+	job_gateway::job_gateway(asio::io_context& io, row_store& store) : io_{io}, store_{store}
+	{
+	}
+
+	void job_gateway::apply(job_configuration configuration)
+	{
+		if (configuration_ && configuration.version <= configuration_->version)
+			return;
+		log_event(event::config_applied,
+				  {{"version", configuration.version.value}, {"queues", configuration.routes.size()}});
+		configuration_ = std::make_shared<const job_configuration>(std::move(configuration));
+	}
+
+	void job_gateway::note_depths(queue_depths depths)
+	{
+		depths_ = std::move(depths);
+	}
+
+	std::optional<std::int64_t> job_gateway::waiting(const queue_id& queue, instant now) const
+	{
+		if (now - depths_.read_at > depths_valid)
+			return std::nullopt;
+		const auto found = depths_.waiting.find(queue);
+		return found == depths_.waiting.end() ? 0 : found->second;
+	}
+
+	asio::awaitable<job_call_result> job_gateway::commit_until(row_change change, job_id id, instant deadline)
+	{
+		const auto began = steady_now();
+		bool may_be_done = false;
+		job_call_result out;
+		while (true)
+		{
+			const auto result = co_await store_.commit(change, std::min(deadline, steady_now() + try_time));
+			out.reason = result.reason;
+			if (result.how == commit_end::applied || result.how == commit_end::conflict)
+			{
+				// The only condition is that the row is absent, so a conflict says that it is kept.
+				out.how = job_call_end::done;
+				co_return out;
+			}
+			may_be_done = may_be_done || result.how == commit_end::unknown;
+			const auto now = steady_now();
+			const bool out_of_time = now + retry_pause >= deadline;
+			if (out_of_time || (!may_be_done && now - began > refused_for))
+				break;
+			co_await pause_for(io_, retry_pause);
+		}
+		out.how = may_be_done ? job_call_end::unknown : job_call_end::refused;
+		out.retry_after = come_back_after;
+		log_event(may_be_done ? event::job_unknown : event::job_refused, {{"job", id.str()}, {"reason", out.reason}});
+		co_return out;
+	}
+
+	asio::awaitable<job_call_result> job_gateway::submit(queue_policy queue, job_id id, job_spec spec, instant deadline)
+	{
+		row_change change;
+		change.partition = job_partition;
+		change.expected.push_back({{submissions_table, id.str()}, 0});
+		change.put.push_back({{submissions_table, id.str()}, encode_submission(queue, spec)});
+		auto result = co_await commit_until(std::move(change), id, deadline - answer_reserve);
+		if (result.how == job_call_end::done)
+			log_event(event::job_accepted, {{"job", id.str()}, {"queue", queue.queue.str()}});
+		co_return result;
+	}
+
+	asio::awaitable<job_status_result> job_gateway::status(job_id id, instant deadline)
+	{
+		const auto until = deadline - answer_reserve;
+		job_status_result out;
+		while (true)
+		{
+			const auto progress = co_await store_.read(rows_of(progress_table, id), std::min(until, steady_now() + try_time));
+			absl::StatusOr<row_page> submission = row_page{};
+			const auto* row = progress.ok() ? find_row(progress->rows, id.str()) : nullptr;
+			const auto known = row != nullptr ? decode_status(row->value) : absl::StatusOr<job_status>{job_status::queued};
+			if (row != nullptr && known.ok() && has_ended(*known))
+			{
+				out = {job_call_end::done, *known};
+				co_return out;
+			}
+			if (progress.ok())
+				submission = co_await store_.read(rows_of(submissions_table, id), std::min(until, steady_now() + try_time));
+			if (progress.ok() && submission.ok() && known.ok())
+			{
+				out.how = find_row(submission->rows, id.str()) != nullptr ? job_call_end::done : job_call_end::absent;
+				out.status = *known;
+				if (find_row(submission->rows, cancellation_key(id)) != nullptr)
+					out.status = job_status::cancelled;
+				co_return out;
+			}
+			if (!known.ok())
+				log_event(event::row_unreadable, {{"job", id.str()}, {"reason", known.status().ToString()}});
+			if (steady_now() + retry_pause >= until)
+				co_return out;
+			co_await pause_for(io_, retry_pause);
+		}
+	}
+
+	asio::awaitable<job_call_result> job_gateway::cancel(job_id id, instant deadline)
+	{
+		const auto known = co_await status(id, deadline);
+		job_call_result out;
+		if (known.how != job_call_end::done || has_ended(known.status))
+		{
+			out.how = known.how;
+			out.retry_after = come_back_after;
+			out.reason = "the job's state could not be read";
+			co_return out;
+		}
+		row_change change;
+		change.partition = job_partition;
+		change.expected.push_back({{submissions_table, cancellation_key(id)}, 0});
+		change.put.push_back({{submissions_table, cancellation_key(id)}, ""});
+		out = co_await commit_until(std::move(change), id, deadline - answer_reserve);
+		if (out.how == job_call_end::done)
+			log_event(event::job_cancelled, {{"job", id.str()}});
+		co_return out;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/version/configuration_follower.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+#include "configuration_follower.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/net/coroutines.hpp>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto read_time = millis{800};
+		/// How long the store holds the feed back: half of the time in which a version has to be in force, so that a feed
+		/// that went silent is noticed in time.
+		constexpr auto feed_wait = millis{900};
+		constexpr auto feed_reserve = millis{400};
+		constexpr auto retry_pause = millis{100};
+
+		void apply_rows(const std::vector<stored_row>& rows, const entry_carriers& carriers, job_gateway& gateway)
+		{
+			const auto wanted = carriers.configuration_row;
+			for (const auto& row : rows)
+			{
+				if (row.removed || row.name.key != wanted.key)
+					continue;
+				auto configuration = carriers.decode_configuration(row.value);
+				if (configuration.ok())
+					gateway.apply(*std::move(configuration));
+				else
+					log_event(event::config_refused, {{"reason", configuration.status().ToString()}});
+			}
+		}
+	}
+
+	asio::awaitable<void> follow_configuration(asio::io_context& io, row_store& store, const entry_carriers& carriers,
+											   job_gateway& gateway)
+	{
+		const auto row = carriers.configuration_row;
+		bool known = false;
+		std::int64_t version = 0;
+		while (true)
+		{
+			// One await a statement: GCC 12 frees the arguments of an awaited conditional twice.
+			absl::StatusOr<row_page> page = row_page{};
+			if (known)
+				page = co_await store.follow(row.table, version, feed_wait, steady_now() + feed_wait + feed_reserve);
+			else
+			{
+				row_range range{row.table, "", row.key, "", 1};
+				page = co_await store.read(std::move(range), steady_now() + read_time);
+			}
+			if (page.ok())
+			{
+				apply_rows(page->rows, carriers, gateway);
+				version = std::max(version, page->version);
+				known = true;
+				continue;
+			}
+			// After any failure the row itself is read: a feed that failed may have left something out.
+			known = false;
+			co_await pause_for(io, retry_pause);
+		}
+	}
+}
--- /dev/null
+++ b/packages/jobs/include/trailjunction/jobs/job_ids.hpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Identifiers of jobs, their tasks and queues.
+#pragma once
+
+#include <trailjunction/core/strong_id.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace trailjunction
+{
+	using job_id = strong_id<struct job_tag>;       ///< One job; chosen by the client, unique for ever.
+	using queue_id = strong_id<struct queue_tag>;   ///< One queue of jobs.
+	using worker_life = strong_id<struct life_tag>; ///< One incarnation of a worker: a restart gets another one.
+
+	/// \brief Names one task.
+	struct task_key
+	{
+		job_id job;
+		std::uint32_t occurrence{}; ///< Of a repeated job, counted from 0.
+		std::uint32_t group{};      ///< Of the job's graph, counted from 0.
+		std::uint32_t index{};      ///< Within the group, counted from 0.
+
+		[[nodiscard]] friend auto operator<=>(const task_key&, const task_key&) = default;
+
+		template <typename Hash>
+		friend Hash AbslHashValue(Hash state, const task_key& key)
+		{
+			return Hash::combine(std::move(state), key.job, key.occurrence, key.group, key.index);
+		}
+	};
+
+	/// \brief One run of a task.
+	struct task_run
+	{
+		task_key task;
+		std::uint32_t run{}; ///< Counted from 1.
+
+		[[nodiscard]] friend auto operator<=>(const task_run&, const task_run&) = default;
+
+		template <typename Hash>
+		friend Hash AbslHashValue(Hash state, const task_run& what)
+		{
+			return Hash::combine(std::move(state), what.task, what.run);
+		}
+	};
+
+	/// \brief `JOB/OCCURRENCE/GROUP/INDEX`, for logs.
+	[[nodiscard]] std::string to_string(const task_key& key);
+}
--- /dev/null
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Where waiting tasks go.
+#pragma once
+
+#include "job_ids.hpp"
+#include "job_spec.hpp"
+#include "job_table.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief One worker as placement sees it.
+	struct worker_room
+	{
+		worker_life life;
+		service_id service;
+		std::vector<std::string> labels; ///< Its kind and its rack.
+		resources capacity;
+		bool accepts{};        ///< It may get new work now.
+		double distrust{};     ///< 0: none; 1: it failed all that it was given lately.
+		resources claimed;     ///< By all that is there; processor claims of fillers are not in it.
+		std::int64_t filler_cpu_milli{};  ///< Processor claims of the fillers there.
+		std::int64_t serving_cpu_milli{}; ///< Processor claims of the serving tasks there.
+		double strain{};       ///< The highest share of its latency target that a serving task there shows.
+		std::vector<std::string> filler_images;
+	};
+
+	/// \brief What placement is told beyond the workers.
+	struct placement_policy
+	{
+		/// The share of its claim that a serving task is taken to use, where nothing was measured; from the calm days of
+		/// both deployments (docs/MEASUREMENTS.md).
+		double serving_use{0.5};
+		/// No filler joins a worker whose serving tasks are above this share of their latency target.
+		double strain_limit{0.7};
+		/// A filler joins only where at least this share of its claim is left over.
+		double least_share{0.9};
+	};
+
+	/// \brief One decision.
+	struct placement
+	{
+		task_key task;
+		std::size_t worker{}; ///< An index into the workers.
+	};
+
+	/// \brief Puts a job's load on the views, from what is placed.
+	void charge_workers(std::span<worker_room> workers, const job_table& table);
+
+	/// \brief Chooses workers for tasks, the most urgent first; tasks for which there is no room now are left out.
+	/// \details Charges the views with what it places. Members of a gang are placed all or none.
+	[[nodiscard]] std::vector<placement> place_tasks(std::span<worker_room> workers, const job_table& table,
+													 std::vector<task_key> waiting, const placement_policy& policy,
+													 instant now);
+}
--- /dev/null
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief All jobs of a shard and every change that they may undergo.
+#pragma once
+
+#include "job_state.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief How a run ended.
+	enum class run_outcome : std::uint8_t
+	{
+		done,
+		failed,  ///< By its own fault or its worker's.
+		stopped, ///< On order.
+		lapsed,  ///< Its lease was over, or its worker is gone.
+		broken,  ///< Another member of its gang ended.
+		alone,   ///< Its gang did not come together.
+	};
+
+	[[nodiscard]] std::string_view to_string(run_outcome how) noexcept;
+
+	/// \brief The jobs that the owner of a shard answers for.
+	/// \details Every function below that changes a job notes it in unsaved. A change may only be acted upon, or told to
+	/// anybody, once a transaction has made it durable.
+	struct job_table
+	{
+		absl::flat_hash_map<job_id, std::unique_ptr<job_state>> jobs;
+		absl::flat_hash_set<job_id> unsaved;
+		/// Runs that are ordered or running, by worker; an ended job's runs stay here until the worker says they are gone.
+		absl::flat_hash_map<worker_life, absl::flat_hash_set<task_key>> placed;
+	};
+
+	/// \brief The job of that id, or nothing.
+	[[nodiscard]] job_state* find_job(const job_table& table, const job_id& id) noexcept;
+
+	/// \brief The task of that name, or nothing.
+	[[nodiscard]] job_task* find_task(const job_table& table, const task_key& key) noexcept;
+
+	/// \brief Takes up a job; one that is known already stays as it is.
+	/// \returns Whether it is new.
+	bool add_job(job_table& table, job_state job);
+
+	/// \brief Ends a job on its client's wish; one that has ended already stays as it is.
+	/// \returns Whether this changed anything.
+	bool cancel_job(job_table& table, const job_id& id);
+
+	/// \brief Gives a waiting task to a worker under the next run number.
+	task_run assign(job_table& table, const task_key& key, const worker_life& worker, instant now);
+
+	/// \brief Notes that a worker has confirmed a run.
+	void confirm_run(job_table& table, const task_run& what, instant now);
+
+	/// \brief What came of a run's end.
+	enum class end_effect : std::uint8_t
+	{
+		ignored,  ///< Not the latest run, or it had ended before.
+		recorded, ///< The job goes on.
+		job_over, ///< The job has ended with this.
+	};
+
+	/// \brief Notes the end of a run.
+	/// \param checkpoint What a next run may resume from; empty keeps the one before.
+	end_effect end_run(job_table& table, const task_run& what, run_outcome how, const std::string& checkpoint, instant now);
+
+	/// \brief Takes back a run that certainly never began, or is certainly gone; it counts as no attempt.
+	void release_run(job_table& table, const task_run& what, instant now);
+
+	/// \brief Notes a newer checkpoint of a run; saved with the job's next change.
+	void note_checkpoint(job_table& table, const task_run& what, const std::string& checkpoint);
+
+	/// \brief Tasks whose turn has come and that are nowhere.
+	[[nodiscard]] std::vector<task_key> waiting_tasks(const job_table& table, std::int64_t unix_ms);
+
+	/// \brief Runs that have to stop: those of jobs that have ended.
+	[[nodiscard]] std::vector<task_run> needless_runs(const job_table& table);
+
+	/// \brief Jobs of a queue none of whose tasks has begun.
+	[[nodiscard]] absl::flat_hash_map<queue_id, std::int64_t> waiting_jobs(const job_table& table);
+}
--- /dev/null
+++ b/packages/jobs/include/trailjunction/jobs/ownership.hpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Who owns a shard, and when another member may take it over.
+/// \details The owner counts its lease from before the sending of the transaction that renewed it, a rival counts the
+/// same time from when it first saw the row that stands; so the rival's wait ends after the owner's lease, however long
+/// either answer took.
+#pragma once
+
+#include <trailjunction/core/units.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace trailjunction
+{
+	/// \brief Times of ownership.
+	struct ownership_times
+	{
+		millis lease{1'500};      ///< How long an owner may act after its last renewal; derived in entry settings.
+		millis margin{100};       ///< Added by rivals, for clocks that run at different rates.
+		millis renew_every{400};  ///< An owner with nothing to write renews so often: several tries in a lease.
+		millis observe_every{500}; ///< A standby reads the row so often: three looks in a lease.
+	};
+
+	/// \brief What a standby has seen of the row.
+	struct ownership_sighting
+	{
+		std::int64_t version{};       ///< Of the row; 0: it is absent.
+		std::optional<instant> since; ///< When that version was first seen; nothing after a failed look.
+		bool released{};
+	};
+
+	/// \brief Notes a successful look at the row.
+	void note_look(ownership_sighting& seen, std::int64_t version, bool released, instant answered) noexcept;
+
+	/// \brief Notes a look that failed: the time before it proves nothing about the owner's chance to renew.
+	void note_failed_look(ownership_sighting& seen) noexcept;
+
+	/// \brief Whether the row may be taken over.
+	[[nodiscard]] bool may_take_over(const ownership_sighting& seen, const ownership_times& times, instant now) noexcept;
+
+	/// \brief Whether an owner may still order starts and confirm runs.
+	/// \param renewal_sent When the last successful renewal was sent.
+	[[nodiscard]] bool holds_lease(instant renewal_sent, const ownership_times& times, instant now) noexcept;
+}
--- /dev/null
+++ b/packages/jobs/jobs.thrift
@@ -0,0 +1,92 @@
+// Rows that the store keeps of jobs. Fields that come later are optional; unknown fields are skipped by the codec.
+namespace cpp trailjunction.stored
+
+/** What a queue's configuration said when the job was accepted. */
+struct queue
+{
+	1: string name,
+	2: string service_name,
+	3: i32 priority,
+	4: i32 max_attempts,
+	5: double stretch,
+	6: i64 latency_target_ms,
+}
+
+/** One group of like tasks. */
+struct group
+{
+	1: i32 count,
+	2: i64 cpu_milli,
+	3: i64 memory_mib,
+	4: i64 accelerators,
+	5: i64 estimate_ms,
+	6: list<i32> after,
+	7: bool checkpointing,
+	8: bool gang,
+	9: bool same_rack,
+	10: string required_label,
+	11: string preferred_rack,
+	12: i32 per_worker_limit,
+	13: bool speculative,
+	14: bool long_running,
+	15: string image,
+	16: i64 latency_target_ms,
+	17: bool filler,
+	18: i32 may_be_away,
+}
+
+/** A job as its client handed it in; written once. */
+struct submission
+{
+	1: queue route,
+	2: string payload,
+	3: list<group> groups,
+	4: i32 occurrences,
+	5: i64 first_due_ms,
+	6: i64 interval_ms,
+}
+
+/** One task that has begun at least once. */
+struct task
+{
+	1: i32 place,               // occurrence, group and index as one number
+	2: i32 phase,
+	3: i32 run,
+	4: i32 failures,
+	5: i32 worker,              // index into progress.workers, or -1
+	6: string checkpoint,
+}
+
+/** How far a job is; written by the owner of its shard only. */
+struct progress
+{
+	1: i32 status,
+	2: list<string> workers,
+	3: list<task> tasks,
+	4: i64 ended_ms,            // of the store's clock at the end, or 0
+}
+
+/** How many jobs of a queue wait for their first task. */
+struct queue_depth
+{
+	1: string name,
+	2: i64 waiting,
+}
+
+/** The one row that says who owns the shard; rewritten with each transaction of the owner. */
+struct ownership
+{
+	1: i64 epoch,
+	2: string member,
+	3: i64 incarnation,
+	4: i64 sequence,            // of the owner's transactions
+	5: bool released,           // the owner has left in a planned way
+	6: list<queue_depth> depths,
+}
+
+/** Where the agent beside a worker takes links. */
+struct agent
+{
+	1: string address,
+	2: string data_centre,
+}
--- /dev/null
+++ b/packages/jobs/src/job_placement.cpp
@@ -0,0 +1,218 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/job_placement.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace trailjunction
+{
+	namespace
+	{
+		/// How many tasks of a group each worker carries.
+		using group_counts = absl::flat_hash_map<worker_life, std::uint32_t>;
+
+		struct wish
+		{
+			task_key key;
+			const job_state* job{};
+			const task_group* group{};
+			const job_task* task{};
+			millis slack{}; ///< Until the job's objective, less its longest chain; negative where it is late.
+		};
+
+		bool has_label(const worker_room& worker, const std::string& label)
+		{
+			return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+		}
+
+		resources counted_claim(const task_group& group) noexcept
+		{
+			auto claim = group.claim;
+			if (group.filler)
+				claim.cpu_milli = 0;
+			return claim;
+		}
+
+		void charge(worker_room& worker, const task_group& group)
+		{
+			worker.claimed += counted_claim(group);
+			if (group.filler)
+				worker.filler_cpu_milli += group.claim.cpu_milli;
+			else if (group.latency_target.count() > 0)
+				worker.serving_cpu_milli += group.claim.cpu_milli;
+		}
+
+		/// Processor time that the claims there are expected to leave unused, less what fillers have been given.
+		double left_over(const worker_room& worker, const placement_policy& policy) noexcept
+		{
+			const auto serving = static_cast<double>(worker.serving_cpu_milli);
+			const auto batch = static_cast<double>(worker.claimed.cpu_milli) - serving;
+			return static_cast<double>(worker.capacity.cpu_milli) - batch - serving * policy.serving_use -
+				   static_cast<double>(worker.filler_cpu_milli);
+		}
+
+		bool has_filler_room(const worker_room& worker, const task_group& group, const placement_policy& policy) noexcept
+		{
+			return worker.strain <= policy.strain_limit &&
+				   left_over(worker, policy) >= policy.least_share * static_cast<double>(group.claim.cpu_milli);
+		}
+
+		bool may_run(const worker_room& worker, const wish& what, const group_counts& counts,
+					 const placement_policy& policy)
+		{
+			const auto& group = *what.group;
+			if (!worker.accepts || worker.service != what.job->queue.service)
+				return false;
+			if (!counted_claim(group).fits(worker.capacity - worker.claimed))
+				return false;
+			if (!group.required_label.empty() && !has_label(worker, group.required_label))
+				return false;
+			const auto count = counts.find(worker.life);
+			if (group.per_worker_limit > 0 && count != counts.end() && count->second >= group.per_worker_limit)
+				return false;
+			return !group.filler || has_filler_room(worker, group, policy);
+		}
+
+		/// The cost of a worker; the lowest is taken.
+		double cost(const worker_room& worker, const wish& what, const placement_policy& policy)
+		{
+			const auto& group = *what.group;
+			const auto capacity = std::max(1.0, static_cast<double>(worker.capacity.cpu_milli));
+			double out = worker.distrust * 10.0;
+			if (worker.life == what.task->failed_on)
+				out += 5.0;
+			if (!group.preferred_rack.empty() && !has_label(worker, group.preferred_rack))
+				out += 2.0;
+			if (group.filler)
+				return out - left_over(worker, policy) / capacity + worker.strain;
+			// Serving tasks spread out; batch tasks go where the least is claimed, so that they do not wait for each other.
+			return out + static_cast<double>(worker.claimed.cpu_milli) / capacity;
+		}
+
+		std::optional<std::size_t> choose(std::span<const worker_room> workers, const wish& what,
+										  const group_counts& counts, const placement_policy& policy)
+		{
+			std::optional<std::size_t> best;
+			double best_cost = std::numeric_limits<double>::max();
+			for (std::size_t i = 0; i < workers.size(); ++i)
+			{
+				if (!may_run(workers[i], what, counts, policy))
+					continue;
+				const auto here = cost(workers[i], what, policy);
+				if (here >= best_cost)
+					continue;
+				best = i;
+				best_cost = here;
+			}
+			return best;
+		}
+
+		group_counts count_group(const job_state& job, std::uint32_t occurrence, std::uint32_t group)
+		{
+			group_counts out;
+			for (std::uint32_t index = 0; index < job.spec.groups[group].count; ++index)
+			{
+				const auto& task = job.tasks[place_of(job, {job.id, occurrence, group, index})];
+				if (task.phase == task_stage::ordered || task.phase == task_stage::running)
+					++out[task.worker];
+			}
+			return out;
+		}
+
+		wish make_wish(const job_table& table, task_key key, instant now)
+		{
+			wish out;
+			out.job = find_job(table, key.job);
+			out.group = &out.job->spec.groups[key.group];
+			out.task = find_task(table, key);
+			const auto whole = chain_from(out.job->spec, 0);
+			const auto objective = std::chrono::duration_cast<millis>(whole * out.job->queue.stretch) +
+								   out.job->queue.latency_target;
+			const auto age = std::chrono::duration_cast<millis>(now - out.job->accepted);
+			out.slack = objective - age - chain_from(out.job->spec, key.group);
+			out.key = std::move(key);
+			return out;
+		}
+
+		auto urgency(const wish& what)
+		{
+			// A serving task that is away hurts until it is back, so it goes before batch tasks of its priority.
+			return std::make_tuple(what.job->queue.priority, !what.group->long_running, what.slack, what.key);
+		}
+
+		/// Places consecutive wishes of one group of one occurrence.
+		void place_group(std::span<worker_room> workers, std::span<const wish> wishes, const placement_policy& policy,
+						 std::vector<placement>& out)
+		{
+			const auto& first = wishes.front();
+			auto counts = count_group(*first.job, first.key.occurrence, first.key.group);
+			const auto kept = out.size();
+			std::vector<worker_room> before;
+			if (first.group->gang)
+				before.assign(workers.begin(), workers.end());
+			for (const auto& what : wishes)
+			{
+				const auto found = choose(workers, what, counts, policy);
+				if (!found && !first.group->gang)
+					return;
+				if (!found)
+				{
+					out.resize(kept);
+					std::copy(before.begin(), before.end(), workers.begin());
+					return;
+				}
+				charge(workers[*found], *what.group);
+				++counts[workers[*found].life];
+				out.push_back({what.key, *found});
+			}
+		}
+
+		bool same_group(const wish& left, const wish& right) noexcept
+		{
+			return left.job == right.job && left.key.occurrence == right.key.occurrence && left.key.group == right.key.group;
+		}
+	}
+
+	void charge_workers(std::span<worker_room> workers, const job_table& table)
+	{
+		for (auto& worker : workers)
+		{
+			const auto found = table.placed.find(worker.life);
+			if (found == table.placed.end())
+				continue;
+			for (const auto& key : found->second)
+			{
+				const auto& job = *find_job(table, key.job);
+				const auto& group = job.spec.groups[key.group];
+				charge(worker, group);
+				if (group.latency_target.count() > 0)
+					worker.strain = std::max(worker.strain, static_cast<double>(find_task(table, key)->figure) /
+																static_cast<double>(group.latency_target.count()));
+				if (group.filler)
+					worker.filler_images.push_back(group.image);
+			}
+		}
+	}
+
+	std::vector<placement> place_tasks(std::span<worker_room> workers, const job_table& table,
+									   std::vector<task_key> waiting, const placement_policy& policy, instant now)
+	{
+		std::vector<wish> wishes;
+		wishes.reserve(waiting.size());
+		for (auto& key : waiting)
+			wishes.push_back(make_wish(table, std::move(key), now));
+		std::sort(wishes.begin(), wishes.end(),
+				  [](const wish& left, const wish& right) { return urgency(left) < urgency(right); });
+		std::vector<placement> out;
+		for (std::size_t i = 0; i < wishes.size();)
+		{
+			std::size_t end = i + 1;
+			while (end < wishes.size() && same_group(wishes[i], wishes[end]))
+				++end;
+			place_group(workers, std::span{wishes}.subspan(i, end - i), policy, out);
+			i = end;
+		}
+		return out;
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/job_rows.cpp
@@ -0,0 +1,237 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/job_rows.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	using apache::thrift::protocol::TCompactProtocolT;
+	using apache::thrift::transport::TMemoryBuffer;
+
+	namespace
+	{
+		template <typename Row>
+		std::string encode(const Row& row)
+		{
+			const auto buffer = std::make_shared<TMemoryBuffer>();
+			TCompactProtocolT<TMemoryBuffer> protocol{buffer};
+			row.write(&protocol);
+			return buffer->getBufferAsString();
+		}
+
+		template <typename Row>
+		absl::StatusOr<Row> decode(std::string_view text)
+		{
+			const auto buffer = std::make_shared<TMemoryBuffer>(
+				reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data())), // NOLINT: OBSERVE never writes
+				static_cast<std::uint32_t>(text.size()), TMemoryBuffer::OBSERVE);
+			const auto most = static_cast<std::int32_t>(text.size());
+			TCompactProtocolT<TMemoryBuffer> protocol{buffer, most, most};
+			Row row;
+			try
+			{
+				row.read(&protocol);
+			}
+			catch (const std::exception& fault)
+			{
+				return absl::DataLossError(absl::StrCat("a stored row cannot be read: ", fault.what()));
+			}
+			return row;
+		}
+
+		stored::group to_stored(const task_group& from)
+		{
+			stored::group to;
+			to.count = static_cast<std::int32_t>(from.count);
+			to.cpu_milli = from.claim.cpu_milli;
+			to.memory_mib = from.claim.memory_mib;
+			to.accelerators = from.claim.accelerators;
+			to.estimate_ms = from.estimate.count();
+			to.after.assign(from.after.begin(), from.after.end());
+			to.checkpointing = from.checkpointing;
+			to.gang = from.gang;
+			to.same_rack = from.same_rack;
+			to.required_label = from.required_label;
+			to.preferred_rack = from.preferred_rack;
+			to.per_worker_limit = static_cast<std::int32_t>(from.per_worker_limit);
+			to.speculative = from.speculative;
+			to.long_running = from.long_running;
+			to.image = from.image;
+			to.latency_target_ms = from.latency_target.count();
+			to.filler = from.filler;
+			to.may_be_away = static_cast<std::int32_t>(from.may_be_away);
+			return to;
+		}
+
+		task_group from_stored(const stored::group& from)
+		{
+			task_group to;
+			to.count = static_cast<std::uint32_t>(from.count);
+			to.claim = {from.cpu_milli, from.memory_mib, from.accelerators};
+			to.estimate = millis{from.estimate_ms};
+			to.after.assign(from.after.begin(), from.after.end());
+			to.checkpointing = from.checkpointing;
+			to.gang = from.gang;
+			to.same_rack = from.same_rack;
+			to.required_label = from.required_label;
+			to.preferred_rack = from.preferred_rack;
+			to.per_worker_limit = static_cast<std::uint32_t>(from.per_worker_limit);
+			to.speculative = from.speculative;
+			to.long_running = from.long_running;
+			to.image = from.image;
+			to.latency_target = millis{from.latency_target_ms};
+			to.filler = from.filler;
+			to.may_be_away = static_cast<std::uint32_t>(from.may_be_away);
+			return to;
+		}
+
+		stored::queue to_stored(const queue_policy& from)
+		{
+			stored::queue to;
+			to.name = from.queue.str();
+			to.service_name = from.service.str();
+			to.priority = from.priority;
+			to.max_attempts = from.max_attempts;
+			to.stretch = from.stretch;
+			to.latency_target_ms = from.latency_target.count();
+			return to;
+		}
+
+		queue_policy from_stored(const stored::queue& from)
+		{
+			return {queue_id{from.name}, service_id{from.service_name}, from.priority, from.max_attempts,
+					from.stretch,        millis{from.latency_target_ms}};
+		}
+
+		std::int32_t index_of(std::vector<std::string>& workers, const worker_life& worker)
+		{
+			const auto found = std::find(workers.begin(), workers.end(), worker.str());
+			if (found != workers.end())
+				return static_cast<std::int32_t>(found - workers.begin());
+			workers.push_back(worker.str());
+			return static_cast<std::int32_t>(workers.size() - 1);
+		}
+
+		bool names_worker(const stored::progress& row, const stored::task& task) noexcept
+		{
+			return task.worker >= 0 && static_cast<std::size_t>(task.worker) < row.workers.size();
+		}
+	}
+
+	std::string encode_submission(const queue_policy& queue, const job_spec& spec)
+	{
+		stored::submission row;
+		row.route = to_stored(queue);
+		row.payload = spec.payload;
+		for (const auto& group : spec.groups)
+			row.groups.push_back(to_stored(group));
+		row.occurrences = spec.repeated ? static_cast<std::int32_t>(spec.occurrences) : 0;
+		row.first_due_ms = spec.first_due_ms;
+		row.interval_ms = spec.interval.count();
+		return encode(row);
+	}
+
+	absl::StatusOr<job_state> decode_submission(const job_id& id, std::string_view row, instant now)
+	{
+		const auto stored = decode<stored::submission>(row);
+		if (!stored.ok())
+			return stored.status();
+		job_spec spec;
+		spec.payload = stored->payload;
+		for (const auto& group : stored->groups)
+			spec.groups.push_back(from_stored(group));
+		spec.repeated = stored->occurrences > 0;
+		spec.occurrences = spec.repeated ? static_cast<std::uint32_t>(stored->occurrences) : 1;
+		spec.first_due_ms = stored->first_due_ms;
+		spec.interval = millis{stored->interval_ms};
+		if (const auto status = check(spec); !status.ok())
+			return absl::DataLossError(status.message());
+		return make_job(id, from_stored(stored->route), std::move(spec), now);
+	}
+
+	std::string encode_progress(const job_state& job)
+	{
+		stored::progress row;
+		row.status = static_cast<std::int32_t>(job.status);
+		row.ended_ms = job.ended_ms;
+		for (std::size_t i = 0; i < job.tasks.size(); ++i)
+		{
+			const auto& from = job.tasks[i];
+			const bool placed = from.phase == task_stage::ordered || from.phase == task_stage::running;
+			// Of an ended job only what still runs matters.
+			if (from.run == 0 || (has_ended(job.status) && !placed))
+				continue;
+			stored::task to;
+			to.place = static_cast<std::int32_t>(i);
+			to.phase = static_cast<std::int32_t>(from.phase);
+			to.run = static_cast<std::int32_t>(from.run);
+			to.failures = static_cast<std::int32_t>(from.failures);
+			to.worker = placed ? index_of(row.workers, from.worker) : -1;
+			if (from.phase != task_stage::done)
+				to.checkpoint = from.checkpoint;
+			row.tasks.push_back(std::move(to));
+		}
+		return encode(row);
+	}
+
+	absl::Status decode_progress(job_state& job, std::string_view text, instant now)
+	{
+		const auto row = decode<stored::progress>(text);
+		if (!row.ok())
+			return row.status();
+		job.status = static_cast<job_status>(row->status);
+		job.ended_ms = row->ended_ms;
+		for (const auto& from : row->tasks)
+		{
+			if (from.place < 0 || static_cast<std::size_t>(from.place) >= job.tasks.size())
+				return absl::DataLossError("a stored task is not part of its job");
+			auto& to = job.tasks[static_cast<std::size_t>(from.place)];
+			to.phase = static_cast<task_stage>(from.phase);
+			// Whether the worker has confirmed the run is for the worker to say again.
+			if (to.phase == task_stage::running)
+				to.phase = task_stage::ordered;
+			to.run = static_cast<std::uint32_t>(from.run);
+			to.failures = static_cast<std::uint32_t>(from.failures);
+			to.checkpoint = from.checkpoint;
+			to.since = now;
+			if (to.phase != task_stage::ordered)
+				continue;
+			if (!names_worker(*row, from))
+				return absl::DataLossError("a stored run names no worker");
+			to.worker = worker_life{row->workers[static_cast<std::size_t>(from.worker)]};
+		}
+		return absl::OkStatus();
+	}
+
+	absl::StatusOr<job_status> decode_status(std::string_view text)
+	{
+		const auto row = decode<stored::progress>(text);
+		if (!row.ok())
+			return row.status();
+		return static_cast<job_status>(row->status);
+	}
+
+	std::string encode_ownership(const stored::ownership& row)
+	{
+		return encode(row);
+	}
+
+	absl::StatusOr<stored::ownership> decode_ownership(std::string_view row)
+	{
+		return decode<stored::ownership>(row);
+	}
+
+	std::string encode_agent(const stored::agent& row)
+	{
+		return encode(row);
+	}
+
+	absl::StatusOr<stored::agent> decode_agent(std::string_view row)
+	{
+		return decode<stored::agent>(row);
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/job_table.cpp
@@ -0,0 +1,231 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/job_table.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace
+	{
+		const task_group& group_of(const job_state& job, const task_key& key)
+		{
+			return job.spec.groups[key.group];
+		}
+
+		bool is_placed(const job_task& task) noexcept
+		{
+			return task.phase == task_stage::ordered || task.phase == task_stage::running;
+		}
+
+		void take_off_worker(job_table& table, const task_key& key, job_task& task)
+		{
+			const auto found = table.placed.find(task.worker);
+			if (found != table.placed.end())
+			{
+				found->second.erase(key);
+				if (found->second.empty())
+					table.placed.erase(found);
+			}
+			task.worker = worker_life{};
+			task.stop_ordered = false;
+			task.figure = 0;
+		}
+
+		/// The latest run of the task, if it is the one named and still counts as placed.
+		job_task* placed_run(job_table& table, const task_run& what)
+		{
+			auto* task = find_task(table, what.task);
+			return task != nullptr && task->run == what.run && is_placed(*task) ? task : nullptr;
+		}
+
+		bool all_done(const job_state& job)
+		{
+			return std::all_of(job.tasks.begin(), job.tasks.end(),
+							   [](const job_task& task) { return task.phase == task_stage::done; });
+		}
+
+		/// Where a task stands after a run that did not end `done`.
+		task_stage phase_after(const job_state& job, const task_group& group, const job_task& task)
+		{
+			const bool spent = task.failures >= static_cast<std::uint32_t>(job.queue.max_attempts);
+			return spent && !group.long_running ? task_stage::failed : task_stage::waiting;
+		}
+	}
+
+	std::string_view to_string(run_outcome how) noexcept
+	{
+		switch (how)
+		{
+		case run_outcome::done:
+			return "done";
+		case run_outcome::failed:
+			return "failed";
+		case run_outcome::stopped:
+			return "stopped";
+		case run_outcome::lapsed:
+			return "lapsed";
+		case run_outcome::broken:
+			return "broken";
+		case run_outcome::alone:
+			return "alone";
+		}
+		return "unnamed";
+	}
+
+	job_state* find_job(const job_table& table, const job_id& id) noexcept
+	{
+		const auto found = table.jobs.find(id);
+		return found == table.jobs.end() ? nullptr : found->second.get();
+	}
+
+	job_task* find_task(const job_table& table, const task_key& key) noexcept
+	{
+		auto* job = find_job(table, key.job);
+		if (job == nullptr)
+			return nullptr;
+		const auto place = place_of(*job, key);
+		return place < job->tasks.size() ? &job->tasks[place] : nullptr;
+	}
+
+	bool add_job(job_table& table, job_state job)
+	{
+		if (table.jobs.contains(job.id))
+			return false;
+		for (std::size_t i = 0; i < job.tasks.size(); ++i)
+			if (is_placed(job.tasks[i]))
+				table.placed[job.tasks[i].worker].insert(key_of(job, i));
+		auto id = job.id;
+		table.jobs.emplace(std::move(id), std::make_unique<job_state>(std::move(job)));
+		return true;
+	}
+
+	bool cancel_job(job_table& table, const job_id& id)
+	{
+		auto* job = find_job(table, id);
+		if (job == nullptr || has_ended(job->status))
+			return false;
+		job->status = job_status::cancelled;
+		table.unsaved.insert(id);
+		return true;
+	}
+
+	task_run assign(job_table& table, const task_key& key, const worker_life& worker, instant now)
+	{
+		auto& job = *find_job(table, key.job);
+		auto& task = *find_task(table, key);
+		task.phase = task_stage::ordered;
+		task.worker = worker;
+		task.since = now;
+		task.stop_ordered = false;
+		++task.run;
+		if (job.status == job_status::queued)
+			job.status = job_status::running;
+		table.placed[worker].insert(key);
+		table.unsaved.insert(key.job);
+		return {key, task.run};
+	}
+
+	void confirm_run(job_table& table, const task_run& what, instant now)
+	{
+		auto* task = placed_run(table, what);
+		if (task == nullptr || task->phase == task_stage::running)
+			return;
+		task->phase = task_stage::running;
+		task->since = now;
+	}
+
+	end_effect end_run(job_table& table, const task_run& what, run_outcome how, const std::string& checkpoint, instant now)
+	{
+		auto* task = placed_run(table, what);
+		if (task == nullptr)
+			return end_effect::ignored;
+		auto& job = *find_job(table, what.task.job);
+		const auto& group = group_of(job, what.task);
+		const auto worker = task->worker;
+		take_off_worker(table, what.task, *task);
+		task->since = now;
+		table.unsaved.insert(job.id);
+		if (!checkpoint.empty())
+			task->checkpoint = checkpoint;
+		if (how == run_outcome::done && !group.long_running)
+		{
+			task->phase = task_stage::done;
+			if (has_ended(job.status) || !all_done(job))
+				return end_effect::recorded;
+			job.status = job_status::completed;
+			return end_effect::job_over;
+		}
+		if (how == run_outcome::failed)
+		{
+			++task->failures;
+			task->failed_on = worker;
+		}
+		task->phase = phase_after(job, group, *task);
+		if (task->phase != task_stage::failed || has_ended(job.status))
+			return end_effect::recorded;
+		job.status = job_status::failed;
+		return end_effect::job_over;
+	}
+
+	void release_run(job_table& table, const task_run& what, instant now)
+	{
+		auto* task = placed_run(table, what);
+		if (task == nullptr)
+			return;
+		take_off_worker(table, what.task, *task);
+		task->phase = task_stage::waiting;
+		task->since = now;
+		table.unsaved.insert(what.task.job);
+	}
+
+	void note_checkpoint(job_table& table, const task_run& what, const std::string& checkpoint)
+	{
+		auto* task = placed_run(table, what);
+		if (task != nullptr && !checkpoint.empty())
+			task->checkpoint = checkpoint;
+	}
+
+	std::vector<task_key> waiting_tasks(const job_table& table, std::int64_t unix_ms)
+	{
+		std::vector<task_key> out;
+		for (const auto& [id, job] : table.jobs)
+		{
+			if (has_ended(job->status))
+				continue;
+			std::size_t place = 0;
+			for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences; ++occurrence)
+				for (std::uint32_t group = 0; group < job->spec.groups.size(); ++group)
+				{
+					const auto count = job->spec.groups[group].count;
+					const auto begin = job->tasks.begin() + static_cast<std::ptrdiff_t>(place);
+					const bool any = std::any_of(begin, begin + count, [](const job_task& task)
+												 { return task.phase == task_stage::waiting; });
+					if (any && is_due(*job, occurrence, group, unix_ms))
+						for (std::uint32_t index = 0; index < count; ++index)
+							if (job->tasks[place + index].phase == task_stage::waiting)
+								out.push_back({id, occurrence, group, index});
+					place += count;
+				}
+		}
+		return out;
+	}
+
+	std::vector<task_run> needless_runs(const job_table& table)
+	{
+		std::vector<task_run> out;
+		for (const auto& [worker, keys] : table.placed)
+			for (const auto& key : keys)
+				if (has_ended(find_job(table, key.job)->status))
+					out.push_back({key, find_task(table, key)->run});
+		return out;
+	}
+
+	absl::flat_hash_map<queue_id, std::int64_t> waiting_jobs(const job_table& table)
+	{
+		absl::flat_hash_map<queue_id, std::int64_t> out;
+		for (const auto& [id, job] : table.jobs)
+			if (job->status == job_status::queued)
+				++out[job->queue.queue];
+		return out;
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/run_lease.cpp
@@ -0,0 +1,18 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/run_lease.hpp>
+
+namespace trailjunction
+{
+	instant lease_over(instant last_confirmed, const run_lease_times& times) noexcept
+	{
+		const std::chrono::duration<double, std::milli> slowed = times.lease * (1.0 + times.slowest_clock);
+		return last_confirmed + std::chrono::ceil<millis>(slowed) + times.margin;
+	}
+
+	std::int64_t worker_deadline_ms(std::int64_t worker_clock_ms, instant read_at, instant stamp, millis lease) noexcept
+	{
+		// The answer was read after the worker looked at its clock, so the sum lies before the true time of the stamp.
+		const auto since_reading = std::chrono::floor<millis>(stamp - read_at);
+		return worker_clock_ms + since_reading.count() + lease.count();
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/worker_trust.cpp
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/worker_trust.hpp>
+
+#include <absl/container/flat_hash_set.h>
+
+namespace trailjunction
+{
+	bool note_end(worker_trust& trust, const job_id& job, bool failed, const trust_policy& policy, instant now)
+	{
+		auto& lately = trust.lately;
+		lately.push_back({now, job, failed});
+		while (now - lately.front().at > policy.window)
+			lately.pop_front();
+		if (!failed)
+			return false;
+		absl::flat_hash_set<job_id> failed_jobs;
+		std::size_t failures = 0;
+		for (const auto& one : lately)
+		{
+			if (!one.failed)
+				continue;
+			++failures;
+			failed_jobs.insert(one.job);
+		}
+		if (failed_jobs.size() < static_cast<std::size_t>(policy.distinct_jobs) ||
+			static_cast<double>(failures) < policy.failed_share * static_cast<double>(lately.size()))
+			return false;
+		trust.avoided_until = now + policy.probation;
+		return true;
+	}
+}
--- a/packages/store/include/trailjunction/store.hpp
+++ b/packages/store/include/trailjunction/store.hpp
@@ -4,4 +4,5 @@
 #pragma once
 
 #include "store/platform_client.hpp"
+#include "store/row_store.hpp"
 #include "store/table_row.hpp"
--- a/packages/wire/include/trailjunction/wire.hpp
+++ b/packages/wire/include/trailjunction/wire.hpp
@@ -4,4 +4,5 @@
 #pragma once
 
 #include "wire/frame.hpp"
+#include "wire/job_messages.hpp"
 #include "wire/link.hpp"
--- /dev/null
+++ b/packages/wire/include/trailjunction/wire/job_messages.hpp
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Conversions between runs and the messages that carry them.
+#pragma once
+
+#include <trailjunction/jobs/run_listing.hpp>
+
+#include <wire_types.h>
+
+namespace trailjunction
+{
+	[[nodiscard]] wire::task_run to_wire(const task_run& what);
+	[[nodiscard]] task_run from_wire(const wire::task_run& what);
+
+	[[nodiscard]] wire::job_run to_wire(const listed_run& run);
+	[[nodiscard]] listed_run from_wire(const wire::job_run& run);
+
+	[[nodiscard]] wire::job_end to_wire(const listed_end& end);
+	[[nodiscard]] listed_end from_wire(const wire::job_end& end);
+
+	[[nodiscard]] wire::job_refusal to_wire(const refused_run& refusal);
+	[[nodiscard]] refused_run from_wire(const wire::job_refusal& refusal);
+}
--- /dev/null
+++ b/packages/wire/src/job_messages.cpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/wire/job_messages.hpp>
+
+namespace trailjunction
+{
+	wire::task_run to_wire(const task_run& what)
+	{
+		wire::task_run out;
+		out.task.job = what.task.job.str();
+		out.task.occurrence = static_cast<std::int32_t>(what.task.occurrence);
+		out.task.group = static_cast<std::int32_t>(what.task.group);
+		out.task.index = static_cast<std::int32_t>(what.task.index);
+		out.run = static_cast<std::int32_t>(what.run);
+		return out;
+	}
+
+	task_run from_wire(const wire::task_run& what)
+	{
+		return {{job_id{what.task.job}, static_cast<std::uint32_t>(what.task.occurrence),
+				 static_cast<std::uint32_t>(what.task.group), static_cast<std::uint32_t>(what.task.index)},
+				static_cast<std::uint32_t>(what.run)};
+	}
+
+	wire::job_run to_wire(const listed_run& run)
+	{
+		wire::job_run out;
+		out.what = to_wire(run.what);
+		out.checkpoint = run.checkpoint;
+		out.pace_percent = run.pace_percent;
+		out.figure = static_cast<std::int32_t>(run.figure);
+		return out;
+	}
+
+	listed_run from_wire(const wire::job_run& run)
+	{
+		return {from_wire(run.what), run.checkpoint, run.pace_percent, run.figure};
+	}
+
+	wire::job_end to_wire(const listed_end& end)
+	{
+		wire::job_end out;
+		out.number = end.number;
+		out.what = to_wire(end.what);
+		out.how = static_cast<wire::run_end>(end.how); // both count in the same order
+		out.checkpoint = end.checkpoint;
+		return out;
+	}
+
+	listed_end from_wire(const wire::job_end& end)
+	{
+		return {end.number, from_wire(end.what), static_cast<run_outcome>(end.how), end.checkpoint};
+	}
+
+	wire::job_refusal to_wire(const refused_run& refusal)
+	{
+		wire::job_refusal out;
+		out.what = to_wire(refusal.what);
+		out.why = static_cast<wire::start_refusal>(refusal.why); // both count in the same order
+		return out;
+	}
+
+	refused_run from_wire(const wire::job_refusal& refusal)
+	{
+		return {from_wire(refusal.what), static_cast<start_refusal>(refusal.why)};
+	}
+}
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -195,6 +195,121 @@
 	2: string document,
 }
 
+/** Names one task of a job. */
+struct task_name
+{
+	1: string job,
+	2: i32 occurrence,          // of a repeated job, counted from 0
+	3: i32 group,               // of the job's graph, counted from 0
+	4: i32 index,               // within the group, counted from 0
+}
+
+/** One run of a task. */
+struct task_run
+{
+	1: task_name task,
+	2: i32 run,                 // counted from 1
+}
+
+/** Entry to agent, first on each job link: the sender owns the jobs under this epoch. */
+struct job_claim
+{
+	1: i64 epoch,
+	2: string member,
+	3: i64 run_lease_ms,        // how long runs go on after the stamp of a confirmation
+}
+
+/** Entry to agent: start a run, or, where the run exists already, learn what it is. */
+struct job_start
+{
+	1: task_run what,
+	2: string worker,           // the incarnation of the worker that may start it
+	3: string payload,
+	4: string checkpoint,       // to resume from, or empty
+	5: i64 latency_target_ms,   // of a task that serves callers; 0 for others
+	6: bool filler,             // lives on what other tasks leave unused
+	7: bool known_running,      // the worker has listed it: only learn what it is
+}
+
+/** Entry to agent: stop a run, whether it has begun or not. */
+struct job_stop
+{
+	1: task_run what,
+	2: string worker,
+}
+
+/** Entry to agent: the answer to a report. */
+struct job_confirm
+{
+	1: string worker,
+	2: i64 stamp_ms,            // of the report; the lease of all runs counts from here
+	3: i64 ends_kept,           // ends up to this number are durable
+}
+
+/** One run that a worker lists. */
+struct job_run
+{
+	1: task_run what,
+	2: string checkpoint,
+	3: i32 pace_percent,
+	4: i32 figure,              // latency tail in ms of a serving task, processor use in thousandths of others
+}
+
+enum run_end
+{
+	end_done = 0,
+	end_failed = 1,
+	end_stopped = 2,
+	end_lapsed = 3,                 // its lease was over
+	end_broken = 4,                 // another member of its gang ended
+	end_alone = 5,                  // its gang did not come together
+}
+
+/** The end of a run, repeated until it is durable. */
+struct job_end
+{
+	1: i64 number,              // counted by the worker in each incarnation
+	2: task_run what,
+	3: run_end how,
+	4: string checkpoint,
+}
+
+enum start_refusal
+{
+	refused_never_started = 0,          // the order was settled without a start
+	refused_no_room = 1,
+	refused_unhealthy = 2,              // the worker refused to start anything now
+	refused_invalid = 3,                // the worker takes the order for malformed
+	refused_superseded = 4,             // the worker has stopped or ended this run before
+	refused_leaving = 5,                // the worker is draining
+}
+
+/** A run that was ordered and certainly does not run. */
+struct job_refusal
+{
+	1: task_run what,
+	2: start_refusal why,
+}
+
+/** Agent to entry: what has changed since the report before; everything where full is set. */
+struct job_report
+{
+	1: string worker,           // the worker's incarnation; empty where none is known
+	2: i64 stamp_ms,            // the agent's steady clock
+	3: bool full,
+	4: list<job_run> running,   // all of them where full is set, otherwise those that changed
+	5: list<job_end> ended,
+	6: list<job_refusal> refused,
+	7: amounts capacity,
+	8: list<string> labels,
+	9: bool draining,
+	10: i64 remaining_ms,       // until a draining worker is gone
+	11: string service_name,
+	12: list<task_run> started, // runs that the worker has confirmed
+	13: bool responsive,        // the worker answers its agent
+	14: i64 used_cpu_milli,     // by all runs that are not serving tasks
+}
+
 /** What a frame holds: exactly one member. */
 struct envelope
 {
@@ -207,4 +322,9 @@
 	7: optional start_run start,
 	8: optional order_run order,
 	9: optional config conf,
+	10: optional job_claim claim,
+	11: optional job_start job_begin,
+	12: optional job_stop job_halt,
+	13: optional job_confirm confirm,
+	14: optional job_report job_status,
 }
