--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -30,6 +30,12 @@
 		/// Failed listings in a row after which the worker counts as not answering.
 		constexpr int unresponsive_after = 2;
 
+		/// A run has it at its start.
+		constexpr int full_pace = 100;
+		/// A pace is ordered again after this time, since an older order may have been carried out after it.
+		constexpr auto pace_again = millis{2'000};
+		/// Between two listings while ends wait to be kept: the worker then answers at once.
+		constexpr auto listing_gap = millis{50};
 		/// A figure that moved by less than this share is not worth a message.
 		constexpr double figure_step = 0.2;
 
@@ -84,6 +90,7 @@
 		listed_once_ = false;
 		runs_.clear();
 		purposes_.clear();
+		paces_.clear();
 		ordering_.clear();
 		stopping_.clear();
 		ends_.clear();
@@ -157,6 +164,8 @@
 			if (result.how == order_end::done)
 			{
 				apply_listing(std::move(result.listing));
+				if (!ends_.empty())
+					co_await pause_for(io_, listing_gap);
 				continue;
 			}
 			if (++failed_listings_ == unresponsive_after)
@@ -188,6 +197,7 @@
 			now_running.emplace(kept.listed.what, std::move(kept));
 		}
 		runs_ = std::move(now_running);
+		absl::erase_if(paces_, [this](const auto& pace) { return !runs_.contains(pace.first); });
 		ends_.clear();
 		for (auto& end : listing.ended)
 			if (end.number > ends_kept_)
@@ -388,6 +398,7 @@
 		out.capacity.accelerators = worker_->capacity.accelerators;
 		out.draining = worker_->draining || closing_;
 		out.remaining_ms = worker_->remaining.count();
+		out.pace_percent = pacing_.percent;
 		out.responsive = failed_listings_ < unresponsive_after;
 		for (auto& [what, run] : runs_)
 		{
@@ -411,6 +422,23 @@
 		return out;
 	}
 
+	std::vector<task_run> run_keeper::fillers_to_pace(instant now) const
+	{
+		std::vector<task_run> out;
+		for (const auto& [what, run] : runs_)
+		{
+			const auto purpose = purposes_.find(what);
+			if (purpose == purposes_.end() || !purpose->second.filler)
+				continue;
+			const auto pace = paces_.find(what);
+			const auto ordered = pace == paces_.end() ? ordered_pace{} : pace->second;
+			const bool again = ordered.percent < full_pace && now - ordered.ordered > pace_again;
+			if (ordered.percent != pacing_.percent || again)
+				out.push_back(what);
+		}
+		return out;
+	}
+
 	asio::awaitable<void> run_keeper::pace_fillers()
 	{
 		pacing_now_ = true;
@@ -421,19 +449,17 @@
 				serving.push_back({purpose->second.latency_target, run.listed.figure});
 		if (adjust_pace(pacing_, serving, pacing, steady_now()))
 			log_event(event::fillers_paced, {{"worker", worker_->life.str()}, {"percent", pacing_.percent}});
-		std::vector<task_run> differing;
-		for (const auto& [what, run] : runs_)
-			if (const auto purpose = purposes_.find(what); purpose != purposes_.end() && purpose->second.filler &&
-														   run.listed.pace_percent != pacing_.percent)
-				differing.push_back(what);
 		const auto life = worker_->life;
-		for (const auto& what : differing)
+		for (const auto& what : fillers_to_pace(steady_now()))
 		{
 			const auto port = port_;
-			const auto result = co_await port->pace(authority(), what, pacing_.percent, steady_now() + answer_time);
+			const auto percent = pacing_.percent;
+			const auto result = co_await port->pace(authority(), what, percent, steady_now() + answer_time);
 			if (!is_current(life))
 				break;
 			note_result(result, steady_now());
+			if (result.how == order_end::done)
+				paces_[what] = {percent, steady_now()};
 		}
 		pacing_now_ = false;
 	}
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -72,6 +72,12 @@
 			std::int64_t reported_figure{-1};
 		};
 
+		struct ordered_pace
+		{
+			int percent{100};
+			instant ordered{};
+		};
+
 		boost::asio::awaitable<void> list_forever();
 		boost::asio::awaitable<void> carry_out_start(wire::job_start order);
 		boost::asio::awaitable<void> carry_out_stop(task_run what, worker_life life);
@@ -79,6 +85,7 @@
 		boost::asio::awaitable<void> pace_fillers();
 		boost::asio::awaitable<bool> wait_for_listing(const worker_life& life);
 		void apply_listing(worker_listing listing);
+		[[nodiscard]] std::vector<task_run> fillers_to_pace(instant now) const;
 		void note_result(const order_result& result, instant answered);
 		void begin_life(const worker_heartbeat& heartbeat);
 		void refuse(const task_run& what, start_refusal why);
@@ -106,6 +113,7 @@
 		bool listed_once_{};
 		absl::flat_hash_map<task_run, kept_run> runs_;
 		absl::flat_hash_map<task_run, run_purpose> purposes_;
+		absl::flat_hash_map<task_run, ordered_pace> paces_; ///< Of fillers, as ordered.
 		absl::flat_hash_set<task_run> ordering_;
 		absl::flat_hash_set<task_run> stopping_;
 		std::vector<listed_end> ends_;
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -27,6 +27,7 @@
 		resources capacity;
 		bool draining{};
 		bool responsive{};
+		double filler_pace{1.0}; ///< The share at which fillers may work there.
 		worker_trust trust;
 		std::int64_t ends_seen{}; ///< Reported up to here.
 		std::int64_t ends_kept{}; ///< Durable up to here.
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -7,6 +7,8 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/strip.h>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace trailjunction
 {
@@ -21,6 +23,27 @@
 		constexpr auto feed_reserve = millis{600};
 		constexpr auto retry_pause = millis{100};
 
+		/// What the job asks for, so that its later placements can be understood from the log alone.
+		void log_taken_up(const job_state& job)
+		{
+			boost::json::array groups;
+			for (const auto& group : job.spec.groups)
+				groups.push_back(boost::json::object{{"count", group.count},
+													 {"cpu_milli", group.claim.cpu_milli},
+													 {"memory_mib", group.claim.memory_mib},
+													 {"estimate_ms", group.estimate.count()},
+													 {"image", group.image},
+													 {"filler", group.filler},
+													 {"latency_target_ms", group.latency_target.count()},
+													 {"per_worker", group.per_worker_limit},
+													 {"may_be_away", group.may_be_away},
+													 {"after", group.after.size()}});
+			log_event(event::job_taken_up, {{"job", job.id.str()},
+											{"queue", job.queue.queue.str()},
+											{"priority", job.queue.priority},
+											{"groups", boost::json::serialize(groups)}});
+		}
+
 		row_range whole_table(const char* table)
 		{
 			return {table, job_partition, "", "", 0};
@@ -87,6 +110,7 @@
 					continue;
 				}
 			}
+			log_taken_up(*job);
 			add_job(table_, *std::move(job));
 		}
 		wake();
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -12,6 +12,8 @@
 		constexpr auto no_room_pause = millis{300};
 		constexpr auto unhealthy_pause = millis{1'000};
 
+		constexpr double full_pace = 100.0;
+
 		constexpr trust_policy trust{};
 		constexpr placement_policy placing{};
 
@@ -64,6 +66,7 @@
 		worker.capacity = {report.capacity.cpu_milli, report.capacity.memory_mib, report.capacity.accelerators};
 		worker.draining = report.draining;
 		worker.responsive = report.responsive;
+		worker.filler_pace = report.pace_percent / full_pace;
 	}
 
 	void job_term::note_ends(agent_peer& peer, const wire::job_report& report, instant now)
@@ -207,6 +210,7 @@
 			view.service = worker.service;
 			view.labels = worker.labels;
 			view.capacity = worker.capacity;
+			view.pace = worker.filler_pace;
 			view.accepts = peer->is_connected() && worker.responsive && !worker.draining &&
 						   now >= worker.trust.avoided_until;
 			out.push_back(std::move(view));
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -31,7 +31,7 @@
 		std::int64_t filler_cpu_milli{};  ///< Processor claims of the fillers there.
 		std::int64_t serving_cpu_milli{}; ///< Processor claims of the serving tasks there.
 		double strain{};       ///< The highest share of its latency target that a serving task there shows.
-		std::vector<std::string> filler_images;
+		double pace{1.0};      ///< The share at which its agent lets fillers work now.
 	};
 
 	/// \brief What placement is told beyond the workers.
@@ -42,8 +42,8 @@
 		double serving_use{0.5};
 		/// No filler joins a worker whose serving tasks are above this share of their latency target.
 		double strain_limit{0.7};
-		/// A filler joins only where at least this share of its claim is left over.
-		double least_share{0.9};
+		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
+		double least_speed{0.5};
 	};
 
 	/// \brief One decision.
--- a/packages/jobs/include/trailjunction/jobs/run_listing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/run_listing.hpp
@@ -16,7 +16,7 @@
 	{
 		task_run what;
 		std::string checkpoint;
-		int pace_percent{100};
+		int progress_percent{}; ///< Of its work; of a serving task: 100 once it is at work.
 		std::int64_t figure{}; ///< Latency tail in ms of a serving task, processor use in thousandths of others.
 	};
 
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -52,10 +52,16 @@
 				   static_cast<double>(worker.filler_cpu_milli);
 		}
 
+		/// The share of its full speed at which a filler is expected to work.
+		double filler_speed(const worker_room& worker, const task_group& group, const placement_policy& policy) noexcept
+		{
+			const auto claim = std::max(1.0, static_cast<double>(group.claim.cpu_milli));
+			return std::clamp(left_over(worker, policy) / claim, 0.0, 1.0) * worker.pace;
+		}
+
 		bool has_filler_room(const worker_room& worker, const task_group& group, const placement_policy& policy) noexcept
 		{
-			return worker.strain <= policy.strain_limit &&
-				   left_over(worker, policy) >= policy.least_share * static_cast<double>(group.claim.cpu_milli);
+			return worker.strain <= policy.strain_limit && filler_speed(worker, group, policy) >= policy.least_speed;
 		}
 
 		bool may_run(const worker_room& worker, const wish& what, const group_counts& counts,
@@ -85,8 +91,12 @@
 			if (!group.preferred_rack.empty() && !has_label(worker, group.preferred_rack))
 				out += 2.0;
 			if (group.filler)
-				return out - left_over(worker, policy) / capacity + worker.strain;
-			// Serving tasks spread out; batch tasks go where the least is claimed, so that they do not wait for each other.
+				return out - filler_speed(worker, group, policy) - left_over(worker, policy) / capacity / 2 +
+					   static_cast<double>(worker.serving_cpu_milli) / capacity;
+			// Serving tasks are packed, so that other workers have none that fillers could slow down.
+			if (group.latency_target.count() > 0)
+				return out - static_cast<double>(worker.serving_cpu_milli) / capacity;
+			// Batch tasks go where the least is claimed, so that they do not wait for each other.
 			return out + static_cast<double>(worker.claimed.cpu_milli) / capacity;
 		}
 
@@ -189,8 +199,6 @@
 				if (group.latency_target.count() > 0)
 					worker.strain = std::max(worker.strain, static_cast<double>(find_task(table, key)->figure) /
 																static_cast<double>(group.latency_target.count()));
-				if (group.filler)
-					worker.filler_images.push_back(group.image);
 			}
 		}
 	}
--- a/packages/wire/src/job_messages.cpp
+++ b/packages/wire/src/job_messages.cpp
@@ -26,14 +26,14 @@
 		wire::job_run out;
 		out.what = to_wire(run.what);
 		out.checkpoint = run.checkpoint;
-		out.pace_percent = run.pace_percent;
+		out.progress_percent = run.progress_percent;
 		out.figure = static_cast<std::int32_t>(run.figure);
 		return out;
 	}
 
 	listed_run from_wire(const wire::job_run& run)
 	{
-		return {from_wire(run.what), run.checkpoint, run.pace_percent, run.figure};
+		return {from_wire(run.what), run.checkpoint, run.progress_percent, run.figure};
 	}
 
 	wire::job_end to_wire(const listed_end& end)
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -251,7 +251,7 @@
 {
 	1: task_run what,
 	2: string checkpoint,
-	3: i32 pace_percent,
+	3: i32 progress_percent,    // of a serving task: 100 once it is at work
 	4: i32 figure,              // latency tail in ms of a serving task, processor use in thousandths of others
 }
 
@@ -307,7 +307,7 @@
 	11: string service_name,
 	12: list<task_run> started, // runs that the worker has confirmed
 	13: bool responsive,        // the worker answers its agent
-	14: i64 used_cpu_milli,     // by all runs that are not serving tasks
+	14: i32 pace_percent,       // of the fillers
 }
 
 /** What a frame holds: exactly one member. */
