The pressure of each filler image is learnt; placement and pacing go by it

Change: ln(strain) = base of the worker + pressure of the image x processors, learnt by the owner from reports; fillers join serving tasks only where the expected strain stays below 0.75; the agent slows the heaviest first.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -32,6 +32,8 @@
 
 		/// A run has it at its start.
 		constexpr int full_pace = 100;
+		constexpr double cpu_milli = 1'000.0;
+		constexpr double pressure_milli = 1'000.0;
 		/// A pace is ordered again after this time, since an older order may have been carried out after it.
 		constexpr auto pace_again = millis{2'000};
 		/// Between two listings while ends wait to be kept: the worker then answers at once.
@@ -96,7 +98,6 @@
 		ends_.clear();
 		refusals_.clear();
 		started_.clear();
-		pacing_ = {};
 		on_news_();
 	}
 
@@ -214,7 +215,7 @@
 		const auto what = from_wire(order.what);
 		if (!is_current(worker_life{order.worker}))
 			return; // the owner learns of the new incarnation from the next report
-		purposes_[what] = {millis{order.latency_target_ms}, order.filler};
+		purposes_[what] = {millis{order.latency_target_ms}, order.filler, order.pressure_milli / pressure_milli};
 		if (runs_.contains(what))
 		{
 			started(what);
@@ -398,7 +399,7 @@
 		out.capacity.accelerators = worker_->capacity.accelerators;
 		out.draining = worker_->draining || closing_;
 		out.remaining_ms = worker_->remaining.count();
-		out.pace_percent = pacing_.percent;
+		out.pace_percent = mean_pace();
 		out.responsive = failed_listings_ < unresponsive_after;
 		for (auto& [what, run] : runs_)
 		{
@@ -422,18 +423,60 @@
 		return out;
 	}
 
-	std::vector<task_run> run_keeper::fillers_to_pace(instant now) const
+	double run_keeper::strain() const noexcept
 	{
-		std::vector<task_run> out;
+		double worst = 0.0;
+		for (const auto& [what, run] : runs_)
+		{
+			const auto purpose = purposes_.find(what);
+			if (purpose != purposes_.end() && purpose->second.latency_target.count() > 0)
+				worst = std::max(worst, static_cast<double>(run.listed.figure) /
+											static_cast<double>(purpose->second.latency_target.count()));
+		}
+		return worst;
+	}
+
+	void run_keeper::choose_paces(instant now)
+	{
+		std::vector<paced_filler> fillers;
+		std::vector<ordered_pace*> paces;
 		for (const auto& [what, run] : runs_)
 		{
 			const auto purpose = purposes_.find(what);
 			if (purpose == purposes_.end() || !purpose->second.filler)
 				continue;
-			const auto pace = paces_.find(what);
-			const auto ordered = pace == paces_.end() ? ordered_pace{} : pace->second;
-			const bool again = ordered.percent < full_pace && now - ordered.ordered > pace_again;
-			if (ordered.percent != pacing_.percent || again)
+			auto& pace = paces_[what];
+			fillers.push_back({purpose->second.pressure, static_cast<double>(run.listed.figure) / cpu_milli, pace.wanted});
+			paces.push_back(&pace);
+		}
+		if (now - paces_changed_ < pacing.settle || !adjust_paces(fillers, strain(), pacing))
+			return;
+		paces_changed_ = now;
+		for (std::size_t i = 0; i < fillers.size(); ++i)
+			paces[i]->wanted = fillers[i].percent;
+		log_event(event::fillers_paced, {{"worker", worker_->life.str()},
+										 {"strain_percent", static_cast<int>(strain() * full_pace)},
+										 {"fillers", fillers.size()},
+										 {"mean_percent", mean_pace()}});
+	}
+
+	int run_keeper::mean_pace() const noexcept
+	{
+		if (paces_.empty())
+			return full_pace;
+		int sum = 0;
+		for (const auto& [what, pace] : paces_)
+			sum += pace.wanted;
+		return sum / static_cast<int>(paces_.size());
+	}
+
+	std::vector<task_run> run_keeper::fillers_to_pace(instant now) const
+	{
+		std::vector<task_run> out;
+		for (const auto& [what, pace] : paces_)
+		{
+			const bool again = pace.ordered < full_pace && now - pace.ordered_at > pace_again;
+			if (pace.wanted != pace.ordered || again)
 				out.push_back(what);
 		}
 		return out;
@@ -442,24 +485,21 @@
 	asio::awaitable<void> run_keeper::pace_fillers()
 	{
 		pacing_now_ = true;
-		std::vector<serving_measure> serving;
-		for (const auto& [what, run] : runs_)
-			if (const auto purpose = purposes_.find(what);
-				purpose != purposes_.end() && purpose->second.latency_target.count() > 0)
-				serving.push_back({purpose->second.latency_target, run.listed.figure});
-		if (adjust_pace(pacing_, serving, pacing, steady_now()))
-			log_event(event::fillers_paced, {{"worker", worker_->life.str()}, {"percent", pacing_.percent}});
+		choose_paces(steady_now());
 		const auto life = worker_->life;
 		for (const auto& what : fillers_to_pace(steady_now()))
 		{
 			const auto port = port_;
-			const auto percent = pacing_.percent;
+			const auto percent = paces_[what].wanted;
 			const auto result = co_await port->pace(authority(), what, percent, steady_now() + answer_time);
 			if (!is_current(life))
 				break;
 			note_result(result, steady_now());
-			if (result.how == order_end::done)
-				paces_[what] = {percent, steady_now()};
+			if (const auto pace = paces_.find(what); pace != paces_.end() && result.how == order_end::done)
+			{
+				pace->second.ordered = percent;
+				pace->second.ordered_at = steady_now();
+			}
 		}
 		pacing_now_ = false;
 	}
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -64,6 +64,7 @@
 		{
 			millis latency_target{};
 			bool filler{};
+			double pressure{}; ///< Of a filler on the serving tasks beside it; see filler_pressure.hpp.
 		};
 		struct kept_run
 		{
@@ -74,8 +75,9 @@
 
 		struct ordered_pace
 		{
-			int percent{100};
-			instant ordered{};
+			int wanted{100};   ///< Percent.
+			int ordered{100};  ///< Percent, as the worker has acknowledged it.
+			instant ordered_at{};
 		};
 
 		boost::asio::awaitable<void> list_forever();
@@ -85,7 +87,10 @@
 		boost::asio::awaitable<void> pace_fillers();
 		boost::asio::awaitable<bool> wait_for_listing(const worker_life& life);
 		void apply_listing(worker_listing listing);
+		void choose_paces(instant now);
+		[[nodiscard]] double strain() const noexcept;
 		[[nodiscard]] std::vector<task_run> fillers_to_pace(instant now) const;
+		[[nodiscard]] int mean_pace() const noexcept;
 		void note_result(const order_result& result, instant answered);
 		void begin_life(const worker_heartbeat& heartbeat);
 		void refuse(const task_run& what, start_refusal why);
@@ -113,13 +118,13 @@
 		bool listed_once_{};
 		absl::flat_hash_map<task_run, kept_run> runs_;
 		absl::flat_hash_map<task_run, run_purpose> purposes_;
-		absl::flat_hash_map<task_run, ordered_pace> paces_; ///< Of fillers, as ordered.
+		absl::flat_hash_map<task_run, ordered_pace> paces_; ///< Of fillers.
 		absl::flat_hash_set<task_run> ordering_;
 		absl::flat_hash_set<task_run> stopping_;
 		std::vector<listed_end> ends_;
 		std::vector<refused_run> refusals_;
 		std::vector<task_run> started_;
-		pacing_state pacing_;
+		instant paces_changed_{};
 		bool pacing_now_{};
 		bool closing_{};
 		std::size_t open_orders_{};
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -7,6 +7,7 @@
 
 #include <trailjunction/entry/job_entry_settings.hpp>
 #include <trailjunction/entry/job_gateway.hpp>
+#include <trailjunction/jobs/filler_pressure.hpp>
 #include <trailjunction/jobs/job_placement.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_table.hpp>
@@ -95,6 +96,7 @@
 		void note_ends(agent_peer& peer, const wire::job_report& report, instant now);
 		void note_refusals(agent_peer& peer, const wire::job_report& report, instant now);
 		void note_running(agent_peer& peer, const wire::job_report& report, instant now);
+		void learn(const agent_peer& peer);
 		void reconcile(agent_peer& peer, const wire::job_report& report);
 		void confirm(agent_peer& peer, const wire::job_report& report, instant now);
 		void lose_worker(const worker_life& life, std::string_view why, instant now);
@@ -115,6 +117,7 @@
 		run_lease_times run_lease_;
 		job_table table_;
 		absl::flat_hash_map<job_id, std::string> unread_progress_; ///< Rows whose submission was not read yet.
+		pressure_model pressures_;
 		std::vector<task_run> unsent_starts_;
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -16,6 +16,9 @@
 
 		constexpr trust_policy trust{};
 		constexpr placement_policy placing{};
+		constexpr pressure_policy pressing{};
+		constexpr double cpu_milli = 1'000.0;
+		constexpr double pressure_milli = 1'000.0;
 
 		std::int64_t unix_now_ms()
 		{
@@ -40,6 +43,7 @@
 		note_ends(peer, report, now);
 		note_refusals(peer, report, now);
 		note_running(peer, report, now);
+		learn(peer);
 		if (report.full)
 			reconcile(peer, report);
 		confirm(peer, report, now);
@@ -141,6 +145,26 @@
 		}
 	}
 
+	void job_term::learn(const agent_peer& peer)
+	{
+		const auto placed = table_.placed.find(peer.worker.life);
+		if (placed == table_.placed.end())
+			return;
+		double strain = 0.0;
+		std::vector<filler_use> fillers;
+		for (const auto& key : placed->second)
+		{
+			const auto& group = find_job(table_, key.job)->spec.groups[key.group];
+			const auto figure = static_cast<double>(find_task(table_, key)->figure);
+			if (group.filler)
+				fillers.push_back({group.image, figure / cpu_milli});
+			else if (group.latency_target.count() > 0)
+				strain = std::max(strain, figure / static_cast<double>(group.latency_target.count()));
+		}
+		if (strain > 0.0)
+			learn_pressure(pressures_, peer.worker.life, strain, fillers, pressing);
+	}
+
 	void job_term::reconcile(agent_peer& peer, const wire::job_report& report)
 	{
 		absl::flat_hash_set<task_run> listed;
@@ -224,8 +248,8 @@
 		if (waiting.empty())
 			return;
 		auto workers = view_workers(now);
-		charge_workers(workers, table_);
-		for (const auto& one : place_tasks(workers, table_, std::move(waiting), placing, now))
+		charge_workers(workers, table_, pressures_, placing);
+		for (const auto& one : place_tasks(workers, table_, std::move(waiting), pressures_, placing, now))
 		{
 			const auto& life = workers[one.worker].life;
 			const auto what = assign(table_, one.task, life, now);
@@ -288,6 +312,9 @@
 		order.latency_target_ms = group.latency_target.count();
 		order.filler = group.filler;
 		order.known_running = known_running;
+		if (group.filler)
+			order.pressure_milli =
+				static_cast<std::int32_t>(pressure_of(pressures_, group.image, pressing) * pressure_milli);
 		wire::envelope message;
 		message.__set_job_begin(std::move(order));
 		peer->send(message);
--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "jobs/filler_pacing.hpp"
+#include "jobs/filler_pressure.hpp"
 #include "jobs/job_configuration.hpp"
 #include "jobs/job_fwd.hpp"
 #include "jobs/job_ids.hpp"
--- a/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
@@ -9,37 +9,30 @@
 #include <trailjunction/core/units.hpp>
 
 #include <span>
-#include <vector>
 
 namespace trailjunction
 {
 	/// \brief When fillers are slowed and when they recover.
 	struct pacing_policy
 	{
-		double slow_above{0.8};    ///< Of a target: fillers are slowed at once.
-		double recover_below{0.6}; ///< Of a target: fillers get more again.
-		double slow_factor{0.5};   ///< By which the pace falls.
-		int recover_step{15};      ///< Percent by which it rises.
-		millis settle{700};        ///< Between two changes: a measure covers half a second and a change takes a tenth.
-		int least_percent{5};      ///< Below this a filler stands still.
+		double slow_above{0.8};    ///< Strain above which fillers are slowed at once.
+		double aim{0.65};          ///< Strain that slowing aims at.
+		double recover_below{0.6}; ///< Strain below which fillers get more again.
+		int recover_step{20};      ///< Percent by which a pace rises.
+		millis settle{600};        ///< Between two changes: a measure covers half a second and a change takes a tenth.
+		int least_percent{8};      ///< Below this a filler stands still.
 	};
 
-	/// \brief A serving task and its last measure.
-	struct serving_measure
+	/// \brief A filler and what it does to the serving tasks.
+	struct paced_filler
 	{
-		millis target{};
-		std::int64_t tail_ms{};
+		double pressure{}; ///< On ln(strain), per processor; see filler_pressure.hpp.
+		double cpus{};     ///< That it uses now.
+		int percent{100};  ///< Its pace.
 	};
 
-	/// \brief The pace of all fillers of one worker.
-	struct pacing_state
-	{
-		int percent{100};
-		instant changed{};
-	};
-
-	/// \brief The pace that the fillers should have now.
-	/// \returns Whether it differs from before.
-	bool adjust_pace(pacing_state& state, std::span<const serving_measure> serving, const pacing_policy& policy,
-					 instant now) noexcept;
+	/// \brief Changes the paces of a worker's fillers, the heaviest first.
+	/// \param strain The worst latency tail of the worker's serving tasks as a share of its target.
+	/// \returns Whether any pace differs from before.
+	bool adjust_paces(std::span<paced_filler> fillers, double strain, const pacing_policy& policy);
 }
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -4,6 +4,7 @@
 /// \brief Where waiting tasks go.
 #pragma once
 
+#include "filler_pressure.hpp"
 #include "job_ids.hpp"
 #include "job_spec.hpp"
 #include "job_table.hpp"
@@ -30,7 +31,7 @@
 		resources claimed;     ///< By all that is there; processor claims of fillers are not in it.
 		std::int64_t filler_cpu_milli{};  ///< Processor claims of the fillers there.
 		std::int64_t serving_cpu_milli{}; ///< Processor claims of the serving tasks there.
-		double strain{};       ///< The highest share of its latency target that a serving task there shows.
+		double pressure{};     ///< By the fillers there at full pace; see filler_pressure.hpp.
 		double pace{1.0};      ///< The share at which its agent lets fillers work now.
 	};
 
@@ -40,8 +41,9 @@
 		/// The share of its claim that a serving task is taken to use, where nothing was measured; from the calm days of
 		/// both deployments (docs/MEASUREMENTS.md).
 		double serving_use{0.5};
-		/// No filler joins a worker whose serving tasks are above this share of their latency target.
-		double strain_limit{0.7};
+		/// A filler joins serving tasks only where the strain is expected to stay below this.
+		double strain_limit{0.75};
+		pressure_policy pressing;
 		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
 		double least_speed{0.5};
 	};
@@ -54,11 +56,12 @@
 	};
 
 	/// \brief Puts a job's load on the views, from what is placed.
-	void charge_workers(std::span<worker_room> workers, const job_table& table);
+	void charge_workers(std::span<worker_room> workers, const job_table& table, const pressure_model& pressures,
+						const placement_policy& policy);
 
 	/// \brief Chooses workers for tasks, the most urgent first; tasks for which there is no room now are left out.
 	/// \details Charges the views with what it places. Members of a gang are placed all or none.
 	[[nodiscard]] std::vector<placement> place_tasks(std::span<worker_room> workers, const job_table& table,
-													 std::vector<task_key> waiting, const placement_policy& policy,
-													 instant now);
+													 std::vector<task_key> waiting, const pressure_model& pressures,
+													 const placement_policy& policy, instant now);
 }
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -2,6 +2,7 @@
 #include <trailjunction/jobs/job_placement.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -9,6 +10,8 @@
 {
 	namespace
 	{
+		constexpr double cpu_milli = 1'000.0;
+
 		/// How many tasks of a group each worker carries.
 		using group_counts = absl::flat_hash_map<worker_life, std::uint32_t>;
 
@@ -34,11 +37,27 @@
 			return claim;
 		}
 
-		void charge(worker_room& worker, const task_group& group)
+		/// What a choice may look at besides the workers.
+		struct placement_rules
+		{
+			const pressure_model& pressures;
+			const placement_policy& policy;
+		};
+
+		double pressure_at_full_pace(const task_group& group, const placement_rules& rules) noexcept
+		{
+			return pressure_of(rules.pressures, group.image, rules.policy.pressing) *
+				   static_cast<double>(group.claim.cpu_milli) / cpu_milli;
+		}
+
+		void charge(worker_room& worker, const task_group& group, const placement_rules& rules)
 		{
 			worker.claimed += counted_claim(group);
 			if (group.filler)
+			{
 				worker.filler_cpu_milli += group.claim.cpu_milli;
+				worker.pressure += pressure_at_full_pace(group, rules);
+			}
 			else if (group.latency_target.count() > 0)
 				worker.serving_cpu_milli += group.claim.cpu_milli;
 		}
@@ -59,13 +78,23 @@
 			return std::clamp(left_over(worker, policy) / claim, 0.0, 1.0) * worker.pace;
 		}
 
-		bool has_filler_room(const worker_room& worker, const task_group& group, const placement_policy& policy) noexcept
+		bool strains(const worker_room& worker, const task_group& group, const placement_rules& rules) noexcept
+		{
+			if (worker.serving_cpu_milli == 0)
+				return false;
+			const auto expected = base_of(rules.pressures, worker.life, rules.policy.pressing) + worker.pressure +
+								  pressure_at_full_pace(group, rules);
+			return expected > std::log(rules.policy.strain_limit);
+		}
+
+		bool has_filler_room(const worker_room& worker, const task_group& group, const placement_rules& rules) noexcept
 		{
-			return worker.strain <= policy.strain_limit && filler_speed(worker, group, policy) >= policy.least_speed;
+			return !strains(worker, group, rules) &&
+				   filler_speed(worker, group, rules.policy) >= rules.policy.least_speed;
 		}
 
 		bool may_run(const worker_room& worker, const wish& what, const group_counts& counts,
-					 const placement_policy& policy)
+					 const placement_rules& rules)
 		{
 			const auto& group = *what.group;
 			if (!worker.accepts || worker.service != what.job->queue.service)
@@ -77,7 +106,7 @@
 			const auto count = counts.find(worker.life);
 			if (group.per_worker_limit > 0 && count != counts.end() && count->second >= group.per_worker_limit)
 				return false;
-			return !group.filler || has_filler_room(worker, group, policy);
+			return !group.filler || has_filler_room(worker, group, rules);
 		}
 
 		/// The cost of a worker; the lowest is taken.
@@ -101,15 +130,15 @@
 		}
 
 		std::optional<std::size_t> choose(std::span<const worker_room> workers, const wish& what,
-										  const group_counts& counts, const placement_policy& policy)
+										  const group_counts& counts, const placement_rules& rules)
 		{
 			std::optional<std::size_t> best;
 			double best_cost = std::numeric_limits<double>::max();
 			for (std::size_t i = 0; i < workers.size(); ++i)
 			{
-				if (!may_run(workers[i], what, counts, policy))
+				if (!may_run(workers[i], what, counts, rules))
 					continue;
-				const auto here = cost(workers[i], what, policy);
+				const auto here = cost(workers[i], what, rules.policy);
 				if (here >= best_cost)
 					continue;
 				best = i;
@@ -152,7 +181,7 @@
 		}
 
 		/// Places consecutive wishes of one group of one occurrence.
-		void place_group(std::span<worker_room> workers, std::span<const wish> wishes, const placement_policy& policy,
+		void place_group(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
 						 std::vector<placement>& out)
 		{
 			const auto& first = wishes.front();
@@ -163,7 +192,7 @@
 				before.assign(workers.begin(), workers.end());
 			for (const auto& what : wishes)
 			{
-				const auto found = choose(workers, what, counts, policy);
+				const auto found = choose(workers, what, counts, rules);
 				if (!found && !first.group->gang)
 					return;
 				if (!found)
@@ -172,7 +201,7 @@
 					std::copy(before.begin(), before.end(), workers.begin());
 					return;
 				}
-				charge(workers[*found], *what.group);
+				charge(workers[*found], *what.group, rules);
 				++counts[workers[*found].life];
 				out.push_back({what.key, *found});
 			}
@@ -184,8 +213,10 @@
 		}
 	}
 
-	void charge_workers(std::span<worker_room> workers, const job_table& table)
+	void charge_workers(std::span<worker_room> workers, const job_table& table, const pressure_model& pressures,
+						const placement_policy& policy)
 	{
+		const placement_rules rules{pressures, policy};
 		for (auto& worker : workers)
 		{
 			const auto found = table.placed.find(worker.life);
@@ -194,18 +225,16 @@
 			for (const auto& key : found->second)
 			{
 				const auto& job = *find_job(table, key.job);
-				const auto& group = job.spec.groups[key.group];
-				charge(worker, group);
-				if (group.latency_target.count() > 0)
-					worker.strain = std::max(worker.strain, static_cast<double>(find_task(table, key)->figure) /
-																static_cast<double>(group.latency_target.count()));
+				charge(worker, job.spec.groups[key.group], rules);
 			}
 		}
 	}
 
 	std::vector<placement> place_tasks(std::span<worker_room> workers, const job_table& table,
-									   std::vector<task_key> waiting, const placement_policy& policy, instant now)
+									   std::vector<task_key> waiting, const pressure_model& pressures,
+									   const placement_policy& policy, instant now)
 	{
+		const placement_rules rules{pressures, policy};
 		std::vector<wish> wishes;
 		wishes.reserve(waiting.size());
 		for (auto& key : waiting)
@@ -218,7 +247,7 @@
 			std::size_t end = i + 1;
 			while (end < wishes.size() && same_group(wishes[i], wishes[end]))
 				++end;
-			place_group(workers, std::span{wishes}.subspan(i, end - i), policy, out);
+			place_group(workers, std::span{wishes}.subspan(i, end - i), rules, out);
 			i = end;
 		}
 		return out;
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -229,6 +229,7 @@
 	5: i64 latency_target_ms,   // of a task that serves callers; 0 for others
 	6: bool filler,             // lives on what other tasks leave unused
 	7: bool known_running,      // the worker has listed it: only learn what it is
+	8: i32 pressure_milli,      // of a filler on ln(strain) per processor, in thousandths
 }
 
 /** Entry to agent: stop a run, whether it has begun or not. */
