--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -215,7 +215,10 @@
 		const auto what = from_wire(order.what);
 		if (!is_current(worker_life{order.worker}))
 			return; // the owner learns of the new incarnation from the next report
-		purposes_[what] = {millis{order.latency_target_ms}, order.filler, order.pressure_milli / pressure_milli};
+		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.image, {}};
+		for (const auto& pressure : order.pressures)
+			purpose.pressures[pressure.image] = pressure.milli / pressure_milli;
+		purposes_[what] = std::move(purpose);
 		if (runs_.contains(what))
 		{
 			started(what);
@@ -423,17 +426,18 @@
 		return out;
 	}
 
-	double run_keeper::strain() const noexcept
+	std::vector<watched_serving> run_keeper::watch_serving() const
 	{
-		double worst = 0.0;
+		std::vector<watched_serving> out;
 		for (const auto& [what, run] : runs_)
 		{
 			const auto purpose = purposes_.find(what);
-			if (purpose != purposes_.end() && purpose->second.latency_target.count() > 0)
-				worst = std::max(worst, static_cast<double>(run.listed.figure) /
-											static_cast<double>(purpose->second.latency_target.count()));
+			if (purpose == purposes_.end() || purpose->second.latency_target.count() == 0)
+				continue;
+			const auto target = static_cast<double>(purpose->second.latency_target.count());
+			out.push_back({purpose->second.image, static_cast<double>(run.listed.figure) / target});
 		}
-		return worst;
+		return out;
 	}
 
 	void run_keeper::choose_paces(instant now)
@@ -446,16 +450,17 @@
 			if (purpose == purposes_.end() || !purpose->second.filler)
 				continue;
 			auto& pace = paces_[what];
-			fillers.push_back({purpose->second.pressure, static_cast<double>(run.listed.figure) / cpu_milli, pace.wanted});
+			fillers.push_back({&purpose->second.pressures, static_cast<double>(run.listed.figure) / cpu_milli, pace.wanted});
 			paces.push_back(&pace);
 		}
-		if (now - paces_changed_ < pacing.settle || !adjust_paces(fillers, strain(), pacing))
+		const auto serving = watch_serving();
+		if (now - paces_changed_ < pacing.settle || !adjust_paces(fillers, serving, pacing))
 			return;
 		paces_changed_ = now;
 		for (std::size_t i = 0; i < fillers.size(); ++i)
 			paces[i]->wanted = fillers[i].percent;
 		log_event(event::fillers_paced, {{"worker", worker_->life.str()},
-										 {"strain_percent", static_cast<int>(strain() * full_pace)},
+										 {"serving", serving.size()},
 										 {"fillers", fillers.size()},
 										 {"mean_percent", mean_pace()}});
 	}
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -64,7 +64,8 @@
 		{
 			millis latency_target{};
 			bool filler{};
-			double pressure{}; ///< Of a filler on the serving tasks beside it; see filler_pressure.hpp.
+			std::string image;
+			pressures_by_image pressures; ///< Of a filler.
 		};
 		struct kept_run
 		{
@@ -88,7 +89,7 @@
 		boost::asio::awaitable<bool> wait_for_listing(const worker_life& life);
 		void apply_listing(worker_listing listing);
 		void choose_paces(instant now);
-		[[nodiscard]] double strain() const noexcept;
+		[[nodiscard]] std::vector<watched_serving> watch_serving() const;
 		[[nodiscard]] std::vector<task_run> fillers_to_pace(instant now) const;
 		[[nodiscard]] int mean_pace() const noexcept;
 		void note_result(const order_result& result, instant answered);
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -105,6 +105,8 @@
 		void stop_needless();
 		void order_start(const task_run& what, bool known_running);
 		void order_stop(agent_peer& peer, const task_run& what);
+		[[nodiscard]] std::vector<wire::image_pressure> pressures_beside(const worker_life& worker,
+																		 const std::string& filler) const;
 		[[nodiscard]] agent_peer* peer_of(const worker_life& life) const noexcept;
 		[[nodiscard]] std::vector<worker_room> view_workers(instant now) const;
 
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -150,7 +150,7 @@
 		const auto placed = table_.placed.find(peer.worker.life);
 		if (placed == table_.placed.end())
 			return;
-		double strain = 0.0;
+		std::vector<serving_strain> serving;
 		std::vector<filler_use> fillers;
 		for (const auto& key : placed->second)
 		{
@@ -158,11 +158,11 @@
 			const auto figure = static_cast<double>(find_task(table_, key)->figure);
 			if (group.filler)
 				fillers.push_back({group.image, figure / cpu_milli});
-			else if (group.latency_target.count() > 0)
-				strain = std::max(strain, figure / static_cast<double>(group.latency_target.count()));
+			else if (group.latency_target.count() > 0 && figure > 0.0)
+				serving.push_back({key, group.image, figure / static_cast<double>(group.latency_target.count())});
 		}
-		if (strain > 0.0)
-			learn_pressure(pressures_, peer.worker.life, strain, fillers, pressing);
+		for (const auto& one : serving)
+			learn_pressure(pressures_, one, fillers, pressing);
 	}
 
 	void job_term::reconcile(agent_peer& peer, const wire::job_report& report)
@@ -286,6 +286,27 @@
 		peer.send(message);
 	}
 
+	std::vector<wire::image_pressure> job_term::pressures_beside(const worker_life& worker,
+																 const std::string& filler) const
+	{
+		absl::flat_hash_set<std::string> images;
+		const auto placed = table_.placed.find(worker);
+		if (placed == table_.placed.end())
+			return {};
+		for (const auto& key : placed->second)
+			if (const auto& group = find_job(table_, key.job)->spec.groups[key.group]; group.latency_target.count() > 0)
+				images.insert(group.image);
+		std::vector<wire::image_pressure> out;
+		for (const auto& image : images)
+		{
+			wire::image_pressure one;
+			one.image = image;
+			one.milli = static_cast<std::int32_t>(pressure_of(pressures_, image, filler, pressing) * pressure_milli);
+			out.push_back(std::move(one));
+		}
+		return out;
+	}
+
 	void job_term::order_start(const task_run& what, bool known_running)
 	{
 		const auto* job = find_job(table_, what.task.job);
@@ -312,9 +333,9 @@
 		order.latency_target_ms = group.latency_target.count();
 		order.filler = group.filler;
 		order.known_running = known_running;
+		order.image = group.image;
 		if (group.filler)
-			order.pressure_milli =
-				static_cast<std::int32_t>(pressure_of(pressures_, group.image, pressing) * pressure_milli);
+			order.pressures = pressures_beside(task->worker, group.image);
 		wire::envelope message;
 		message.__set_job_begin(std::move(order));
 		peer->send(message);
--- a/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
@@ -8,31 +8,46 @@
 
 #include <trailjunction/core/units.hpp>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <span>
+#include <string>
 
 namespace trailjunction
 {
 	/// \brief When fillers are slowed and when they recover.
 	struct pacing_policy
 	{
-		double slow_above{0.8};    ///< Strain above which fillers are slowed at once.
-		double aim{0.65};          ///< Strain that slowing aims at.
-		double recover_below{0.6}; ///< Strain below which fillers get more again.
-		int recover_step{20};      ///< Percent by which a pace rises.
-		millis settle{600};        ///< Between two changes: a measure covers half a second and a change takes a tenth.
-		int least_percent{8};      ///< Below this a filler stands still.
+		double slow_above{0.95};    ///< Strain of any serving task above which fillers are slowed at once.
+		double aim{0.8};            ///< Strain that slowing aims at.
+		double recover_below{0.85}; ///< Worst strain below which fillers get more again.
+		int recover_step{25};       ///< Percent by which a pace rises.
+		millis settle{600};         ///< Between two changes: a measure covers half a second and a change takes a tenth.
+		int least_percent{8};       ///< Below this a filler stands still.
+		/// Where the known pressures explain too little of a strain, everybody gives up this share.
+		double blind_share{0.5};
 	};
 
+	/// \brief Pressures of one filler on serving tasks by their images; see filler_pressure.hpp.
+	using pressures_by_image = absl::flat_hash_map<std::string, double>;
+
 	/// \brief A filler and what it does to the serving tasks.
 	struct paced_filler
 	{
-		double pressure{}; ///< On ln(strain), per processor; see filler_pressure.hpp.
+		const pressures_by_image* pressures{};
 		double cpus{};     ///< That it uses now.
 		int percent{100};  ///< Its pace.
 	};
 
-	/// \brief Changes the paces of a worker's fillers, the heaviest first.
-	/// \param strain The worst latency tail of the worker's serving tasks as a share of its target.
+	/// \brief A serving task and how it fares.
+	struct watched_serving
+	{
+		std::string image;
+		double strain{}; ///< Its latency tail as a share of its target.
+	};
+
+	/// \brief Changes the paces of a worker's fillers, those first that press hardest on the tasks that suffer.
 	/// \returns Whether any pace differs from before.
-	bool adjust_paces(std::span<paced_filler> fillers, double strain, const pacing_policy& policy);
+	bool adjust_paces(std::span<paced_filler> fillers, std::span<const watched_serving> serving,
+					  const pacing_policy& policy);
 }
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -19,6 +19,13 @@
 
 namespace trailjunction
 {
+	/// \brief A serving task and how it is expected to fare with the fillers beside it at full pace.
+	struct expected_strain
+	{
+		std::string image;
+		double log_strain{}; ///< See filler_pressure.hpp.
+	};
+
 	/// \brief One worker as placement sees it.
 	struct worker_room
 	{
@@ -31,7 +38,7 @@
 		resources claimed;     ///< By all that is there; processor claims of fillers are not in it.
 		std::int64_t filler_cpu_milli{};  ///< Processor claims of the fillers there.
 		std::int64_t serving_cpu_milli{}; ///< Processor claims of the serving tasks there.
-		double pressure{};     ///< By the fillers there at full pace; see filler_pressure.hpp.
+		std::vector<expected_strain> serving; ///< The serving tasks there.
 		double pace{1.0};      ///< The share at which its agent lets fillers work now.
 	};
 
@@ -41,8 +48,10 @@
 		/// The share of its claim that a serving task is taken to use, where nothing was measured; from the calm days of
 		/// both deployments (docs/MEASUREMENTS.md).
 		double serving_use{0.5};
-		/// A filler joins serving tasks only where the strain is expected to stay below this.
-		double strain_limit{0.75};
+		/// A filler does not join serving tasks whose strain is expected to be above this: it would be slowed to nothing.
+		double strain_limit{2.0};
+		/// Weight of the strain above target that a filler is expected to cause, against its own speed.
+		double strain_cost{2.0};
 		pressure_policy pressing;
 		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
 		double least_speed{0.5};
--- a/packages/jobs/src/filler_pacing.cpp
+++ b/packages/jobs/src/filler_pacing.cpp
@@ -11,9 +11,10 @@
 	{
 		constexpr int full_pace = 100;
 
-		double weight_of(const paced_filler& filler) noexcept
+		double pressure_on(const paced_filler& filler, const std::string& image)
 		{
-			return filler.pressure * filler.cpus;
+			const auto found = filler.pressures->find(image);
+			return found == filler.pressures->end() ? 0.0 : found->second;
 		}
 
 		void slow(paced_filler& filler, double share, const pacing_policy& policy) noexcept
@@ -22,45 +23,54 @@
 			filler.percent = next < policy.least_percent ? 0 : next;
 		}
 
-		/// Takes what is needed from the heaviest, and half from everybody where the model explains too little.
-		void slow_heaviest(std::span<paced_filler> fillers, double needed, const pacing_policy& policy)
+		/// Takes what one serving task needs from those who press hardest on it.
+		void relieve(std::span<paced_filler> fillers, const watched_serving& serving, const pacing_policy& policy)
 		{
+			auto needed = std::log(serving.strain / policy.aim);
 			std::vector<paced_filler*> order;
 			double known = 0.0;
 			for (auto& filler : fillers)
 			{
 				order.push_back(&filler);
-				known += weight_of(filler);
+				known += pressure_on(filler, serving.image) * filler.cpus;
 			}
-			if (known < needed)
-			{
-				for (auto* filler : order)
-					slow(*filler, std::max(0.5, std::min(1.0, needed / 2.0)), policy);
-				return;
-			}
-			std::sort(order.begin(), order.end(), [](const paced_filler* left, const paced_filler* right)
-					  { return left->pressure > right->pressure; });
+			std::sort(order.begin(), order.end(), [&](const paced_filler* left, const paced_filler* right)
+					  { return pressure_on(*left, serving.image) > pressure_on(*right, serving.image); });
+			const bool explained = known >= needed;
 			for (auto* filler : order)
 			{
-				const auto weight = weight_of(*filler);
-				if (needed <= 0.0)
-					break;
-				if (weight <= 0.0)
-					continue;
-				slow(*filler, std::min(1.0, needed / weight), policy);
+				const auto weight = pressure_on(*filler, serving.image) * filler->cpus;
+				if (!explained)
+					slow(*filler, policy.blind_share, policy);
+				else if (needed > 0.0 && weight > 0.0)
+					slow(*filler, std::min(1.0, needed / weight), policy);
 				needed -= weight;
 			}
 		}
+
+		double worst_of(std::span<const watched_serving> serving) noexcept
+		{
+			double worst = 0.0;
+			for (const auto& one : serving)
+				worst = std::max(worst, one.strain);
+			return worst;
+		}
 	}
 
-	bool adjust_paces(std::span<paced_filler> fillers, double strain, const pacing_policy& policy)
+	bool adjust_paces(std::span<paced_filler> fillers, std::span<const watched_serving> serving,
+					  const pacing_policy& policy)
 	{
 		std::vector<int> before;
 		for (const auto& filler : fillers)
 			before.push_back(filler.percent);
-		if (strain > policy.slow_above)
-			slow_heaviest(fillers, std::log(strain / policy.aim), policy);
-		else if (strain < policy.recover_below)
+		const auto worst = worst_of(serving);
+		if (worst > policy.slow_above)
+		{
+			for (const auto& one : serving)
+				if (one.strain > policy.slow_above)
+					relieve(fillers, one, policy);
+		}
+		else if (worst < policy.recover_below)
 			for (auto& filler : fillers)
 				filler.percent = std::min(full_pace, filler.percent + policy.recover_step);
 		return !std::equal(before.begin(), before.end(), fillers.begin(),
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -44,10 +44,10 @@
 			const placement_policy& policy;
 		};
 
-		double pressure_at_full_pace(const task_group& group, const placement_rules& rules) noexcept
+		double pressure_at_full_pace(const std::string& serving, const task_group& filler, const placement_rules& rules)
 		{
-			return pressure_of(rules.pressures, group.image, rules.policy.pressing) *
-				   static_cast<double>(group.claim.cpu_milli) / cpu_milli;
+			return pressure_of(rules.pressures, serving, filler.image, rules.policy.pressing) *
+				   static_cast<double>(filler.claim.cpu_milli) / cpu_milli;
 		}
 
 		void charge(worker_room& worker, const task_group& group, const placement_rules& rules)
@@ -56,12 +56,21 @@
 			if (group.filler)
 			{
 				worker.filler_cpu_milli += group.claim.cpu_milli;
-				worker.pressure += pressure_at_full_pace(group, rules);
+				for (auto& serving : worker.serving)
+					serving.log_strain += pressure_at_full_pace(serving.image, group, rules);
 			}
 			else if (group.latency_target.count() > 0)
 				worker.serving_cpu_milli += group.claim.cpu_milli;
 		}
 
+		/// Has to come before the fillers of the worker are charged.
+		void note_serving(worker_room& worker, const task_key& key, const job_state& job, const placement_rules& rules)
+		{
+			const auto& group = job.spec.groups[key.group];
+			if (group.latency_target.count() > 0)
+				worker.serving.push_back({group.image, base_of(rules.pressures, key, rules.policy.pressing)});
+		}
+
 		/// Processor time that the claims there are expected to leave unused, less what fillers have been given.
 		double left_over(const worker_room& worker, const placement_policy& policy) noexcept
 		{
@@ -78,18 +87,28 @@
 			return std::clamp(left_over(worker, policy) / claim, 0.0, 1.0) * worker.pace;
 		}
 
-		bool strains(const worker_room& worker, const task_group& group, const placement_rules& rules) noexcept
+		/// The strain above target that a filler adds, summed over the serving tasks there, and the worst that results.
+		struct added_strain
 		{
-			if (worker.serving_cpu_milli == 0)
-				return false;
-			const auto expected = base_of(rules.pressures, worker.life, rules.policy.pressing) + worker.pressure +
-								  pressure_at_full_pace(group, rules);
-			return expected > std::log(rules.policy.strain_limit);
+			double sum{};
+			double worst{-std::numeric_limits<double>::max()};
+		};
+
+		added_strain strain_by(const worker_room& worker, const task_group& filler, const placement_rules& rules)
+		{
+			added_strain out;
+			for (const auto& serving : worker.serving)
+			{
+				const auto with = serving.log_strain + pressure_at_full_pace(serving.image, filler, rules);
+				out.sum += std::max(0.0, with) - std::max(0.0, serving.log_strain);
+				out.worst = std::max(out.worst, with);
+			}
+			return out;
 		}
 
-		bool has_filler_room(const worker_room& worker, const task_group& group, const placement_rules& rules) noexcept
+		bool has_filler_room(const worker_room& worker, const task_group& group, const placement_rules& rules)
 		{
-			return !strains(worker, group, rules) &&
+			return strain_by(worker, group, rules).worst <= std::log(rules.policy.strain_limit) &&
 				   filler_speed(worker, group, rules.policy) >= rules.policy.least_speed;
 		}
 
@@ -110,7 +129,7 @@
 		}
 
 		/// The cost of a worker; the lowest is taken.
-		double cost(const worker_room& worker, const wish& what, const placement_policy& policy)
+		double cost(const worker_room& worker, const wish& what, const placement_rules& rules)
 		{
 			const auto& group = *what.group;
 			const auto capacity = std::max(1.0, static_cast<double>(worker.capacity.cpu_milli));
@@ -120,8 +139,8 @@
 			if (!group.preferred_rack.empty() && !has_label(worker, group.preferred_rack))
 				out += 2.0;
 			if (group.filler)
-				return out - filler_speed(worker, group, policy) - left_over(worker, policy) / capacity / 2 +
-					   static_cast<double>(worker.serving_cpu_milli) / capacity;
+				return out - filler_speed(worker, group, rules.policy) - left_over(worker, rules.policy) / capacity / 2 +
+					   rules.policy.strain_cost * strain_by(worker, group, rules).sum;
 			// Serving tasks are packed, so that other workers have none that fillers could slow down.
 			if (group.latency_target.count() > 0)
 				return out - static_cast<double>(worker.serving_cpu_milli) / capacity;
@@ -138,7 +157,7 @@
 			{
 				if (!may_run(workers[i], what, counts, rules))
 					continue;
-				const auto here = cost(workers[i], what, rules.policy);
+				const auto here = cost(workers[i], what, rules);
 				if (here >= best_cost)
 					continue;
 				best = i;
@@ -223,10 +242,9 @@
 			if (found == table.placed.end())
 				continue;
 			for (const auto& key : found->second)
-			{
-				const auto& job = *find_job(table, key.job);
-				charge(worker, job.spec.groups[key.group], rules);
-			}
+				note_serving(worker, key, *find_job(table, key.job), rules);
+			for (const auto& key : found->second)
+				charge(worker, find_job(table, key.job)->spec.groups[key.group], rules);
 		}
 	}
 
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -219,6 +219,13 @@
 	3: i64 run_lease_ms,        // how long runs go on after the stamp of a confirmation
 }
 
+/** What a filler does to serving tasks of one image, on ln(strain) per processor. */
+struct image_pressure
+{
+	1: string image,
+	2: i32 milli,               // in thousandths
+}
+
 /** Entry to agent: start a run, or, where the run exists already, learn what it is. */
 struct job_start
 {
@@ -229,7 +236,8 @@
 	5: i64 latency_target_ms,   // of a task that serves callers; 0 for others
 	6: bool filler,             // lives on what other tasks leave unused
 	7: bool known_running,      // the worker has listed it: only learn what it is
-	8: i32 pressure_milli,      // of a filler on ln(strain) per processor, in thousandths
+	8: string image,
+	9: list<image_pressure> pressures, // of a filler, where it differs from nothing
 }
 
 /** Entry to agent: stop a run, whether it has begun or not. */
