A start is never ordered before it is durable, also when an agent's link is renewed

Ruled out: late transactions (fenced by the owner's row), acknowledgements (follow the commit). Change: starts stay listed until their transaction is applied; ends, refusals and confirmations count only from the worker that has the run; the time for a transaction doubles after each try without an answer. Test without the bench: tests/job_term.cpp, failed before (the start arrived while the commit was held).

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -16,8 +16,10 @@
 
 	namespace
 	{
-		/// For one answer to a transaction; a slow store takes a third of it.
-		constexpr auto commit_time = millis{600};
+		/// For the first answer to a transaction: far more than it takes on a calm day. Twice as long after each try
+		/// without an answer, since a store that is slow throughout would never answer in time.
+		constexpr auto first_commit_time = millis{600};
+		constexpr auto longest_commit_time = millis{2'400};
 		constexpr auto retry_pause = millis{40};
 		/// Between two transactions, so that a busy moment costs some dozen of them a second and not hundreds.
 		constexpr auto least_gap = millis{20};
@@ -147,8 +149,7 @@
 		for (const auto& id : out.saved)
 			table_.unsaved.erase(id);
 		const auto is_saved = [&](const task_run& what) { return !table_.unsaved.contains(what.task.job); };
-		std::copy_if(unsent_starts_.begin(), unsent_starts_.end(), std::back_inserter(out.starts), is_saved);
-		std::erase_if(unsent_starts_, is_saved);
+		std::copy_if(undurable_starts_.begin(), undurable_starts_.end(), std::back_inserter(out.starts), is_saved);
 		// With everything saved, all ends that were reported by now are.
 		if (table_.unsaved.empty())
 			for (const auto& [name, peer] : peers_)
@@ -185,11 +186,14 @@
 	asio::awaitable<bool> job_term::commit(batch& what)
 	{
 		what.sent = steady_now();
+		auto time = first_commit_time;
 		while (true)
 		{
-			const auto result = co_await store_.commit(what.change, steady_now() + commit_time);
+			const auto sent = steady_now();
+			const auto result = co_await store_.commit(what.change, sent + time);
 			if (result.how == commit_end::applied)
 			{
+				what.sent = sent; // it was this try, no earlier one
 				owned_.version = result.version;
 				owned_.store_ms = result.store_ms;
 				break;
@@ -212,6 +216,8 @@
 			log_event(event::platform_unreachable, {{"call", "commit"}, {"reason", result.reason}});
 			if (result.how == commit_end::refused)
 				co_await pause_for(io_, retry_pause);
+			else
+				time = std::min(2 * time, longest_commit_time);
 		}
 		owned_.renewal_sent = what.sent;
 		committed_ = steady_now();
@@ -226,7 +232,10 @@
 			if (ends.peer->worker.life == ends.life)
 				ends.peer->worker.ends_kept = std::max(ends.peer->worker.ends_kept, ends.through);
 		for (const auto& what : done.starts)
+		{
+			undurable_starts_.erase(what);
 			order_start(what, false);
+		}
 		for (const auto& id : done.saved)
 			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
 				log_event(event::job_ended, {{"job", id.str()}, {"status", to_string(job->status)}});
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -107,6 +107,7 @@
 		void order_stop(agent_peer& peer, const task_run& what);
 		[[nodiscard]] std::vector<wire::image_pressure> pressures_beside(const worker_life& worker,
 																		 const std::string& filler) const;
+		[[nodiscard]] bool is_placed_on(const worker_life& life, const task_run& what) const noexcept;
 		[[nodiscard]] agent_peer* peer_of(const worker_life& life) const noexcept;
 		[[nodiscard]] std::vector<worker_room> view_workers(instant now) const;
 
@@ -120,7 +121,7 @@
 		job_table table_;
 		absl::flat_hash_map<job_id, std::string> unread_progress_; ///< Rows whose submission was not read yet.
 		pressure_model pressures_;
-		std::vector<task_run> unsent_starts_;
+		absl::flat_hash_set<task_run> undurable_starts_; ///< Not ordered before the store keeps them.
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
 		instant began_{};
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -34,6 +34,12 @@
 		return nullptr;
 	}
 
+	bool job_term::is_placed_on(const worker_life& life, const task_run& what) const noexcept
+	{
+		const auto* task = find_task(table_, what.task);
+		return task != nullptr && task->run == what.run && task->worker == life;
+	}
+
 	void job_term::on_report(agent_peer& peer, wire::job_report&& report)
 	{
 		if (report.worker.empty())
@@ -78,9 +84,9 @@
 		for (const auto& row : report.ended)
 		{
 			const auto end = from_wire(row);
-			const auto effect = end_run(table_, end.what, end.how, end.checkpoint, now);
 			peer.worker.ends_seen = std::max(peer.worker.ends_seen, end.number);
-			if (effect == end_effect::ignored)
+			if (!is_placed_on(peer.worker.life, end.what) ||
+				end_run(table_, end.what, end.how, end.checkpoint, now) == end_effect::ignored)
 				continue;
 			log_event(event::run_ended, {{"task", to_string(end.what.task)},
 										 {"run", end.what.run},
@@ -98,6 +104,8 @@
 		for (const auto& row : report.refused)
 		{
 			const auto refusal = from_wire(row);
+			if (!is_placed_on(peer.worker.life, refusal.what))
+				continue;
 			log_event(event::run_taken_back, {{"task", to_string(refusal.what.task)},
 											  {"run", refusal.what.run},
 											  {"why", to_string(refusal.why)},
@@ -129,19 +137,19 @@
 	void job_term::note_running(agent_peer& peer, const wire::job_report& report, instant now)
 	{
 		for (const auto& row : report.started)
-			confirm_run(table_, from_wire(row), now);
+			if (const auto what = from_wire(row); is_placed_on(peer.worker.life, what))
+				confirm_run(table_, what, now);
 		for (const auto& row : report.running)
 		{
 			const auto run = from_wire(row);
-			auto* task = find_task(table_, run.what.task);
-			if (task == nullptr || task->run != run.what.run || task->worker != peer.worker.life)
+			if (!is_placed_on(peer.worker.life, run.what))
 			{
 				order_stop(peer, run.what);
 				continue;
 			}
 			confirm_run(table_, run.what, now);
 			note_checkpoint(table_, run.what, run.checkpoint);
-			task->figure = run.figure;
+			find_task(table_, run.what.task)->figure = run.figure;
 		}
 	}
 
@@ -177,8 +185,7 @@
 		{
 			const task_run what{key, find_task(table_, key)->run};
 			// A run whose start is not durable yet is ordered once it is.
-			const bool unsaved = std::find(unsent_starts_.begin(), unsent_starts_.end(), what) != unsent_starts_.end();
-			if (!unsaved)
+			if (!undurable_starts_.contains(what))
 				order_start(what, listed.contains(what));
 		}
 	}
@@ -255,7 +262,7 @@
 			const auto what = assign(table_, one.task, life, now);
 			// A worker that was never confirmed has no lease yet; its runs count from here.
 			confirmed_.try_emplace(life, now);
-			unsent_starts_.push_back(what);
+			undurable_starts_.insert(what);
 			log_event(event::run_ordered,
 					  {{"task", to_string(what.task)}, {"run", what.run}, {"worker", life.str()}});
 		}
--- /dev/null
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief A row_store in the memory of a test.
+#pragma once
+
+#include <trailjunction/store/row_store.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace trailjunction::testkit
+{
+	/// \brief What goes wrong in a memory_store.
+	struct store_faults
+	{
+		bool hold_commits{};     ///< Transactions wait until this is false again, or until their caller gives up.
+		bool refuse_all{};       ///< Every call is refused.
+		int lose_answers{};      ///< So many transactions are done and not answered.
+		bool forget_history{};   ///< The next follow finds its version forgotten.
+	};
+
+	/// \brief Keeps rows, checks conditions, counts versions; lives on one io_context.
+	class memory_store final : public row_store
+	{
+	public:
+		explicit memory_store(boost::asio::io_context& io) : io_{io} {}
+
+		[[nodiscard]] boost::asio::awaitable<commit_result> commit(row_change change, instant deadline) override;
+		[[nodiscard]] boost::asio::awaitable<absl::StatusOr<row_page>> read(row_range range, instant deadline) override;
+		[[nodiscard]] boost::asio::awaitable<absl::StatusOr<row_page>> follow(std::string table, std::int64_t after,
+																			  millis wait, instant deadline) override;
+
+		/// \brief Writes a row without any condition.
+		void put(const std::string& partition, const std::string& table, const std::string& key, std::string value);
+		/// \brief The value of a row; empty where it is absent.
+		[[nodiscard]] std::string value(const std::string& partition, const std::string& table,
+										const std::string& key) const;
+
+		store_faults faults;
+		int held_commits{};             ///< Transactions that wait now.
+		std::vector<row_change> asked;  ///< Every transaction that was asked for, in order.
+
+	private:
+		using place = std::tuple<std::string, std::string, std::string>; // table, partition, key
+		struct kept_row
+		{
+			std::string value;
+			std::int64_t version{};
+			bool removed{};
+		};
+
+		[[nodiscard]] std::int64_t version_of(const place& where) const;
+		[[nodiscard]] std::int64_t clock_ms() const;
+		commit_result apply(const row_change& change);
+
+		boost::asio::io_context& io_;
+		std::map<place, kept_row> rows_;
+		std::int64_t version_{};
+	};
+}
--- /dev/null
+++ b/packages/testkit/src/memory_store.cpp
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/net/coroutines.hpp>
+#include <trailjunction/testkit/memory_store.hpp>
+
+#include <utility>
+
+namespace trailjunction::testkit
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr auto look_again = millis{2};
+	}
+
+	std::int64_t memory_store::version_of(const place& where) const
+	{
+		const auto found = rows_.find(where);
+		return found == rows_.end() || found->second.removed ? 0 : found->second.version;
+	}
+
+	std::int64_t memory_store::clock_ms() const
+	{
+		return to_millis(steady_now());
+	}
+
+	commit_result memory_store::apply(const row_change& change)
+	{
+		commit_result out;
+		out.store_ms = clock_ms();
+		bool holds = true;
+		for (const auto& condition : change.expected)
+		{
+			const place where{condition.name.table, change.partition, condition.name.key};
+			holds = holds && version_of(where) == condition.version;
+			out.rows.push_back({condition.name, value(change.partition, condition.name.table, condition.name.key),
+								version_of(where), false});
+		}
+		if (!holds)
+		{
+			out.how = commit_end::conflict;
+			return out;
+		}
+		out.rows.clear();
+		out.how = commit_end::applied;
+		out.version = ++version_;
+		for (const auto& row : change.put)
+			rows_[{row.name.table, change.partition, row.name.key}] = {row.value, version_, false};
+		for (const auto& name : change.remove)
+			rows_[{name.table, change.partition, name.key}] = {"", version_, true};
+		return out;
+	}
+
+	asio::awaitable<commit_result> memory_store::commit(row_change change, instant deadline)
+	{
+		asked.push_back(change);
+		++held_commits;
+		while (faults.hold_commits && steady_now() < deadline)
+			co_await pause_for(io_, look_again);
+		--held_commits;
+		commit_result out;
+		if (faults.hold_commits)
+			co_return out;
+		if (faults.refuse_all)
+		{
+			out.how = commit_end::refused;
+			co_return out;
+		}
+		out = apply(change);
+		if (faults.lose_answers > 0)
+		{
+			--faults.lose_answers;
+			out = {};
+		}
+		co_return out;
+	}
+
+	asio::awaitable<absl::StatusOr<row_page>> memory_store::read(row_range range, instant)
+	{
+		if (faults.refuse_all)
+			co_return absl::UnavailableError("refused");
+		row_page out;
+		out.version = version_;
+		out.store_ms = clock_ms();
+		for (const auto& [where, row] : rows_)
+		{
+			const auto& [table, partition, key] = where;
+			if (table != range.table || partition != range.partition || key < range.from || row.removed)
+				continue;
+			if (!range.until.empty() && key >= range.until)
+				continue;
+			if (range.most > 0 && out.rows.size() == range.most)
+				out.more = true;
+			else
+				out.rows.push_back({{table, key}, row.value, row.version, false});
+		}
+		co_return out;
+	}
+
+	asio::awaitable<absl::StatusOr<row_page>> memory_store::follow(std::string table, std::int64_t after, millis wait,
+																   instant)
+	{
+		const auto until = steady_now() + wait;
+		row_page out;
+		while (true)
+		{
+			if (faults.refuse_all)
+				co_return absl::UnavailableError("refused");
+			if (std::exchange(faults.forget_history, false))
+				co_return absl::OutOfRangeError("forgotten");
+			for (const auto& [where, row] : rows_)
+				if (std::get<0>(where) == table && row.version > after)
+					out.rows.push_back({{table, std::get<2>(where)}, row.value, row.version, row.removed});
+			if (!out.rows.empty() || steady_now() >= until)
+				break;
+			co_await pause_for(io_, look_again);
+		}
+		out.version = version_;
+		out.store_ms = clock_ms();
+		co_return out;
+	}
+
+	void memory_store::put(const std::string& partition, const std::string& table, const std::string& key,
+						   std::string value)
+	{
+		rows_[{table, partition, key}] = {std::move(value), ++version_, false};
+	}
+
+	std::string memory_store::value(const std::string& partition, const std::string& table, const std::string& key) const
+	{
+		const auto found = rows_.find({table, partition, key});
+		return found == rows_.end() ? std::string{} : found->second.value;
+	}
+}
--- /dev/null
+++ b/tests/job_term.cpp
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The owner of jobs against a store in memory and agents that the test plays.
+#include "../packages/entry/src/process/job_term.hpp"
+
+#include <trailjunction/jobs.hpp>
+#include <trailjunction/testkit/agent_standin.hpp>
+#include <trailjunction/testkit/memory_store.hpp>
+#include <trailjunction/wire/job_messages.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+using namespace trailjunction;
+using namespace trailjunction::testkit;
+
+namespace
+{
+	constexpr const char* first_job = "00000000000000a1";
+	constexpr auto longest_wait = std::chrono::seconds{20}; // until a test that cannot go on gives up
+
+	queue_policy some_queue()
+	{
+		return {queue_id{"checks"}, service_id{"tally"}, 0, 2, 1.5, millis{250}};
+	}
+
+	job_spec one_task()
+	{
+		job_spec spec;
+		spec.payload = "work";
+		spec.groups.resize(1);
+		spec.groups[0].claim = {500, 256, 0};
+		spec.groups[0].estimate = millis{100};
+		return spec;
+	}
+
+	wire::job_report report_of(const std::string& worker)
+	{
+		wire::job_report out;
+		out.worker = worker;
+		out.service_name = "tally";
+		out.capacity.cpu_milli = 8'000;
+		out.capacity.memory_mib = 16'000;
+		out.responsive = true;
+		out.full = true;
+		out.pace_percent = 100;
+		return out;
+	}
+
+	/// A store, an agent and one term that has taken over.
+	struct scene
+	{
+		scene()
+		{
+			settings.member = member_id{"entry-1"};
+			agent.full_report = report_of("life-1");
+			stored::agent row;
+			row.address = to_string(agent.where());
+			store.put(job_partition, agents_table, "agent-1", encode_agent(row));
+		}
+
+		void submit(const std::string& id, const job_spec& spec)
+		{
+			store.put(job_partition, submissions_table, id, encode_submission(some_queue(), spec));
+		}
+
+		/// Takes over with the next epoch and begins to work.
+		void begin()
+		{
+			owned_row owned;
+			owned.row.epoch = ++epochs;
+			owned.row.member = settings.member.str();
+			store.put(job_partition, owner_table, owner_key, encode_ownership(owned.row));
+			const auto now = steady_now();
+			boost::asio::co_spawn(
+				io,
+				[this, owned, now]() mutable -> boost::asio::awaitable<void>
+				{
+					row_range range{owner_table, job_partition, "", "", 0};
+					const auto page = co_await store.read(std::move(range), now);
+					owned.version = page->rows.front().version;
+					owned.renewal_sent = now;
+					owned.store_ms = page->store_ms;
+					term = std::make_shared<job_term>(io, settings, store, owned, [](queue_depths) {});
+					if ((co_await term->load()).ok())
+						co_await term->work();
+					worked = true;
+				},
+				boost::asio::detached);
+		}
+
+		template <typename Until>
+		bool run_until(Until until)
+		{
+			const auto end = steady_now() + longest_wait;
+			while (!until() && steady_now() < end)
+				io.run_one_for(millis{10});
+			return until();
+		}
+
+		/// The task of a job as the store keeps it.
+		job_state stored_job(const std::string& id)
+		{
+			auto job = decode_submission(job_id{id}, store.value(job_partition, submissions_table, id), steady_now());
+			REQUIRE(job.ok());
+			const auto progress = store.value(job_partition, progress_table, id);
+			if (!progress.empty())
+				REQUIRE(decode_progress(*job, progress, steady_now()).ok());
+			return *std::move(job);
+		}
+
+		boost::asio::io_context io{1};
+		memory_store store{io};
+		agent_standin agent{io};
+		job_entry_settings settings;
+		std::shared_ptr<job_term> term;
+		std::int64_t epochs{};
+		bool worked{};
+	};
+
+	bool saves_progress(const row_change& change)
+	{
+		return std::any_of(change.put.begin(), change.put.end(),
+						   [](const row_value& row) { return row.name.table == progress_table; });
+	}
+}
+
+TEST_CASE("a start is ordered only after the store keeps it, also when the agent's link is renewed meanwhile", "[jobs]")
+{
+	// Found as TWICE on trouble-2 of Grangemouth, seed 3: with a slow store the next owner did not know of the run.
+	scene it;
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	it.store.faults.hold_commits = true;
+	it.submit(first_job, one_task());
+	REQUIRE(it.run_until([&] { return it.store.held_commits > 0 && saves_progress(it.store.asked.back()); }));
+	const auto claims = it.agent.claims;
+	it.agent.drop_link();
+	REQUIRE(it.run_until([&] { return it.agent.claims > claims; }));
+	const auto confirms = it.agent.confirms.size();
+	it.agent.send(report_of("life-1"));
+	REQUIRE(it.run_until([&] { return it.agent.confirms.size() > confirms; }));
+	CHECK(it.agent.starts.empty());
+	it.store.faults.hold_commits = false;
+	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
+	CHECK(it.stored_job(first_job).tasks[0].run == 1);
+	CHECK(it.stored_job(first_job).tasks[0].worker == worker_life{"life-1"});
+}
