--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -49,7 +49,7 @@
 		/// both deployments (docs/MEASUREMENTS.md).
 		double serving_use{0.5};
 		/// A filler does not join serving tasks whose strain is expected to be above this: it only slow down what is there.
-		double strain_limit{1.0};
+		double strain_limit{1.3};
 		/// Weight of the strain above target that a filler is expected to cause, against its own speed.
 		double strain_cost{2.0};
 		pressure_policy pressing;
