--- a/packages/agent/include/trailjunction/agent/job_agent_process.hpp
+++ b/packages/agent/include/trailjunction/agent/job_agent_process.hpp
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace trailjunction
 {
@@ -39,6 +40,16 @@
 		std::function<http_server::handler(worker_listener&)> make_heartbeat_handler;
 	};
 
+	/// \brief Where the settings come from, for a process that reads them again when they change.
+	struct agent_settings_source
+	{
+		std::string path;
+		std::function<absl::StatusOr<job_agent_settings>()> load;
+	};
+
 	/// \brief Runs until a stop signal.
-	[[nodiscard]] exit_code run_job_agent(const job_agent_settings& settings, const agent_carriers& carriers);
+	/// \details Settings that change are checked as at the start; the time for a stop is in force at once, the rest only
+	/// after a restart, which the log says. Faulty ones leave those before in force.
+	[[nodiscard]] exit_code run_job_agent(const job_agent_settings& settings, const agent_settings_source& source,
+										  const agent_carriers& carriers);
 }
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -48,7 +48,14 @@
 			return static_cast<int>(exit_code::ok);
 		}
 		trailjunction::start_log("trailjunction-agent");
-		return static_cast<int>(trailjunction::run_job_agent(*settings, platform_carriers()));
+		const auto load = [path]() -> absl::StatusOr<trailjunction::job_agent_settings>
+		{
+			const auto again = trailjunction::read_settings_file(path);
+			if (!again.ok())
+				return again.status();
+			return trailjunction::read_job_agent_settings(*again);
+		};
+		return static_cast<int>(trailjunction::run_job_agent(*settings, {path, load}, platform_carriers()));
 	}
 
 	int run(int argc, char** argv)
--- a/packages/agent/src/process/job_agent_process.cpp
+++ b/packages/agent/src/process/job_agent_process.cpp
@@ -53,8 +53,28 @@
 		}
 	}
 
-	exit_code run_job_agent(const job_agent_settings& settings, const agent_carriers& carriers)
+	namespace
+	{
+		/// Puts changed settings in force as far as a running process can.
+		void reload(job_agent_settings& live, const agent_settings_source& source)
+		{
+			const auto next = source.load();
+			if (!next.ok())
+			{
+				log_event(event::settings_refused, {{"reason", std::string{next.status().message()}}});
+				return;
+			}
+			const bool restart = next->heartbeats != live.heartbeats || next->links != live.links ||
+								 next->store != live.store || next->worker != live.worker;
+			live.stop_within = next->stop_within;
+			log_event(event::settings_reloaded, {{"needs_restart", restart ? 1 : 0}});
+		}
+	}
+
+	exit_code run_job_agent(const job_agent_settings& settings, const agent_settings_source& source,
+							const agent_carriers& carriers)
 	{
+		auto live = settings;
 		asio::io_context io{1};
 		process_metrics metrics;
 		owner_links* links_of_runs = nullptr;
@@ -84,11 +104,12 @@
 		log_event(event::process_started, {{"worker", settings.worker.str()}});
 		const auto store = carriers.make_store(io, *settings.store);
 		asio::co_spawn(io, register_agent(io, *store, settings), asio::detached);
+		on_settings_change(io, source.path, [&] { reload(live, source); });
 		on_stop_signal(io,
 					   [&]
 					   {
 						   log_event(event::process_stopping, {{"worker", settings.worker.str()}});
-						   asio::co_spawn(io, stop_agent(io, runs, settings.stop_within), asio::detached);
+						   asio::co_spawn(io, stop_agent(io, runs, live.stop_within), asio::detached);
 					   });
 		io.run();
 		log_event(event::process_stopped, {{"worker", settings.worker.str()}});
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -23,6 +23,8 @@
 		process_stopping = 102,
 		process_stopped = 103,
 		listen_failed = 105,
+		settings_reloaded = 106,
+		settings_refused = 107,
 		// 2xx: links and requests
 		link_opened = 200,
 		link_closed = 201,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -31,6 +31,8 @@
 			event::task_parked,       event::worker_quarantined,   event::run_adopted,
 			event::member_superseded, event::config_applied,       event::config_refused,
 			event::command_accepted,  event::command_refused,      event::worker_leaving,
+			event::settings_reloaded,
+			event::settings_refused,
 			event::worker_seen,
 			event::worker_gone,
 			event::worker_silent,
@@ -121,6 +123,10 @@
 			return "command_refused";
 		case event::worker_leaving:
 			return "worker_leaving";
+		case event::settings_reloaded:
+			return "settings_reloaded";
+		case event::settings_refused:
+			return "settings_refused";
 		case event::worker_seen:
 			return "worker_seen";
 		case event::worker_gone:
--- a/packages/entry/include/trailjunction/entry/job_entry_process.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_process.hpp
@@ -28,6 +28,16 @@
 		std::function<absl::StatusOr<job_configuration>(std::string_view)> decode_configuration;
 	};
 
+	/// \brief Where the settings come from, for a process that reads them again when they change.
+	struct entry_settings_source
+	{
+		std::string path;
+		std::function<absl::StatusOr<job_entry_settings>()> load;
+	};
+
 	/// \brief Runs until a stop signal.
-	[[nodiscard]] exit_code run_job_entry(const job_entry_settings& settings, const entry_carriers& carriers);
+	/// \details Settings that change are checked as at the start; times are in force at once, addresses and names only
+	/// after a restart, which the log says. Faulty ones leave those before in force.
+	[[nodiscard]] exit_code run_job_entry(const job_entry_settings& settings, const entry_settings_source& source,
+										  const entry_carriers& carriers);
 }
--- a/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
@@ -35,6 +35,9 @@
 	/// \brief Checks everything and names every fault.
 	[[nodiscard]] absl::StatusOr<job_entry_settings> read_job_entry_settings(const boost::json::value& value);
 
+	/// \brief Whether two settings differ only in what a running entry can take over.
+	[[nodiscard]] bool same_identity(const job_entry_settings& left, const job_entry_settings& right) noexcept;
+
 	/// \brief Times of ownership that follow from the settings.
 	[[nodiscard]] ownership_times ownership_times_of(const job_entry_settings& settings) noexcept;
 
--- a/packages/entry/src/job_entry_settings.cpp
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -52,6 +52,13 @@
 		return out;
 	}
 
+	bool same_identity(const job_entry_settings& left, const job_entry_settings& right) noexcept
+	{
+		return left.member == right.member && left.data_centre == right.data_centre && left.callers == right.callers &&
+			   left.readiness == right.readiness && left.metrics == right.metrics && left.store == right.store &&
+			   left.contact == right.contact && left.longest_run_lease == right.longest_run_lease;
+	}
+
 	ownership_times ownership_times_of(const job_entry_settings& settings) noexcept
 	{
 		ownership_times out;
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -69,6 +69,16 @@
 		return out;
 	}
 
+	absl::StatusOr<trailjunction::job_entry_settings> load_jobs(const std::string& path)
+	{
+		auto settings = load(path);
+		if (!settings.ok())
+			return settings.status();
+		if (!settings->jobs)
+			return absl::InvalidArgumentError(path + ":\n/mode: cannot change while the process runs");
+		return *std::move(settings->jobs);
+	}
+
 	trailjunction::entry_carriers platform_carriers()
 	{
 		using namespace trailjunction;
@@ -81,12 +91,14 @@
 	{
 		if (given.count("settings") == 0)
 			return fail("entry: --settings FILE is wanted", exit_code::usage);
-		const auto settings = load(given["settings"].as<std::string>());
+		const auto path = given["settings"].as<std::string>();
+		const auto settings = load(path);
 		if (!settings.ok())
 			return fail(std::string{settings.status().message()}, exit_code::usage);
 		trailjunction::start_log("trailjunction");
 		if (settings->jobs)
-			return static_cast<int>(trailjunction::run_job_entry(*settings->jobs, platform_carriers()));
+			return static_cast<int>(
+				trailjunction::run_job_entry(*settings->jobs, {path, [path] { return load_jobs(path); }}, platform_carriers()));
 		return static_cast<int>(trailjunction::run_entry(*settings->requests));
 	}
 
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -84,8 +84,29 @@
 		}
 	}
 
-	exit_code run_job_entry(const job_entry_settings& settings, const entry_carriers& carriers)
+	namespace
+	{
+		/// Puts changed settings in force as far as a running process can.
+		void reload(job_entry_settings& live, const entry_settings_source& source, asio::io_context& owner_io,
+					job_owner& owner)
+		{
+			const auto next = source.load();
+			if (!next.ok())
+			{
+				log_event(event::settings_refused, {{"reason", std::string{next.status().message()}}});
+				return;
+			}
+			const bool restart = !same_identity(live, *next);
+			live.stop_within = next->stop_within;
+			asio::post(owner_io, [&owner, kept = next->status_kept] { owner.keep_statuses_for(kept); });
+			log_event(event::settings_reloaded, {{"needs_restart", restart ? 1 : 0}});
+		}
+	}
+
+	exit_code run_job_entry(const job_entry_settings& settings, const entry_settings_source& source,
+							const entry_carriers& carriers)
 	{
+		auto live = settings;
 		asio::io_context request_io{1};
 		asio::io_context owner_io{1};
 		client_side clients{request_io, settings, carriers};
@@ -115,6 +136,7 @@
 			asio::detached);
 		asio::co_spawn(request_io, follow_configuration(request_io, *clients.store, carriers, clients.gateway),
 					   asio::detached);
+		on_settings_change(request_io, source.path, [&] { reload(live, source, owner_io, owner); });
 		on_stop_signal(request_io,
 					   [&]
 					   {
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -25,6 +25,12 @@
 		/// \brief The planned stop: gives the jobs back, so that a successor need not wait for the lease to run out.
 		void leave();
 
+		/// \brief Changes how long an ended job can be asked for.
+		void keep_statuses_for(millis kept) noexcept
+		{
+			settings_.status_kept = kept;
+		}
+
 		[[nodiscard]] bool has_left() const noexcept
 		{
 			return left_;
@@ -36,7 +42,7 @@
 		void tell_depths(const stored::ownership& row, instant read_at);
 
 		boost::asio::io_context& io_;
-		const job_entry_settings& settings_;
+		job_entry_settings settings_;
 		row_store& store_;
 		job_term::depth_handler on_depths_;
 		ownership_times times_;
--- a/packages/net/include/trailjunction/net/program.hpp
+++ b/packages/net/include/trailjunction/net/program.hpp
@@ -34,6 +34,10 @@
 	/// \brief Reads an address field.
 	void read_endpoint(field_reader& reader, std::string_view name, std::optional<endpoint>& out);
 
+	/// \brief Calls \p changed on each SIGHUP, and when the file of settings was written without one.
+	/// \details The file is looked at every two seconds; a signal is acted upon at once.
+	void on_settings_change(boost::asio::io_context& io, const std::string& path, std::function<void()> changed);
+
 	/// \brief Calls \p stop on the first SIGTERM or SIGINT; a second one ends the process.
 	void on_stop_signal(boost::asio::io_context& io, std::function<void()> stop);
 }
--- a/packages/net/src/program.cpp
+++ b/packages/net/src/program.cpp
@@ -4,9 +4,11 @@
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <sstream>
@@ -38,6 +40,77 @@
 			reader.fault(name, std::string{parsed.status().message()});
 	}
 
+	namespace
+	{
+		constexpr auto look_every = std::chrono::seconds{2};
+
+		/// Watches one file for as long as its io_context runs.
+		class settings_watch : public std::enable_shared_from_this<settings_watch>
+		{
+		public:
+			settings_watch(boost::asio::io_context& io, std::string path, std::function<void()> changed)
+				: signals_{io, SIGHUP},
+				  timer_{io},
+				  path_{std::move(path)},
+				  changed_{std::move(changed)},
+				  seen_{last_write()}
+			{
+			}
+
+			void await_signal()
+			{
+				signals_.async_wait(
+					[self = shared_from_this()](const boost::system::error_code& error, int)
+					{
+						if (error)
+							return;
+						self->seen_ = self->last_write();
+						self->changed_();
+						self->await_signal();
+					});
+			}
+
+			void await_look()
+			{
+				timer_.expires_after(look_every);
+				timer_.async_wait(
+					[self = shared_from_this()](const boost::system::error_code& error)
+					{
+						if (error)
+							return;
+						if (const auto now = self->last_write(); now != self->seen_)
+						{
+							self->seen_ = now;
+							self->changed_();
+						}
+						self->await_look();
+					});
+			}
+
+		private:
+			/// A file that is not there has the earliest time, so that its return counts as a change.
+			[[nodiscard]] std::filesystem::file_time_type last_write() const
+			{
+				std::error_code error;
+				const auto time = std::filesystem::last_write_time(path_, error);
+				return error ? std::filesystem::file_time_type::min() : time;
+			}
+
+			boost::asio::signal_set signals_;
+			boost::asio::steady_timer timer_;
+			std::string path_;
+			std::function<void()> changed_;
+			std::filesystem::file_time_type seen_;
+		};
+	}
+
+	void on_settings_change(boost::asio::io_context& io, const std::string& path, std::function<void()> changed)
+	{
+		const auto watch = std::make_shared<settings_watch>(io, path, std::move(changed));
+		watch->await_signal();
+		watch->await_look();
+	}
+
 	void on_stop_signal(boost::asio::io_context& io, std::function<void()> stop)
 	{
 		const auto signals = std::make_shared<boost::asio::signal_set>(io, SIGTERM, SIGINT);
--- a/packages/testkit/include/trailjunction/testkit/cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/cluster.hpp
@@ -4,6 +4,7 @@
 /// \brief A whole system of real processes around the stand-ins.
 #pragma once
 
+#include "address_picker.hpp"
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
 #include "platform_standin.hpp"
@@ -145,7 +146,6 @@
 	private:
 		void make_worker(int index);
 		void make_entry(int index, const std::string& member);
-		[[nodiscard]] endpoint pick_address();
 		[[nodiscard]] http_result call(const endpoint& where, http_request message, millis time);
 
 		cluster_options options_;
@@ -156,6 +156,6 @@
 		std::vector<cluster_worker> workers_;
 		std::vector<cluster_entry> entries_;
 		std::vector<std::string> operators_; ///< Addresses of all entries.
-		unsigned next_address_;
+		address_picker addresses_;
 	};
 }
--- a/packages/testkit/src/cluster.cpp
+++ b/packages/testkit/src/cluster.cpp
@@ -14,7 +14,6 @@
 #include <sstream>
 #include <stdexcept>
 #include <thread>
-#include <unistd.h>
 
 namespace trailjunction::testkit
 {
@@ -47,8 +46,7 @@
 	}
 
 	cluster::cluster(cluster_options options)
-		: options_{std::move(options)},
-		  next_address_{static_cast<unsigned>(::getpid()) << 8U}
+		: options_{std::move(options)}
 	{
 		folder_ = (std::filesystem::temp_directory_path() / absl::StrCat("trailjunction-", random_token())).string();
 		std::filesystem::create_directories(folder_);
@@ -80,26 +78,13 @@
 			std::filesystem::remove_all(folder_, ignored);
 	}
 
-	/// An address of its own for each listener, with a port that the kernel picks: outgoing connections leave from
-	/// 127.0.0.1 and so can never take a port that was picked here.
-	endpoint cluster::pick_address()
-	{
-		++next_address_;
-		const auto bytes = asio::ip::address_v4::bytes_type{
-			127, static_cast<unsigned char>(64 + (next_address_ >> 16U) % 64),
-			static_cast<unsigned char>(next_address_ >> 8U), static_cast<unsigned char>(1 + next_address_ % 254)};
-		asio::io_context io;
-		asio::ip::tcp::acceptor probe{io, endpoint{asio::ip::address_v4{bytes}, 0}};
-		return probe.local_endpoint();
-	}
-
 	void cluster::make_worker(int index)
 	{
 		cluster_worker worker;
 		worker.name = absl::StrCat("w", index + 1);
-		const auto requests = pick_address();
-		const auto control = pick_address();
-		worker.admin = pick_address();
+		const auto requests = addresses_.pick();
+		const auto control = addresses_.pick();
+		worker.admin = addresses_.pick();
 		standin_worker declared;
 		declared.worker = worker_id{worker.name};
 		declared.hall = hall_id{absl::StrCat("h", index % options_.halls + 1)};
@@ -143,8 +128,8 @@
 	{
 		cluster_entry entry;
 		entry.name = absl::StrCat("e", index + 1);
-		entry.callers = pick_address();
-		entry.operators = pick_address();
+		entry.callers = addresses_.pick();
+		entry.operators = addresses_.pick();
 		endpoint platform;
 		thread_.run(
 			[&]
