--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -270,7 +270,9 @@
 			refuse(what, start_refusal::no_room);
 			break;
 		case order_end::superseded:
-			refuse(what, start_refusal::superseded);
+			// An earlier order of the same run may have been carried out and have ended; its end then tells how.
+			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
+				refuse(what, start_refusal::superseded);
 			break;
 		case order_end::unhealthy:
 		case order_end::not_sent:
