--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -63,7 +63,7 @@
 		{
 			auto options = options_here();
 			options.agents = 1;
-			options.halls = 1;
+			options.data_centres = 1;
 			options.entries = 1;
 			options.capacity = {100'000, 100'000, 0};
 			options.checkpoint_every = millis{30'000};
@@ -71,7 +71,7 @@
 			if (!system.wait_ready())
 				return;
 			for (int i = 0; i < runs; ++i)
-				(void)system.command(0, "submit task watcher-" + std::to_string(i) + " team sirr command forever");
+				(void)system.command(0, "submit task watcher-" + std::to_string(i) + " account sirr command forever");
 			std::this_thread::sleep_for(std::chrono::seconds{3});
 			const auto& worker = system.worker(0);
 			const auto bytes = read_metric(worker.admin, "trailjunction_control_bytes_total");
@@ -98,7 +98,7 @@
 				record.kind = record_kind::submitted;
 				record.spec = task_spec{};
 				record.spec->id = task_id{"merge-" + std::to_string(i)};
-				record.spec->team = team_id{"sirr"};
+				record.spec->account = account_id{"sirr"};
 				record.spec->kind = kind_id{"merge"};
 				record.task = record.spec->id;
 				(void)apply(shard, record);
--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -19,7 +19,7 @@
 		{
 			worker_view view;
 			view.worker = worker_id{"w" + std::to_string(number)};
-			view.hall = hall_id{"h" + std::to_string(number % 3)};
+			view.data_centre = data_centre_id{"h" + std::to_string(number % 3)};
 			view.rack = rack_id{"r" + std::to_string(number / 3)};
 			view.service = service_id{"tally"};
 			view.reachable = true;
--- a/bench/fake_agent.cpp
+++ b/bench/fake_agent.cpp
@@ -31,7 +31,7 @@
 	{
 		testkit::standin_worker worker;
 		worker.worker = worker_id{name_};
-		worker.hall = hall_id{"h1"};
+		worker.data_centre = data_centre_id{"h1"};
 		worker.requests = to_string(requests_.local_endpoint());
 		worker.control = to_string(control_.local_endpoint());
 		return worker;
@@ -86,7 +86,7 @@
 		beat.ready = true;
 		beat.capacity.cpu_milli = 32'000;
 		beat.capacity.memory_mib = 125'000;
-		beat.hall = "h1";
+		beat.data_centre = "h1";
 		beat.service_name = "tally";
 		for (int i = 0; i < runs_; ++i)
 		{
--- a/bench/requests.cpp
+++ b/bench/requests.cpp
@@ -346,7 +346,7 @@
 			auto options = options_here();
 			options.agents = 2;
 			options.entries = 1;
-			options.halls = 1;
+			options.data_centres = 1;
 			cluster system{options};
 			if (!system.wait_ready())
 				return;
@@ -367,7 +367,7 @@
 			auto options = options_here();
 			options.agents = 1;
 			options.entries = 1;
-			options.halls = 1;
+			options.data_centres = 1;
 			options.proxies = false;
 			cluster system{options};
 			if (!system.wait_ready())
@@ -445,11 +445,12 @@
 		{
 			auto options = options_here();
 			options.agents = workers;
-			options.halls = 3;
+			options.data_centres = 3;
 			cluster system{options};
 			if (!system.wait_ready())
 				return;
-			// Grangemouth: halls 1.5 ms apart one way; an entry sees the halls of others through that delay.
+			// Grangemouth: data centres 1.5 ms apart one way; an entry sees the data centres of others through that
+			// delay.
 			system.thread().run(
 				[&]
 				{
--- a/bench/tasks.cpp
+++ b/bench/tasks.cpp
@@ -51,7 +51,7 @@
 				{
 					const int number = next++;
 					boost::json::object body;
-					body["command"] = absl::StrCat("submit task job-", number, " team sirr ", rest);
+					body["command"] = absl::StrCat("submit task job-", number, " account sirr ", rest);
 					body["id"] = absl::StrCat("job-", number);
 					http_request request{"POST", "/v1/command", {}, boost::json::serialize(body)};
 					auto& client = *clients[static_cast<std::size_t>(number) % clients.size()];
@@ -101,7 +101,7 @@
 				});
 			std::this_thread::sleep_for(std::chrono::seconds{5});
 			hold_to_rates(system);
-			(void)system.command(0, "quota team sirr cpu 0 memory 0");
+			(void)system.command(0, "quota account sirr cpu 0 memory 0");
 			std::this_thread::sleep_for(std::chrono::seconds{2});
 			const auto submitting = std::chrono::steady_clock::now();
 			const int accepted = submit_many(system, tasks, "cpu 100 memory 10 command \"work 0\"");
@@ -117,7 +117,7 @@
 			};
 			const auto writes = system.thread().run([&] { return system.platform().load().writes; });
 			const auto cpu_before = cpu_of_entries();
-			(void)system.command(0, "set /teams/sirr null");
+			(void)system.command(0, "set /accounts/sirr null");
 			const auto began = std::chrono::steady_clock::now();
 			(void)cluster::wait_until([&] { return sum_metric(system, "trailjunction_starts_total") >= accepted; },
 									  millis{30'000});
@@ -142,7 +142,7 @@
 			cluster system{options};
 			if (!system.wait_ready())
 				return;
-			(void)system.command(0, "quota team sirr cpu 0 memory 0");
+			(void)system.command(0, "quota account sirr cpu 0 memory 0");
 			std::this_thread::sleep_for(std::chrono::seconds{1});
 			(void)submit_many(system, tasks, "command forever");
 			std::this_thread::sleep_for(std::chrono::seconds{2});
@@ -168,7 +168,7 @@
 			{
 				const auto task = "urgent-" + std::to_string(i);
 				const auto began = std::chrono::steady_clock::now();
-				if (system.command(i % 2, "submit task " + task + " team sirr urgency urgent command \"work 10\"")
+				if (system.command(i % 2, "submit task " + task + " account sirr urgency urgent command \"work 10\"")
 						.status != 200)
 					continue;
 				(void)cluster::wait_until(
@@ -198,7 +198,7 @@
 			hold_to_rates(system);
 			if (held > 0)
 			{
-				(void)system.command(0, "quota team sirr cpu 0 memory 0");
+				(void)system.command(0, "quota account sirr cpu 0 memory 0");
 				std::this_thread::sleep_for(std::chrono::seconds{1});
 				(void)submit_many(system, held, "command forever");
 			}
@@ -210,7 +210,9 @@
 				const auto task = "urgent-" + std::to_string(i);
 				(void)cluster::wait_until(
 					[&] {
-						return system.command(1, "submit task " + task + " team ops urgency urgent command \"work 10\"")
+						return system
+								   .command(1,
+											"submit task " + task + " account ops urgency urgent command \"work 10\"")
 								   .status == 200;
 					},
 					millis{20'000});
--- a/examples/demo.cpp
+++ b/examples/demo.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 /// \file
-/// \brief The main job, shown: two entries, three agents in two halls, and the failures that they live through.
+/// \brief The main job, shown: two entries, three agents in two data centres, and the failures that they live through.
 #include <trailjunction/testkit/cluster.hpp>
 
 #include <algorithm>
@@ -64,11 +64,11 @@
 	void show_tasks(stage& stage, cluster& system)
 	{
 		show_command(stage, system, "create the service tally-api with 2 replicas",
-					 "submit service tally-api replicas 2 team sirr cpu 500 memory 256 command forever");
+					 "submit service tally-api replicas 2 account sirr cpu 500 memory 256 command forever");
 		show_command(stage, system, "submit a merge, which may never run twice",
-					 "submit task merge-1 team sirr kind merge command \"work 400\" repeatable no");
+					 "submit task merge-1 account sirr kind merge command \"work 400\" repeatable no");
 		show_command(stage, system, "submit a watcher for the season",
-					 "submit task watcher-1 team sirr kind watcher command forever");
+					 "submit task watcher-1 account sirr kind watcher command forever");
 		const bool merged =
 			cluster::wait_until([&] { return system.task_field("merge-1", "phase") == "finished"; }, millis{10'000});
 		stage.step("the merge finishes", merged, "merge-1 is " + system.task_field("merge-1", "phase"));
@@ -145,8 +145,8 @@
 		const auto began = std::chrono::steady_clock::now();
 		const bool accepted = cluster::wait_until(
 			[&] {
-				return system.command(1, "submit task urgent-1 team sirr urgency urgent command \"work 100\"").status ==
-					   200;
+				return system.command(1, "submit task urgent-1 account sirr urgency urgent command \"work 100\"")
+						   .status == 200;
 			},
 			millis{10'000});
 		const bool finished =
@@ -160,7 +160,7 @@
 
 int main()
 {
-	std::cout << "trailjunction: 2 entries, 3 agents in 2 halls, stand-ins for the platform and the upstreams\n";
+	std::cout << "trailjunction: 2 entries, 3 agents in 2 data_centres, stand-ins for the platform and the upstreams\n";
 	cluster_options options;
 	options.programs = TRAILJUNCTION_PROGRAMS;
 	cluster system{options};
--- a/packages/agent/include/trailjunction/agent/settings.hpp
+++ b/packages/agent/include/trailjunction/agent/settings.hpp
@@ -20,7 +20,7 @@
 	struct agent_settings
 	{
 		worker_id worker;
-		hall_id hall;
+		data_centre_id data_centre;
 		rack_id rack;
 		service_id service;               ///< That the upstream serves.
 		std::optional<endpoint> requests; ///< Where request links are taken.
--- a/packages/agent/src/process/control_duty.cpp
+++ b/packages/agent/src/process/control_duty.cpp
@@ -234,7 +234,7 @@
 		beat.used = to_wire(status_.used);
 		beat.foreign_use = to_wire(status_.foreign);
 		beat.config_version = static_cast<std::int64_t>(config_.version.value);
-		beat.hall = settings_.hall.str();
+		beat.data_centre = settings_.data_centre.str();
 		beat.rack = settings_.rack.str();
 		beat.service_name = settings_.service.str();
 		for (const auto& [task, run] : table_.runs)
--- a/packages/agent/src/settings.cpp
+++ b/packages/agent/src/settings.cpp
@@ -24,10 +24,10 @@
 		agent_settings out;
 		field_faults faults;
 		field_reader reader{value, "", faults};
-		for (const auto* name : {"worker", "hall", "listen", "upstream", "platform"})
+		for (const auto* name : {"worker", "data_centre", "listen", "upstream", "platform"})
 			reader.require(name);
 		read_id(reader, "worker", out.worker);
-		read_id(reader, "hall", out.hall);
+		read_id(reader, "data_centre", out.data_centre);
 		read_id(reader, "rack", out.rack);
 		read_id(reader, "service", out.service);
 		reader.read_object("listen",
--- a/packages/core/include/trailjunction/core/ids.hpp
+++ b/packages/core/include/trailjunction/core/ids.hpp
@@ -8,14 +8,15 @@
 
 namespace trailjunction
 {
-	using worker_id = strong_id<struct worker_tag>;   ///< One worker: an instance that runs tasks and one upstream.
-	using hall_id = strong_id<struct hall_tag>;       ///< One hall: a zone of a data centre.
-	using rack_id = strong_id<struct rack_tag>;       ///< One rack within a hall.
-	using team_id = strong_id<struct team_tag>;       ///< One team: a customer with a quota.
-	using service_id = strong_id<struct service_tag>; ///< One latency-critical service.
-	using task_id = strong_id<struct task_tag>;       ///< One task; unique for ever.
-	using kind_id = strong_id<struct kind_tag>;       ///< The kind of a task, shared by tasks that behave alike.
-	using member_id = strong_id<struct member_tag>;   ///< One entry process, by its settings' name.
+	using worker_id = strong_id<struct worker_tag>; ///< One worker: an instance that runs tasks and one upstream.
+	using data_centre_id =
+		strong_id<struct data_centre_tag>;                  ///< One data centre: a zone with its own power and network.
+	using rack_id = strong_id<struct rack_tag>;             ///< One rack within a data centre.
+	using account_id = strong_id<struct account_tag>;       ///< One client account, with a quota.
+	using service_id = strong_id<struct service_tag>;       ///< One latency-critical service.
+	using task_id = strong_id<struct task_tag>;             ///< One task; unique for ever.
+	using kind_id = strong_id<struct kind_tag>;             ///< The kind of a task, shared by tasks that behave alike.
+	using member_id = strong_id<struct member_tag>;         ///< One entry process, by its settings' name.
 	using checkpoint_id = strong_id<struct checkpoint_tag>; ///< One checkpoint that the platform holds.
 
 	using incarnation = strong_number<struct incarnation_tag>;       ///< One life of a process.
--- a/packages/decide/include/trailjunction/decide/process/placement.hpp
+++ b/packages/decide/include/trailjunction/decide/process/placement.hpp
@@ -31,7 +31,7 @@
 	struct worker_view
 	{
 		worker_id worker;
-		hall_id hall;
+		data_centre_id data_centre;
 		rack_id rack;
 		service_id service; ///< That its upstream serves; empty: none.
 		bool reachable{};
@@ -59,7 +59,7 @@
 		unreachable,
 		leaving,
 		quarantined,
-		other_hall,
+		other_data_centre,
 		failed_there,
 		no_room,
 	};
--- a/packages/decide/include/trailjunction/decide/process/quota.hpp
+++ b/packages/decide/include/trailjunction/decide/process/quota.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // trailjunction: a scheduler for latency-critical and batch work on the same workers.
 /// \file
-/// \brief Sharing a team's quota among entries without a coordinator.
+/// \brief Sharing an account's quota among entries without a coordinator.
 #pragma once
 
 #include <trailjunction/core/ids.hpp>
@@ -12,17 +12,17 @@
 
 namespace trailjunction
 {
-	/// \brief One entry's part of one team's quota.
+	/// \brief One entry's part of one account's quota.
 	/// \details A ceiling is published in the entry's member row before it is used, and used only after all other rows
 	/// were read later than that write and the sum of all published ceilings was within the quota. Whoever verifies
 	/// last has seen everybody's ceiling, so what all entries may use together never exceeds the quota.
 	struct quota_share
 	{
 		resources published; ///< In the member row, never below usable.
-		resources usable;    ///< New runs may start while the team's use at this entry is within it.
+		resources usable;    ///< New runs may start while the account's use at this entry is within it.
 	};
 
-	/// \brief What an entry needs of a team's quota.
+	/// \brief What an entry needs of an account's quota.
 	struct quota_need
 	{
 		resources used;     ///< By runs of its shards.
--- a/packages/decide/include/trailjunction/decide/process/shard_state.hpp
+++ b/packages/decide/include/trailjunction/decide/process/shard_state.hpp
@@ -81,7 +81,7 @@
 		absl::flat_hash_map<task_id, task_state> tasks;
 		std::set<queue_place> waiting;
 		absl::flat_hash_map<worker_id, absl::flat_hash_set<task_id>> on_worker; ///< Tasks for which holds_worker().
-		absl::flat_hash_map<team_id, resources> team_use;                       ///< Claims of those tasks.
+		absl::flat_hash_map<account_id, resources> account_use;                 ///< Claims of those tasks.
 		std::deque<task_id> over; ///< Ended tasks, oldest first; kept so that a repeated submit is recognised.
 	};
 
--- a/packages/decide/include/trailjunction/decide/process/task_spec.hpp
+++ b/packages/decide/include/trailjunction/decide/process/task_spec.hpp
@@ -30,14 +30,14 @@
 	struct task_spec
 	{
 		task_id id;
-		team_id team;
+		account_id account;
 		kind_id kind; ///< What it behaves like; replicas of a service carry the service's name.
 		urgency priority{urgency::normal};
 		bool repeatable{true}; ///< A run with an unknown end may be followed by another one.
 		bool replica{false};   ///< A replica of a service: it is replaced and never fenced.
 		resources claim{1000, 256, 0};
 		std::string command;        ///< Passed to the worker interface as it is.
-		hall_id hall;               ///< Only there; empty: anywhere.
+		data_centre_id data_centre; ///< Only there; empty: anywhere.
 		std::int64_t expected_ms{}; ///< Declared run time; 0: none.
 		worker_id adopted_on;       ///< Where the first run is taken over from the operators' scripts; empty: nowhere.
 	};
--- a/packages/decide/include/trailjunction/decide/request/balance.hpp
+++ b/packages/decide/include/trailjunction/decide/request/balance.hpp
@@ -20,7 +20,7 @@
 	struct target_view
 	{
 		worker_id worker;
-		hall_id hall;
+		data_centre_id data_centre;
 		bool connected{};
 		bool leaving{};
 		instant joined{};         ///< When it was first seen; newcomers are trusted step by step.
@@ -42,28 +42,29 @@
 	/// \brief The weights of the choice.
 	struct balance_policy
 	{
-		double far_hall_us{1'000};       ///< Added for a worker in another hall.
-		millis report_lifetime{500};     ///< An agent's report older than this counts for nothing.
-		millis slow_start{5'000};        ///< A newcomer's share grows over this time.
-		double eject_failure_share{0.5}; ///< A moving share above this ejects.
-		double eject_latency_factor{4};  ///< A moving latency above this many medians ejects.
-		std::int64_t eject_after{8};     ///< Tries before a worker can be judged.
-		millis eject_time{2'000};        ///< The first ejection.
-		double eject_at_most{0.3};       ///< The share of workers that may be ejected at a time.
-		double first_guess_us{2'000};    ///< The latency assumed before the first answer.
+		double far_data_centre_us{1'000}; ///< Added for a worker in another data_centre.
+		millis report_lifetime{500};      ///< An agent's report older than this counts for nothing.
+		millis slow_start{5'000};         ///< A newcomer's share grows over this time.
+		double eject_failure_share{0.5};  ///< A moving share above this ejects.
+		double eject_latency_factor{4};   ///< A moving latency above this many medians ejects.
+		std::int64_t eject_after{8};      ///< Tries before a worker can be judged.
+		millis eject_time{2'000};         ///< The first ejection.
+		double eject_at_most{0.3};        ///< The share of workers that may be ejected at a time.
+		double first_guess_us{2'000};     ///< The latency assumed before the first answer.
 		millis estimate_half_life{
 			2'000}; ///< What was learned of a worker counts half as much after this without a try.
 	};
 
 	/// \brief The time to an answer that is expected of a worker, in microseconds.
-	[[nodiscard]] double predict_latency_us(const target_view& target, const hall_id& own_hall,
+	[[nodiscard]] double predict_latency_us(const target_view& target, const data_centre_id& own_data_centre,
 											const balance_policy& policy, instant now) noexcept;
 
 	/// \brief Chooses the better of two random workers.
 	/// \param excluded Workers that this request has tried.
 	/// \returns An index into \p targets, or nothing where no worker may be used.
 	[[nodiscard]] std::optional<std::size_t> choose_target(std::span<const target_view> targets,
-														   std::span<const worker_id> excluded, const hall_id& own_hall,
+														   std::span<const worker_id> excluded,
+														   const data_centre_id& own_data_centre,
 														   const balance_policy& policy, instant now,
 														   random_engine& random);
 
--- a/packages/decide/include/trailjunction/decide/version/config_document.hpp
+++ b/packages/decide/include/trailjunction/decide/version/config_document.hpp
@@ -30,7 +30,7 @@
 		millis deadline{10'000}; ///< Of a request that names none.
 		double eject_latency_factor{4};
 		double eject_at_most{0.3};
-		double far_hall_us{1'000};
+		double far_data_centre_us{1'000};
 	};
 
 	/// \brief The weights of placement; presets are in docs/OPERATORS.md.
@@ -59,8 +59,8 @@
 		millis target{100}; ///< p99 that should not be exceeded.
 	};
 
-	/// \brief One team's quota.
-	struct team_config
+	/// \brief One account's quota.
+	struct account_config
 	{
 		resources quota;
 	};
@@ -72,7 +72,7 @@
 		request_config requests;
 		placement_weights placement;
 		std::string preset{"grangemouth"};
-		absl::flat_hash_map<team_id, team_config> teams;
+		absl::flat_hash_map<account_id, account_config> accounts;
 		absl::flat_hash_map<worker_id, worker_config> workers;
 		absl::flat_hash_map<service_id, service_config> services;
 	};
--- a/packages/decide/src/process/placement.cpp
+++ b/packages/decide/src/process/placement.cpp
@@ -15,8 +15,8 @@
 		constexpr std::size_t looked_at = 24;   ///< Candidates that are scored.
 		constexpr double latency_spread = 0.12; ///< Of the logarithm of a measured p99 around its expectation.
 		constexpr std::size_t runners_up_kept = 3;
-		constexpr std::array<std::string_view, 7> refusal_names{"none",       "unreachable",  "leaving", "quarantined",
-																"other hall", "failed there", "no room"};
+		constexpr std::array<std::string_view, 7> refusal_names{
+			"none", "unreachable", "leaving", "quarantined", "other data_centre", "failed there", "no room"};
 
 		double share(std::int64_t part, std::int64_t whole)
 		{
@@ -98,8 +98,8 @@
 			return refusal::leaving;
 		if (worker.quarantined_until > now)
 			return refusal::quarantined;
-		if (!task.hall.empty() && worker.hall != task.hall)
-			return refusal::other_hall;
+		if (!task.data_centre.empty() && worker.data_centre != task.data_centre)
+			return refusal::other_data_centre;
 		if (std::find(failed_on.begin(), failed_on.end(), worker.worker) != failed_on.end())
 			return refusal::failed_there;
 		return task.claim.fits(worker.space()) ? refusal::none : refusal::no_room;
--- a/packages/decide/src/process/shard_state.cpp
+++ b/packages/decide/src/process/shard_state.cpp
@@ -33,7 +33,7 @@
 			shard.on_worker[task.worker].erase(task.spec.id);
 			if (shard.on_worker[task.worker].empty())
 				shard.on_worker.erase(task.worker);
-			shard.team_use[task.spec.team] -= task.spec.claim;
+			shard.account_use[task.spec.account] -= task.spec.claim;
 		}
 
 		/// Puts a task into the indexes of its phase.
@@ -46,7 +46,7 @@
 			if (!holds_worker(task.phase))
 				return;
 			shard.on_worker[task.worker].insert(task.spec.id);
-			shard.team_use[task.spec.team] += task.spec.claim;
+			shard.account_use[task.spec.account] += task.spec.claim;
 		}
 
 		void forget_oldest(shard_state& shard)
--- a/packages/decide/src/process/task_spec.cpp
+++ b/packages/decide/src/process/task_spec.cpp
@@ -37,7 +37,7 @@
 	{
 		boost::json::object out;
 		out["id"] = spec.id.str();
-		out["team"] = spec.team.str();
+		out["account"] = spec.account.str();
 		out["kind"] = spec.kind.str();
 		if (spec.priority != urgency::normal)
 			out["urgency"] = to_string(spec.priority);
@@ -51,8 +51,8 @@
 			out["accelerators"] = spec.claim.accelerators;
 		if (!spec.command.empty())
 			out["command"] = spec.command;
-		if (!spec.hall.empty())
-			out["hall"] = spec.hall.str();
+		if (!spec.data_centre.empty())
+			out["data_centre"] = spec.data_centre.str();
 		if (!spec.adopted_on.empty())
 			out["adopted_on"] = spec.adopted_on.str();
 		if (spec.expected_ms != 0)
@@ -64,17 +64,17 @@
 	{
 		task_spec spec;
 		std::string id;
-		std::string team;
+		std::string account;
 		std::string kind;
-		std::string hall;
+		std::string data_centre;
 		std::string adopted_on;
 		std::string priority{"normal"};
 		reader.require("id");
-		reader.require("team");
+		reader.require("account");
 		reader.read("id", id);
-		reader.read("team", team);
+		reader.read("account", account);
 		reader.read("kind", kind);
-		reader.read("hall", hall, true);
+		reader.read("data_centre", data_centre, true);
 		reader.read("urgency", priority);
 		reader.read("repeatable", spec.repeatable);
 		reader.read("replica", spec.replica);
@@ -92,9 +92,9 @@
 			reader.fault("urgency", "is '" + priority + "', one of urgent, normal, background is wanted");
 		reader.finish();
 		spec.id = task_id{id};
-		spec.team = team_id{team};
+		spec.account = account_id{account};
 		spec.kind = kind_id{kind.empty() ? id : kind};
-		spec.hall = hall_id{hall};
+		spec.data_centre = data_centre_id{data_centre};
 		spec.adopted_on = worker_id{adopted_on};
 		return spec;
 	}
--- a/packages/decide/src/request/balance.cpp
+++ b/packages/decide/src/request/balance.cpp
@@ -96,8 +96,8 @@
 		}
 	}
 
-	double predict_latency_us(const target_view& target, const hall_id& own_hall, const balance_policy& policy,
-							  instant now) noexcept
+	double predict_latency_us(const target_view& target, const data_centre_id& own_data_centre,
+							  const balance_policy& policy, instant now) noexcept
 	{
 		// A worker that holds requests and answers none is expected to take as long again.
 		const auto silence = target.in_flight > 0 ? now - target.silent_since : instant::duration{};
@@ -111,7 +111,7 @@
 		const double slots = static_cast<double>(std::max<std::int64_t>(target.slots, 1));
 		const double waiting = std::max(0.0, static_cast<double>(held) + 1 - slots) / slots;
 		const double crowding = static_cast<double>(held) / slots;
-		const double distance = target.hall == own_hall ? 0 : policy.far_hall_us;
+		const double distance = target.data_centre == own_data_centre ? 0 : policy.far_data_centre_us;
 		return (service * (1 + waiting + crowding) * (1 + target.batch_harm) + distance) /
 			   start_share(target, policy, now);
 	}
@@ -130,8 +130,8 @@
 	}
 
 	std::optional<std::size_t> choose_target(std::span<const target_view> targets, std::span<const worker_id> excluded,
-											 const hall_id& own_hall, const balance_policy& policy, instant now,
-											 random_engine& random)
+											 const data_centre_id& own_data_centre, const balance_policy& policy,
+											 instant now, random_engine& random)
 	{
 		if (targets.empty())
 			return std::nullopt;
@@ -139,8 +139,8 @@
 		if (!first)
 			return std::nullopt;
 		const auto second = draw_target(targets, excluded, *first, now, random).value_or(*first);
-		const auto first_cost = predict_latency_us(targets[*first], own_hall, policy, now);
-		const auto second_cost = predict_latency_us(targets[second], own_hall, policy, now);
+		const auto first_cost = predict_latency_us(targets[*first], own_data_centre, policy, now);
+		const auto second_cost = predict_latency_us(targets[second], own_data_centre, policy, now);
 		return first_cost <= second_cost ? *first : second;
 	}
 
--- a/packages/decide/src/version/config_document.cpp
+++ b/packages/decide/src/version/config_document.cpp
@@ -33,7 +33,7 @@
 			reader.read("deadline_ms", out.deadline, deadline_range);
 			reader.read("eject_latency_factor", out.eject_latency_factor, 1, largest_weight);
 			reader.read("eject_at_most", out.eject_at_most, 0, 1);
-			reader.read("far_hall_us", out.far_hall_us, 0, largest_us);
+			reader.read("far_data_centre_us", out.far_data_centre_us, 0, largest_us);
 		}
 
 		/// Sirr: throughput and evictions first, so harm is avoided by placement and throttles are for emergencies: a
@@ -88,8 +88,8 @@
 		field_reader reader{*parsed, "", faults};
 		reader.read_object("requests", [&](field_reader& requests) { read_requests(requests, document.requests); });
 		reader.read_object("placement", [&](field_reader& placement) { read_placement(placement, document); });
-		reader.read_each("teams", [&](std::string_view name, field_reader& team)
-						 { read_amounts(team, document.teams[team_id{std::string{name}}].quota); });
+		reader.read_each("accounts", [&](std::string_view name, field_reader& account)
+						 { read_amounts(account, document.accounts[account_id{std::string{name}}].quota); });
 		reader.read_each("workers",
 						 [&](std::string_view name, field_reader& worker)
 						 {
@@ -156,7 +156,7 @@
 	balance_policy balance_of(const request_config& requests) noexcept
 	{
 		balance_policy policy;
-		policy.far_hall_us = requests.far_hall_us;
+		policy.far_data_centre_us = requests.far_data_centre_us;
 		policy.eject_latency_factor = requests.eject_latency_factor;
 		policy.eject_at_most = requests.eject_at_most;
 		return policy;
--- a/packages/entry/include/trailjunction/entry/settings.hpp
+++ b/packages/entry/include/trailjunction/entry/settings.hpp
@@ -21,14 +21,14 @@
 	struct entry_settings
 	{
 		member_id member;
-		hall_id hall;
-		std::string data_centre{"dc1"};    ///< Its tasks are scheduled on this data centre's workers.
+		data_centre_id data_centre;
+		std::string region{"dc1"};         ///< Its tasks are scheduled on this region's workers.
 		std::optional<endpoint> callers;   ///< Where callers' requests are taken.
 		std::optional<endpoint> operators; ///< Where operators, metrics and health are served.
 		std::optional<endpoint> platform;
 		std::optional<endpoint> collector;  ///< Of traces; absent: nowhere.
 		std::vector<endpoint> peers;        ///< Other entries, asked for the configuration while the store is away.
-		std::int64_t shards{4};             ///< Of the data centre's tasks; the same at all its entries.
+		std::int64_t shards{4};             ///< Of the region's tasks; the same at all its entries.
 		std::int64_t writes_per_second{30}; ///< Journal writes of this entry at the most.
 		protocol_times times;
 		millis stop_within{15'000}; ///< The longest that a planned stop takes.
--- a/packages/entry/src/process/command_runner.cpp
+++ b/packages/entry/src/process/command_runner.cpp
@@ -256,8 +256,8 @@
 			const auto amounts = read_amounts(call.parsed);
 			if (!amounts.ok())
 				co_return refuse(amounts.status());
-			co_return co_await change_config(std::move(call), absl::StrCat("/teams/", escape_step(subject)), *amounts,
-											 absl::StrCat("quota of team ", subject, " is set"));
+			co_return co_await change_config(std::move(call), absl::StrCat("/accounts/", escape_step(subject)),
+											 *amounts, absl::StrCat("quota of account ", subject, " is set"));
 		}
 		case verb::set:
 		{
@@ -501,8 +501,8 @@
 		case noun::services:
 			result.table = service_table();
 			break;
-		case noun::teams:
-			result.table = team_table();
+		case noun::accounts:
+			result.table = account_table();
 			break;
 		case noun::members:
 			result.table = member_table_now();
--- a/packages/entry/src/process/command_runner.hpp
+++ b/packages/entry/src/process/command_runner.hpp
@@ -80,7 +80,7 @@
 		[[nodiscard]] result_table worker_table() const;
 		[[nodiscard]] result_table service_table() const;
 		[[nodiscard]] result_table request_table() const;
-		[[nodiscard]] result_table team_table() const;
+		[[nodiscard]] result_table account_table() const;
 		[[nodiscard]] result_table member_table_now() const;
 		[[nodiscard]] result_table shard_table() const;
 
--- a/packages/entry/src/process/command_tables.cpp
+++ b/packages/entry/src/process/command_tables.cpp
@@ -32,7 +32,7 @@
 
 	result_table command_runner::task_table() const
 	{
-		result_table table{{"task", "team", "kind", "phase", "worker", "run", "checkpoint", "urgency", "repeatable",
+		result_table table{{"task", "account", "kind", "phase", "worker", "run", "checkpoint", "urgency", "repeatable",
 							"failures", "evictions", "reason"},
 						   {}};
 		for (const auto& keeper : tasks_.keepers())
@@ -41,7 +41,7 @@
 				continue;
 			for (const auto& [id, task] : keeper->state().tasks)
 				table.rows.push_back(
-					{id.str(), task.spec.team.str(), task.spec.kind.str(), std::string{to_string(task.phase)},
+					{id.str(), task.spec.account.str(), task.spec.kind.str(), std::string{to_string(task.phase)},
 					 holds_worker(task.phase) ? task.worker.str() : "", absl::StrCat(task.run.value),
 					 task.checkpoint.str(), std::string{to_string(task.spec.priority)}, yes_no(task.spec.repeatable),
 					 absl::StrCat(task.failures), absl::StrCat(task.evictions), task.reason});
@@ -51,16 +51,16 @@
 
 	result_table command_runner::worker_table() const
 	{
-		result_table table{{"worker", "hall", "rack", "service", "ready", "leaving", "quarantined", "cpu", "cpu_free",
-							"memory", "memory_free", "heard_ms", "config"},
+		result_table table{{"worker", "data_centre", "rack", "service", "ready", "leaving", "quarantined", "cpu",
+							"cpu_free", "memory", "memory_free", "heard_ms", "config"},
 						   {}};
 		for (const auto& [name, worker] : workers_.workers())
 		{
 			const auto* view = workers_.places().find(name);
 			const auto capacity = view == nullptr ? resources{} : view->capacity;
 			const auto space = view == nullptr ? resources{} : view->space();
-			table.rows.push_back({name.str(), worker.place.hall.str(), worker.place.rack.str(), worker.service.str(),
-								  yes_no(worker.ready), yes_no(workers_.leaving(worker)),
+			table.rows.push_back({name.str(), worker.place.data_centre.str(), worker.place.rack.str(),
+								  worker.service.str(), yes_no(worker.ready), yes_no(workers_.leaving(worker)),
 								  yes_no(worker.health.quarantined_until > std::chrono::steady_clock::now()),
 								  absl::StrCat(capacity.cpu_milli), absl::StrCat(space.cpu_milli),
 								  absl::StrCat(capacity.memory_mib), absl::StrCat(space.memory_mib),
@@ -110,26 +110,26 @@
 		return table;
 	}
 
-	result_table command_runner::team_table() const
+	result_table command_runner::account_table() const
 	{
-		result_table table{{"team", "cpu", "memory", "accelerators", "cpu_quota", "memory_quota", "accelerator_quota"},
-						   {}};
-		std::map<team_id, resources> used;
-		for (const auto& [team, amounts] : tasks_.usage())
-			used[team] += amounts;
-		for (const auto& [team, declared] : config_.current().teams)
-			used.try_emplace(team);
-		for (auto& [team, amounts] : used)
+		result_table table{
+			{"account", "cpu", "memory", "accelerators", "cpu_quota", "memory_quota", "accelerator_quota"}, {}};
+		std::map<account_id, resources> used;
+		for (const auto& [account, amounts] : tasks_.usage())
+			used[account] += amounts;
+		for (const auto& [account, declared] : config_.current().accounts)
+			used.try_emplace(account);
+		for (auto& [account, amounts] : used)
 		{
-			const auto all = amounts + members_.used_elsewhere(team);
-			const auto declared = config_.current().teams.find(team);
-			const bool limited = declared != config_.current().teams.end();
+			const auto all = amounts + members_.used_elsewhere(account);
+			const auto declared = config_.current().accounts.find(account);
+			const bool limited = declared != config_.current().accounts.end();
 			const auto quota = limited ? declared->second.quota : resources{};
 			const auto shown = [&](std::int64_t amount)
 			{
 				return limited ? absl::StrCat(amount) : std::string{};
 			};
-			table.rows.push_back({team.str(), absl::StrCat(all.cpu_milli), absl::StrCat(all.memory_mib),
+			table.rows.push_back({account.str(), absl::StrCat(all.cpu_milli), absl::StrCat(all.memory_mib),
 								  absl::StrCat(all.accelerators), shown(quota.cpu_milli), shown(quota.memory_mib),
 								  shown(quota.accelerators)});
 		}
--- a/packages/entry/src/process/duty_messages.hpp
+++ b/packages/entry/src/process/duty_messages.hpp
@@ -19,7 +19,7 @@
 	struct directory_line
 	{
 		worker_id worker;
-		hall_id hall;
+		data_centre_id data_centre;
 		service_id service;
 		endpoint requests;
 		bool leaving{};
--- a/packages/entry/src/process/member_keeper.cpp
+++ b/packages/entry/src/process/member_keeper.cpp
@@ -26,23 +26,23 @@
 			return {amounts.cpu_milli, amounts.memory_mib, amounts.accelerators};
 		}
 
-		team_amounts amounts_at(const json::object& object, std::string_view name)
+		account_amounts amounts_at(const json::object& object, std::string_view name)
 		{
-			team_amounts amounts;
-			const auto* teams = object.if_contains(name);
-			if (teams == nullptr || !teams->is_object())
+			account_amounts amounts;
+			const auto* accounts = object.if_contains(name);
+			if (accounts == nullptr || !accounts->is_object())
 				return amounts;
-			for (const auto& item : teams->get_object())
+			for (const auto& item : accounts->get_object())
 				if (const auto* list = item.value().if_array(); list != nullptr && list->size() == 3)
-					amounts[team_id{std::string{item.key()}}] = {list->at(0).to_number<std::int64_t>(),
-																 list->at(1).to_number<std::int64_t>(),
-																 list->at(2).to_number<std::int64_t>()};
+					amounts[account_id{std::string{item.key()}}] = {list->at(0).to_number<std::int64_t>(),
+																	list->at(1).to_number<std::int64_t>(),
+																	list->at(2).to_number<std::int64_t>()};
 			return amounts;
 		}
 
 		std::string members_prefix(const entry_settings& settings)
 		{
-			return absl::StrCat(std::string{prefix}, settings.data_centre, "/");
+			return absl::StrCat(std::string{prefix}, settings.region, "/");
 		}
 
 	}
@@ -79,11 +79,11 @@
 		return live_members(members_, settings_.times, at);
 	}
 
-	resources member_keeper::used_elsewhere(const team_id& team) const
+	resources member_keeper::used_elsewhere(const account_id& account) const
 	{
 		resources sum;
 		for (const auto& [member, usage] : usage_of_)
-			if (const auto found = usage.find(team); found != usage.end())
+			if (const auto found = usage.find(account); found != usage.end())
 				sum += found->second;
 		return sum;
 	}
@@ -93,24 +93,24 @@
 	void member_keeper::configure(const config_document& document)
 	{
 		quotas_.clear();
-		for (const auto& [team, declared] : document.teams)
-			quotas_[team] = declared.quota;
+		for (const auto& [account, declared] : document.accounts)
+			quotas_[account] = declared.quota;
 		absl::erase_if(shares_, [this](const auto& item) { return !quotas_.contains(item.first); });
 	}
 
-	std::optional<resources> member_keeper::usable_quota(const team_id& team) const
+	std::optional<resources> member_keeper::usable_quota(const account_id& account) const
 	{
-		if (!quotas_.contains(team))
+		if (!quotas_.contains(account))
 			return std::nullopt;
-		const auto share = shares_.find(team);
+		const auto share = shares_.find(account);
 		return share == shares_.end() ? resources{} : share->second.usable;
 	}
 
-	resources member_keeper::published_elsewhere(const team_id& team) const
+	resources member_keeper::published_elsewhere(const account_id& account) const
 	{
 		resources sum;
 		for (const auto& [member, ceilings] : ceilings_of_)
-			if (const auto found = ceilings.find(team); found != ceilings.end())
+			if (const auto found = ceilings.find(account); found != ceilings.end())
 				sum += found->second;
 		return sum;
 	}
@@ -119,12 +119,13 @@
 	{
 		const auto needs = needs_();
 		const auto members = live(steady_now()).size();
-		for (const auto& [team, quota] : quotas_)
+		for (const auto& [account, quota] : quotas_)
 		{
-			const auto need = needs.find(team);
+			const auto need = needs.find(account);
 			const auto wanted = need == needs.end() ? quota_need{} : need->second;
-			used_[team] = wanted.used;
-			publish_ceiling(shares_[team], next_ceiling(wanted, quota, published_elsewhere(team), members, random_));
+			used_[account] = wanted.used;
+			publish_ceiling(shares_[account],
+							next_ceiling(wanted, quota, published_elsewhere(account), members, random_));
 		}
 	}
 
@@ -133,8 +134,8 @@
 		// Only rows that were read after the own one was written prove that the others have seen it or will.
 		if (published_at_ == instant{} || read_at < published_at_)
 			return;
-		for (auto& [team, share] : shares_)
-			verify_ceiling(share, quotas_.at(team), published_elsewhere(team));
+		for (auto& [account, share] : shares_)
+			verify_ceiling(share, quotas_.at(account), published_elsewhere(account));
 	}
 
 	// ------------------------------------------------------------------ rows
@@ -143,12 +144,12 @@
 	{
 		json::object ceilings;
 		json::object used;
-		for (const auto& [team, share] : shares_)
+		for (const auto& [account, share] : shares_)
 			if (share.published != resources{})
-				ceilings[team.str()] = to_json(share.published);
-		for (const auto& [team, amounts] : used_)
+				ceilings[account.str()] = to_json(share.published);
+		for (const auto& [account, amounts] : used_)
 			if (amounts != resources{})
-				used[team.str()] = to_json(amounts);
+				used[account.str()] = to_json(amounts);
 		json::object out;
 		out["address"] = to_string(*settings_.operators);
 		out["life"] = life_.value;
@@ -226,8 +227,8 @@
 			return;
 		// What a dead member had running belongs to whoever takes its shards, and counts there.
 		const bool gone = has_lapsed(members_.at(member), settings_.times, at);
-		ceilings_of_[member] = gone ? team_amounts{} : amounts_at(object, "ceilings");
-		usage_of_[member] = gone ? team_amounts{} : amounts_at(object, "used");
+		ceilings_of_[member] = gone ? account_amounts{} : amounts_at(object, "ceilings");
+		usage_of_[member] = gone ? account_amounts{} : amounts_at(object, "used");
 	}
 
 	asio::awaitable<void> member_keeper::read_all()
--- a/packages/entry/src/process/member_keeper.hpp
+++ b/packages/entry/src/process/member_keeper.hpp
@@ -20,18 +20,18 @@
 
 namespace trailjunction
 {
-	/// \brief Amounts by team.
-	using team_amounts = absl::flat_hash_map<team_id, resources>;
+	/// \brief Amounts by account.
+	using account_amounts = absl::flat_hash_map<account_id, resources>;
 
-	/// \brief What each team with a quota needs at this entry.
-	using team_needs = absl::flat_hash_map<team_id, quota_need>;
+	/// \brief What each account with a quota needs at this entry.
+	using account_needs = absl::flat_hash_map<account_id, quota_need>;
 
 	/// \brief Renews this entry's row, and reads all members' rows.
 	/// \details One write renews the lease for all shards of the entry.
 	class member_keeper
 	{
 	public:
-		using need_source = std::function<team_needs()>;
+		using need_source = std::function<account_needs()>;
 
 		member_keeper(boost::asio::io_context& io, const entry_settings& settings, platform_client& platform,
 					  incarnation life, need_source needs);
@@ -71,18 +71,18 @@
 		/// \brief The quotas that are in force from now on.
 		void configure(const config_document& document);
 
-		/// \brief What this entry's runs of a team may use together; nothing where the team has no quota.
-		[[nodiscard]] std::optional<resources> usable_quota(const team_id& team) const;
+		/// \brief What this entry's runs of an account may use together; nothing where the account has no quota.
+		[[nodiscard]] std::optional<resources> usable_quota(const account_id& account) const;
 
-		/// \brief What the other members have running of a team, as they published it.
-		[[nodiscard]] resources used_elsewhere(const team_id& team) const;
+		/// \brief What the other members have running of an account, as they published it.
+		[[nodiscard]] resources used_elsewhere(const account_id& account) const;
 
 	private:
 		boost::asio::awaitable<void> renew();
 		boost::asio::awaitable<void> read_all();
 		void choose_ceilings();
 		void verify_ceilings(instant read_at);
-		[[nodiscard]] resources published_elsewhere(const team_id& team) const;
+		[[nodiscard]] resources published_elsewhere(const account_id& account) const;
 		void note_conflict(const table_row& row);
 		void take_row(const table_row& row, const member_id& member, instant now);
 		[[nodiscard]] std::string row_data() const;
@@ -93,11 +93,11 @@
 		incarnation life_;
 		need_source needs_;
 		member_table members_;
-		absl::flat_hash_map<member_id, team_amounts> ceilings_of_; ///< Published by the other members.
-		absl::flat_hash_map<member_id, team_amounts> usage_of_;
-		absl::flat_hash_map<team_id, quota_share> shares_;
-		team_amounts quotas_;
-		team_amounts used_;
+		absl::flat_hash_map<member_id, account_amounts> ceilings_of_; ///< Published by the other members.
+		absl::flat_hash_map<member_id, account_amounts> usage_of_;
+		absl::flat_hash_map<account_id, quota_share> shares_;
+		account_amounts quotas_;
+		account_amounts used_;
 		random_engine random_;
 		instant published_at_{}; ///< When the row with the ceilings was known to be written.
 		instant renewed_before_{};
--- a/packages/entry/src/process/shard_keeper.cpp
+++ b/packages/entry/src/process/shard_keeper.cpp
@@ -54,7 +54,7 @@
 
 	std::string shard_keeper::slot_key(sequence number) const
 	{
-		return absl::StrCat("journal/", settings_.data_centre, "/", shard_.value, "/", number.value % slots);
+		return absl::StrCat("journal/", settings_.region, "/", shard_.value, "/", number.value % slots);
 	}
 
 	bool shard_keeper::store_away(instant at) const noexcept
@@ -69,7 +69,7 @@
 		state_ = {};
 		const auto deadline = steady_now() + read_time;
 		const auto pointer =
-			co_await platform_.get(absl::StrCat("snapshots/", settings_.data_centre, "/", shard_.value), deadline);
+			co_await platform_.get(absl::StrCat("snapshots/", settings_.region, "/", shard_.value), deadline);
 		if (!pointer.ok())
 			co_return pointer.status();
 		snapshot_version_ = pointer->version;
@@ -85,7 +85,7 @@
 		}
 		snapshot_applied_ = state_.applied;
 		const auto rows =
-			co_await platform_.scan(absl::StrCat("journal/", settings_.data_centre, "/", shard_.value, "/"), deadline);
+			co_await platform_.scan(absl::StrCat("journal/", settings_.region, "/", shard_.value, "/"), deadline);
 		if (!rows.ok())
 			co_return rows.status();
 		std::fill(slot_versions_.begin(), slot_versions_.end(), 0);
@@ -306,9 +306,9 @@
 	asio::awaitable<void> shard_keeper::write_snapshot(std::string text, sequence applied)
 	{
 		const auto ownership = ownership_;
-		const auto pointer = absl::StrCat("snapshots/", settings_.data_centre, "/", shard_.value);
-		const auto name = absl::StrCat("snapshot-", settings_.data_centre, "-", shard_.value, "-", state_.current.value,
-									   "-", applied.value / snapshot_every % snapshots_kept);
+		const auto pointer = absl::StrCat("snapshots/", settings_.region, "/", shard_.value);
+		const auto name = absl::StrCat("snapshot-", settings_.region, "-", shard_.value, "-", state_.current.value, "-",
+									   applied.value / snapshot_every % snapshots_kept);
 		while (ownership == ownership_)
 		{
 			const auto stored = co_await platform_.put_object(name, text, steady_now() + write_time);
--- a/packages/entry/src/process/task_owner.cpp
+++ b/packages/entry/src/process/task_owner.cpp
@@ -96,11 +96,11 @@
 													  { return keeper->standing() == shard_standing::owned; }));
 	}
 
-	team_needs task_owner::needs() const
+	account_needs task_owner::needs() const
 	{
-		team_needs needs;
-		for (const auto& [team, used] : usage())
-			needs[team] = {used, used, {}};
+		account_needs needs;
+		for (const auto& [account, used] : usage())
+			needs[account] = {used, used, {}};
 		for (const auto& keeper : keepers_)
 		{
 			if (keeper->standing() != shard_standing::owned)
@@ -111,7 +111,7 @@
 				if (++looked_at > needs_looked_at)
 					break;
 				const auto& spec = keeper->state().tasks.at(place.task).spec;
-				auto& need = needs[spec.team];
+				auto& need = needs[spec.account];
 				need.wanted += spec.claim;
 				if (need.smallest == resources{} || spec.claim.fits(need.smallest))
 					need.smallest = spec.claim;
@@ -120,13 +120,13 @@
 		return needs;
 	}
 
-	team_amounts task_owner::usage() const
+	account_amounts task_owner::usage() const
 	{
-		team_amounts sum;
+		account_amounts sum;
 		for (const auto& keeper : keepers_)
 			if (keeper->standing() == shard_standing::owned)
-				for (const auto& [team, used] : keeper->state().team_use)
-					sum[team] += used;
+				for (const auto& [account, used] : keeper->state().account_use)
+					sum[account] += used;
 		return sum;
 	}
 
--- a/packages/entry/src/process/task_owner.hpp
+++ b/packages/entry/src/process/task_owner.hpp
@@ -66,11 +66,11 @@
 		/// \brief Why the task is where it is, in words.
 		[[nodiscard]] std::string why(const task_state& task) const;
 
-		/// \brief What the shards of this entry have running, by team.
-		[[nodiscard]] team_amounts usage() const;
+		/// \brief What the shards of this entry have running, by account.
+		[[nodiscard]] account_amounts usage() const;
 
-		/// \brief What each team has running and waiting here.
-		[[nodiscard]] team_needs needs() const;
+		/// \brief What each account has running and waiting here.
+		[[nodiscard]] account_needs needs() const;
 
 		/// \brief Whether some shard of this entry is owned and none is being read.
 		[[nodiscard]] std::size_t owned_shards() const noexcept;
@@ -132,7 +132,7 @@
 		write_budget budget_;
 		std::vector<std::unique_ptr<shard_keeper>> keepers_;
 		absl::flat_hash_map<task_id, task_notes> notes_;
-		absl::flat_hash_map<team_id, resources> usage_;
+		absl::flat_hash_map<account_id, resources> usage_;
 		std::vector<instant> evictions_; ///< For the sake of services, lately.
 		config_document config_;
 		random_engine random_;
--- a/packages/entry/src/process/task_schedule.cpp
+++ b/packages/entry/src/process/task_schedule.cpp
@@ -153,11 +153,11 @@
 
 	bool task_owner::quota_allows(const task_state& task) const
 	{
-		const auto usable = members_.usable_quota(task.spec.team);
+		const auto usable = members_.usable_quota(task.spec.account);
 		if (!usable)
 			return true;
 		auto used = task.spec.claim;
-		if (const auto own = usage_.find(task.spec.team); own != usage_.end())
+		if (const auto own = usage_.find(task.spec.account); own != usage_.end())
 			used += own->second;
 		return used.fits(*usable);
 	}
@@ -187,7 +187,7 @@
 			return false;
 		if (!quota_allows(task))
 		{
-			hold(id, quota_pause, absl::StrCat("the quota of team ", task.spec.team.str(), " is used up"), at);
+			hold(id, quota_pause, absl::StrCat("the quota of account ", task.spec.account.str(), " is used up"), at);
 			return false;
 		}
 		auto wanted = task.wanted;
@@ -239,7 +239,7 @@
 		if (!status.ok())
 			return false;
 		notes_[id].start_sent = at;
-		usage_[claim.team] += claim.claim;
+		usage_[claim.account] += claim.claim;
 		workers_.places().claim(decision.chosen->worker, claim, true);
 		starts_.Increment();
 		return true;
@@ -283,9 +283,9 @@
 		const bool fits_nowhere = std::none_of(all.begin(), all.end(),
 											   [&](const worker_view& worker)
 											   {
-												   const bool hall =
-													   task.spec.hall.empty() || task.spec.hall == worker.hall;
-												   return hall && task.spec.claim.fits(worker.capacity);
+												   const bool data_centre = task.spec.data_centre.empty() ||
+																			task.spec.data_centre == worker.data_centre;
+												   return data_centre && task.spec.claim.fits(worker.capacity);
 											   });
 		if (known_long && fits_nowhere)
 		{
--- a/packages/entry/src/process/worker_directory.cpp
+++ b/packages/entry/src/process/worker_directory.cpp
@@ -170,7 +170,7 @@
 		worker.service = service_id{beat.service_name};
 		worker_view view;
 		view.worker = worker.place.worker;
-		view.hall = worker.place.hall;
+		view.data_centre = worker.place.data_centre;
 		view.rack = worker.place.rack;
 		view.service = worker.service;
 		view.reachable = worker.ready;
@@ -284,7 +284,7 @@
 			lines.requests = config_.requests;
 			for (const auto& [name, worker] : workers_)
 				if (!worker.service.empty())
-					lines.lines.push_back({name, worker.place.hall, worker.service, worker.place.requests,
+					lines.lines.push_back({name, worker.place.data_centre, worker.service, worker.place.requests,
 										   leaving(worker), batch_harm(worker)});
 			(void)directories_.push(std::move(lines));
 			co_await pause_for(io_, directory_interval);
--- a/packages/entry/src/request/request_duty.cpp
+++ b/packages/entry/src/request/request_duty.cpp
@@ -235,7 +235,7 @@
 			return false;
 		auto& targets = service->second.targets;
 		const auto at = steady_now();
-		const auto chosen = choose_target(targets, work.excluded, settings_.hall, policy_, at, random_);
+		const auto chosen = choose_target(targets, work.excluded, settings_.data_centre, policy_, at, random_);
 		if (!chosen)
 			return false;
 		auto& target = targets[*chosen];
@@ -450,7 +450,7 @@
 			if (const auto* old = find_place(line.worker); old != nullptr && old->service == line.service)
 				view = services_[old->service].targets[old->index];
 			view.worker = line.worker;
-			view.hall = line.hall;
+			view.data_centre = line.data_centre;
 			view.leaving = line.leaving;
 			view.batch_harm = line.batch_harm;
 			auto& targets = fresh[line.service];
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -30,15 +30,15 @@
 		entry_settings out;
 		field_faults faults;
 		field_reader reader{value, "", faults};
-		for (const auto* name : {"member", "hall", "listen", "platform"})
+		for (const auto* name : {"member", "data_centre", "listen", "platform"})
 			reader.require(name);
 		std::string member;
-		std::string hall;
+		std::string data_centre;
 		reader.read("member", member);
-		reader.read("hall", hall);
-		reader.read("data_centre", out.data_centre);
+		reader.read("data_centre", data_centre);
+		reader.read("region", out.region);
 		out.member = member_id{member};
-		out.hall = hall_id{hall};
+		out.data_centre = data_centre_id{data_centre};
 		reader.read_object("listen",
 						   [&](field_reader& listen)
 						   {
--- a/packages/query/include/trailjunction/query/command.hpp
+++ b/packages/query/include/trailjunction/query/command.hpp
@@ -39,13 +39,13 @@
 		tasks,
 		requests,
 		config,
-		teams,
+		accounts,
 		members,
 		shards,
 		worker,
 		service,
 		task,
-		team,
+		account,
 	};
 
 	/// \brief How a condition compares.
@@ -88,7 +88,7 @@
 		verb what{};
 		bool explain_only{}; ///< `explain ...`: say what would happen.
 		noun about{noun::none};
-		std::string subject; ///< The name of the task, worker, team or path.
+		std::string subject; ///< The name of the task, worker, account or path.
 		bool negated{};      ///< `why not worker W for task T`.
 		std::vector<command_option> options;
 		std::vector<condition> conditions;
--- a/packages/query/src/parse.cpp
+++ b/packages/query/src/parse.cpp
@@ -34,9 +34,9 @@
 		{
 			listed_words()
 			{
-				add("workers", noun::workers)("services", noun::services)("tasks", noun::tasks)("requests",
-																								noun::requests)(
-					"config", noun::config)("teams", noun::teams)("members", noun::members)("shards", noun::shards);
+				add("workers", noun::workers)("services", noun::services)("tasks", noun::tasks)(
+					"requests", noun::requests)("config", noun::config)("accounts", noun::accounts)(
+					"members", noun::members)("shards", noun::shards);
 			}
 		} const listed_word;
 
@@ -134,7 +134,7 @@
 		const auto task = keyword("task")[about(noun::task)] > name[set_subject];
 		const auto service = keyword("service")[about(noun::service)] > name[set_subject];
 		const auto worker = keyword("worker")[about(noun::worker)] > name[set_subject];
-		const auto team = keyword("team")[about(noun::team)] > name[set_subject];
+		const auto account = keyword("account")[about(noun::account)] > name[set_subject];
 
 		const auto show = keyword("show")[is(verb::show)] > x3::lexeme[listed_word[set_listed] >> word_end] > -where >
 						  -order > -limit;
@@ -147,7 +147,7 @@
 		const auto cancel = keyword("cancel")[is(verb::cancel)] >
 							(task | (keyword("tasks")[about(noun::tasks)] > where));
 		const auto reserve = keyword("reserve")[is(verb::reserve)] > worker > options > -version;
-		const auto quota = keyword("quota")[is(verb::quota)] > team > options > -version;
+		const auto quota = keyword("quota")[is(verb::quota)] > account > options > -version;
 		const auto set = keyword("set")[is(verb::set)] > name[set_subject] > value[add_value] > -version;
 		const auto resolve = keyword("resolve")[is(verb::resolve)] > task > keyword("as") > resolution[add_resolution];
 		const auto adopt = keyword("adopt")[is(verb::adopt)] > task > keyword("on") > name[add_target] > options;
@@ -178,7 +178,7 @@
 			if (which.find("comparison_words") != std::string::npos)
 				return "a comparison (=, !=, <, >, <=, >=, contains)";
 			if (which.find("listed_words") != std::string::npos || which.find("symbols") != std::string::npos)
-				return "workers, services, tasks, requests, config, teams, members or shards";
+				return "workers, services, tasks, requests, config, accounts, members or shards";
 			if (which.find("resolution") != std::string::npos)
 				return "done or retry";
 			if (which.find("name_tag") != std::string::npos)
--- a/packages/store/include/trailjunction/store/platform_client.hpp
+++ b/packages/store/include/trailjunction/store/platform_client.hpp
@@ -22,7 +22,7 @@
 	struct instance
 	{
 		worker_id worker;
-		hall_id hall;
+		data_centre_id data_centre;
 		rack_id rack;
 		endpoint requests; ///< Where the agent takes request links.
 		endpoint control;  ///< Where the agent takes control links.
--- a/packages/store/src/platform_client.cpp
+++ b/packages/store/src/platform_client.cpp
@@ -65,7 +65,7 @@
 			if (!requests.ok() || !control.ok())
 				return absl::InvalidArgumentError("an instance has no address");
 			return instance{worker_id{text_or(*object, "worker")},
-							hall_id{text_or(*object, "hall")},
+							data_centre_id{text_or(*object, "data_centre")},
 							rack_id{text_or(*object, "rack")},
 							*requests,
 							*control,
--- a/packages/testkit/include/trailjunction/testkit/cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/cluster.hpp
@@ -28,7 +28,7 @@
 		std::string programs; ///< The folder of the build.
 		int entries{2};
 		int agents{3};
-		int halls{2};
+		int data_centres{2};
 		int shards{2};
 		int writes_per_second{30}; ///< Of each entry.
 		resources capacity{4'000, 8'192, 0};
--- a/packages/testkit/include/trailjunction/testkit/platform_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/platform_standin.hpp
@@ -38,7 +38,7 @@
 	struct standin_worker
 	{
 		worker_id worker;
-		hall_id hall;
+		data_centre_id data_centre;
 		rack_id rack;
 		std::string requests;
 		std::string control;
--- a/packages/testkit/src/cluster.cpp
+++ b/packages/testkit/src/cluster.cpp
@@ -86,7 +86,7 @@
 		worker.admin = addresses_.pick();
 		standin_worker declared;
 		declared.worker = worker_id{worker.name};
-		declared.hall = hall_id{absl::StrCat("h", index % options_.halls + 1)};
+		declared.data_centre = data_centre_id{absl::StrCat("h", index % options_.data_centres + 1)};
 		declared.rack = rack_id{options_.racks.empty() ? absl::StrCat("r", index / 3 + 1)
 													   : options_.racks[static_cast<std::size_t>(index)]};
 		declared.capacity = options_.capacity;
@@ -109,7 +109,7 @@
 		worker.settings = absl::StrCat(folder_, "/", worker.name, ".json");
 		json::object settings;
 		settings["worker"] = worker.name;
-		settings["hall"] = declared.hall.str();
+		settings["data_centre"] = declared.data_centre.str();
 		settings["rack"] = declared.rack.str();
 		settings["service"] = "tally";
 		settings["listen"] = {
@@ -139,7 +139,7 @@
 		entry.settings = absl::StrCat(folder_, "/", entry.name, ".json");
 		json::object settings;
 		settings["member"] = member;
-		settings["hall"] = absl::StrCat("h", index % options_.halls + 1);
+		settings["data_centre"] = absl::StrCat("h", index % options_.data_centres + 1);
 		settings["listen"] = {{"callers", to_string(entry.callers)}, {"operators", to_string(entry.operators)}};
 		settings["platform"] = to_string(platform);
 		settings["shards"] = options_.shards;
--- a/packages/testkit/src/platform_standin.cpp
+++ b/packages/testkit/src/platform_standin.cpp
@@ -210,7 +210,7 @@
 		{
 			json::object out;
 			out["worker"] = name.str();
-			out["hall"] = worker.declared.hall.str();
+			out["data_centre"] = worker.declared.data_centre.str();
 			out["rack"] = worker.declared.rack.str();
 			out["requests"] = worker.declared.requests;
 			out["control"] = worker.declared.control;
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -126,7 +126,7 @@
 	9: list<run_report> runs,
 	10: i64 config_version,
 	11: list<service_sample> samples,
-	12: string hall,
+	12: string data_centre,
 	13: string rack,
 	14: string service_name,
 	15: list<kind_amount> kinds, // of all runs, also of those that this entry is not told about
--- a/tests/decide.cpp
+++ b/tests/decide.cpp
@@ -19,7 +19,7 @@
 		{
 			target_view view;
 			view.worker = worker_id{"w" + std::to_string(i)};
-			view.hall = hall_id{"h1"};
+			view.data_centre = data_centre_id{"h1"};
 			view.connected = true;
 			view.joined = start - std::chrono::minutes{10};
 			view.latency_us = 2'000;
@@ -34,7 +34,7 @@
 		random_engine random{3};
 		std::vector<int> count(targets.size());
 		for (int i = 0; i < times; ++i)
-			if (const auto chosen = choose_target(targets, {}, hall_id{"h1"}, {}, now, random))
+			if (const auto chosen = choose_target(targets, {}, data_centre_id{"h1"}, {}, now, random))
 				++count[*chosen];
 		return count;
 	}
@@ -43,7 +43,7 @@
 	{
 		task_spec spec;
 		spec.id = task_id{id};
-		spec.team = team_id{"sirr"};
+		spec.account = account_id{"sirr"};
 		spec.kind = kind_id{"merge"};
 		spec.claim = {cpu, 256, 0};
 		return spec;
@@ -82,7 +82,7 @@
 {
 	auto targets = make_targets(5);
 	targets[0].latency_us = 20'000;
-	targets[1].hall = hall_id{"h2"};
+	targets[1].data_centre = data_centre_id{"h2"};
 	targets[2].batch_harm = 2;
 	targets[3].joined = start - millis{100};
 	const auto count = choose_often(targets, start);
@@ -198,7 +198,7 @@
 	CHECK(expected_slowdown(learned, service, kind_id{"never seen"}) == learned.prior_slowdown);
 }
 
-TEST_CASE("placement holds to capacity, halls, quarantine and what failed before", "[decide]")
+TEST_CASE("placement holds to capacity, data_centres, quarantine and what failed before", "[decide]")
 {
 	fleet places;
 	random_engine random{1};
@@ -206,7 +206,7 @@
 	{
 		worker_view view;
 		view.worker = worker_id{"w" + std::to_string(i)};
-		view.hall = hall_id{i % 2 == 0 ? "even" : "odd"};
+		view.data_centre = data_centre_id{i % 2 == 0 ? "even" : "odd"};
 		view.reachable = i != 4;
 		view.leaving = i == 6;
 		view.quarantined_until = i == 8 ? start + millis{1} : instant{};
@@ -215,7 +215,7 @@
 		places.update(std::move(view));
 	}
 	auto spec = spec_of("t");
-	spec.hall = hall_id{"even"};
+	spec.data_centre = data_centre_id{"even"};
 	const std::vector<worker_id> failed{worker_id{"w10"}};
 	for (int i = 0; i < 500; ++i)
 	{
@@ -223,7 +223,7 @@
 		if (!decision.chosen)
 			break;
 		const auto* view = places.find(decision.chosen->worker);
-		REQUIRE(view->hall == spec.hall);
+		REQUIRE(view->data_centre == spec.data_centre);
 		REQUIRE(check_worker(*view, spec, failed, start) == refusal::none);
 		places.claim(decision.chosen->worker, spec, true);
 		REQUIRE((places.find(decision.chosen->worker)->claimed + view->blocked).fits(view->capacity));
@@ -242,7 +242,7 @@
 	CHECK_FALSE(apply(shard, submission(spec_of("a"))).ok());
 	CHECK_FALSE(apply(shard, record_of(record_kind::started, "a", 2)).ok());
 	REQUIRE(apply(shard, record_of(record_kind::started, "a", 1)).ok());
-	CHECK(shard.team_use.at(team_id{"sirr"}).cpu_milli == 1'000);
+	CHECK(shard.account_use.at(account_id{"sirr"}).cpu_milli == 1'000);
 	REQUIRE(apply(shard, record_of(record_kind::fenced, "a", 1)).ok());
 	REQUIRE(apply(shard, record_of(record_kind::released, "a", 1)).ok());
 	REQUIRE(apply(shard, record_of(record_kind::started, "a", 2)).ok());
@@ -252,7 +252,7 @@
 	late.run = {2};
 	CHECK(apply(shard, late).ok());
 	CHECK(shard.tasks.at(task_id{"a"}).phase == task_phase::finished);
-	CHECK(shard.team_use.at(team_id{"sirr"}) == resources{});
+	CHECK(shard.account_use.at(account_id{"sirr"}) == resources{});
 	CHECK_FALSE(apply(shard, record_of(record_kind::cancelled, "a")).ok());
 }
 
@@ -375,11 +375,11 @@
 TEST_CASE("settings faults are all named, with path and reason", "[settings]")
 {
 	const auto refused = parse_config(
-		R"({"requests":{"slots":0,"hedge":"yes","nothing":1},"teams":{"sirr":{"cpu":-1}},"placement":{"preset":"x"}})",
+		R"({"requests":{"slots":0,"hedge":"yes","nothing":1},"accounts":{"sirr":{"cpu":-1}},"placement":{"preset":"x"}})",
 		{});
 	REQUIRE_FALSE(refused.ok());
 	const std::string text{refused.status().message()};
 	for (const auto* path :
-		 {"/requests/slots", "/requests/hedge", "/requests/nothing", "/teams/sirr/cpu", "/placement/preset"})
+		 {"/requests/slots", "/requests/hedge", "/requests/nothing", "/accounts/sirr/cpu", "/placement/preset"})
 		CHECK(text.find(path) != std::string::npos);
 }
--- a/tests/query.cpp
+++ b/tests/query.cpp
@@ -23,7 +23,7 @@
 	CHECK(show->conditions[1].how == comparison::at_least);
 	CHECK(show->order->descending);
 	CHECK(show->limit == 5U);
-	const auto submit = parse_command(R"(submit task merge-1 team sirr command "work 30" repeatable no)");
+	const auto submit = parse_command(R"(submit task merge-1 account sirr command "work 30" repeatable no)");
 	REQUIRE(submit.ok());
 	CHECK(*submit->option("command") == "work 30");
 	const auto why = parse_command("why not worker w1 for task t");
--- a/tests/requests_under_faults.cpp
+++ b/tests/requests_under_faults.cpp
@@ -310,7 +310,7 @@
 {
 	auto options = options_here();
 	options.agents = 1;
-	options.halls = 1;
+	options.data_centres = 1;
 	options.entries = 1;
 	cluster system{options};
 	REQUIRE(system.wait_ready());
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -17,9 +17,18 @@
 	/// What the worker answers; each call asks the function that the test has put there.
 	struct script
 	{
-		std::function<order_result()> on_start = [] { return order_result{order_end::done, 1'000}; };
-		std::function<order_result()> on_stop = [] { return order_result{order_end::done, 1'000}; };
-		std::function<listing_result()> on_list = [] { return listing_result{{order_end::done, 1'000}, {}}; };
+		std::function<order_result()> on_start = []
+		{
+			return order_result{order_end::done, 1'000};
+		};
+		std::function<order_result()> on_stop = []
+		{
+			return order_result{order_end::done, 1'000};
+		};
+		std::function<listing_result()> on_list = []
+		{
+			return listing_result{{order_end::done, 1'000}, {}};
+		};
 		int starts{};
 		int stops{};
 		int lists{};
@@ -117,7 +126,9 @@
 
 		boost::asio::io_context io{1};
 		script lines;
-		run_keeper runs{io, [this](endpoint) { return std::make_unique<scripted_worker>(io, lines); }, millis{5'000}, [] {}};
+		run_keeper runs{io, [this](endpoint) { return std::make_unique<scripted_worker>(io, lines); }, millis{5'000},
+						[] {
+						}};
 		std::vector<wire::job_refusal> refused;
 		std::vector<wire::job_end> ended;
 		std::vector<wire::task_run> started;
@@ -137,7 +148,10 @@
 	scene it;
 	it.lines.on_start = [&]
 	{
-		it.lines.on_list = [] { return listing_with_end(run_outcome::done); };
+		it.lines.on_list = []
+		{
+			return listing_with_end(run_outcome::done);
+		};
 		return order_result{order_end::superseded, 1'000};
 	};
 	it.order_start();
@@ -150,7 +164,10 @@
 TEST_CASE("a start that the worker takes for an old one, and of which it lists nothing, never runs", "[jobs]")
 {
 	scene it;
-	it.lines.on_start = [] { return order_result{order_end::superseded, 1'000}; };
+	it.lines.on_start = []
+	{
+		return order_result{order_end::superseded, 1'000};
+	};
 	it.order_start();
 	REQUIRE(it.run_until_told());
 	REQUIRE(it.refused.size() == 1);
@@ -160,10 +177,15 @@
 TEST_CASE("a start without an answer is settled by a stop and a listing after it", "[jobs]")
 {
 	scene it;
-	it.lines.on_start = [] { return order_result{order_end::unknown, 0}; };
+	it.lines.on_start = []
+	{
+		return order_result{order_end::unknown, 0};
+	};
 	int unanswered_stops = 2;
 	it.lines.on_stop = [&]
-	{ return unanswered_stops-- > 0 ? order_result{order_end::unknown, 0} : order_result{order_end::done, 1'000}; };
+	{
+		return unanswered_stops-- > 0 ? order_result{order_end::unknown, 0} : order_result{order_end::done, 1'000};
+	};
 	it.order_start();
 	REQUIRE(it.run_until_told());
 	REQUIRE(it.refused.size() == 1);
@@ -184,7 +206,10 @@
 		};
 		return order_result{order_end::unknown, 0};
 	};
-	it.lines.on_stop = [] { return order_result{order_end::unknown, 0}; };
+	it.lines.on_stop = []
+	{
+		return order_result{order_end::unknown, 0};
+	};
 	it.order_start();
 	REQUIRE(it.run_until_told());
 	CHECK(it.refused.empty());
--- a/tests/tasks_under_faults.cpp
+++ b/tests/tasks_under_faults.cpp
@@ -18,7 +18,7 @@
 	bool submit(cluster& system, int entry, const std::string& task, const std::string& rest)
 	{
 		return cluster::wait_until(
-			[&] { return system.command(entry, "submit task " + task + " team sirr " + rest).status == 200; },
+			[&] { return system.command(entry, "submit task " + task + " account sirr " + rest).status == 200; },
 			millis{10'000});
 	}
 
@@ -143,7 +143,7 @@
 	REQUIRE(cluster::wait_until([&] { return system.command(twin, "why task watcher-1").status == 200; }, long_wait));
 	system.entry(0).process.signal(SIGCONT);
 	CHECK(cluster::wait_until(
-		[&] { return system.command(0, "submit task late-1 team sirr command forever").status != 200; }, long_wait));
+		[&] { return system.command(0, "submit task late-1 account sirr command forever").status != 200; }, long_wait));
 	CHECK(submit(system, twin, "after-1", "command \"work 10\""));
 	CHECK(cluster::wait_until([&] { return count(system.events(), "after-1", "finish") == 1; }, long_wait));
 	CHECK(count(system.events(), "watcher-1", "start") == 1);
@@ -199,7 +199,7 @@
 	system.set_faults([](platform_faults& faults) { faults.table_down = true; });
 	CHECK(cluster::wait_until([&] { return count(system.events(), "watcher-1", "pause") == 1; }, long_wait));
 	std::this_thread::sleep_for(millis{4'000});
-	const auto refused = system.command(0, "submit task late-1 team sirr command \"work 10\"");
+	const auto refused = system.command(0, "submit task late-1 account sirr command \"work 10\"");
 	CHECK(refused.status != 200);
 	// Quick work does not touch the store.
 	const auto quick = system.request(0, tally_request("GET", "quick-1"));
@@ -294,11 +294,11 @@
 		system.entry(1).process.signal(SIGTERM);
 		const auto first = "stop-" + std::to_string(round);
 		const auto second = "start-" + std::to_string(round);
-		CHECK(system.command(0, "submit task " + first + " team sirr command \"work 10\"").status == 200);
+		CHECK(system.command(0, "submit task " + first + " account sirr command \"work 10\"").status == 200);
 		CHECK(system.entry(1).process.wait() == 0);
 		system.start_entry(1);
 		for (int i = 0; i < 10; ++i)
-			CHECK(system.command(0, "submit task " + second + std::to_string(i) + " team sirr command \"work 10\"")
+			CHECK(system.command(0, "submit task " + second + std::to_string(i) + " account sirr command \"work 10\"")
 					  .status == 200);
 	}
 	CHECK(system.violations().empty());
@@ -381,7 +381,7 @@
 	REQUIRE(system.wait_ready());
 	system.thread().run([&] { system.platform().worker(worker_id{"w2"}).foreign = {3'500, 1'024, 0}; });
 	std::this_thread::sleep_for(millis{1'000});
-	REQUIRE(system.command(0, "adopt task script-1 on w2 team sirr cpu 3500 memory 1024 command forever").status ==
+	REQUIRE(system.command(0, "adopt task script-1 on w2 account sirr cpu 3500 memory 1024 command forever").status ==
 			200);
 	CHECK(wait_phase(system, "script-1", "running"));
 	CHECK(system.task_field("script-1", "worker") == "w2");
@@ -393,11 +393,11 @@
 	CHECK(system.violations().empty());
 }
 
-TEST_CASE("a team's quota holds its tasks back until there is room in it", "[process][tasks]")
+TEST_CASE("an account's quota holds its tasks back until there is room in it", "[process][tasks]")
 {
 	cluster system{options_here()};
 	REQUIRE(system.wait_ready());
-	REQUIRE(system.command(0, "quota team sirr cpu 2000 memory 8192").status == 200);
+	REQUIRE(system.command(0, "quota account sirr cpu 2000 memory 8192").status == 200);
 	std::this_thread::sleep_for(millis{1'500});
 	for (int i = 0; i < 4; ++i)
 		REQUIRE(submit(system, i % 2, "job-" + std::to_string(i), "cpu 1000 command \"work 3000\""));
@@ -428,7 +428,7 @@
 {
 	cluster system{options_here()};
 	REQUIRE(system.wait_ready());
-	REQUIRE(system.command(0, "submit service api replicas 2 team sirr cpu 500 command forever").status == 200);
+	REQUIRE(system.command(0, "submit service api replicas 2 account sirr cpu 500 command forever").status == 200);
 	REQUIRE(wait_phase(system, "api#1", "running"));
 	REQUIRE(wait_phase(system, "api#2", "running"));
 	CHECK(system.task_field("api#1", "worker") != system.task_field("api#2", "worker"));
--- a/tests/whole_path.cpp
+++ b/tests/whole_path.cpp
@@ -26,7 +26,7 @@
 	cluster system{options_here()};
 	REQUIRE(system.wait_ready());
 	const auto accepted =
-		system.command(0, "submit task merge-1 team sirr kind merge command \"work 300\" repeatable no");
+		system.command(0, "submit task merge-1 account sirr kind merge command \"work 300\" repeatable no");
 	INFO(accepted.text);
 	INFO(system.logs());
 	REQUIRE(accepted.status == 200);
@@ -41,7 +41,7 @@
 {
 	cluster system{options_here()};
 	REQUIRE(system.wait_ready());
-	REQUIRE(system.command(0, "submit task watcher-1 team sirr kind watcher command forever").status == 200);
+	REQUIRE(system.command(0, "submit task watcher-1 account sirr kind watcher command forever").status == 200);
 	REQUIRE(cluster::wait_until([&] { return !system.task_field("watcher-1", "checkpoint").empty(); }, millis{10'000}));
 	const auto first = system.task_field("watcher-1", "worker");
 	system.worker(first).agent.kill();
