An owner that has not read its jobs yet tells no depths

Change: the row says whether its owner has read all jobs; until then the depths before age out and the answer is 503. tests/job_term.cpp: a case that failed before.

--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -106,6 +106,8 @@
 
 	void job_owner::tell_depths(const stored::ownership& row, instant read_at)
 	{
+		if (!row.loaded)
+			return; // an owner that has just taken over knows of no job yet
 		queue_depths depths;
 		for (const auto& depth : row.depths)
 			depths.waiting[queue_id{depth.name}] = depth.waiting;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -131,6 +131,7 @@
 		out.change.expected.push_back({owner_row(), owned_.version});
 		++owned_.row.sequence;
 		owned_.row.released = releasing_;
+		owned_.row.loaded = true;
 		owned_.row.depths.clear();
 		for (const auto& [queue, waiting] : waiting_jobs(table_))
 			owned_.row.depths.push_back(depth_row(queue, waiting));
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -82,6 +82,7 @@
 	4: i64 sequence,            // of the owner's transactions
 	5: bool released,           // the owner has left in a planned way
 	6: list<queue_depth> depths,
+	7: bool loaded,             // the owner knows all jobs, so depths are complete
 }
 
 /** Where the agent beside a worker takes links. */
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 /// \file
 /// \brief The owner of jobs against a store in memory and agents that the test plays.
-#include "../packages/entry/src/process/job_term.hpp"
+#include "../packages/entry/src/process/job_owner.hpp"
 
 #include <trailjunction/jobs.hpp>
 #include <trailjunction/testkit/agent_standin.hpp>
@@ -147,3 +147,38 @@
 	CHECK(it.stored_job(first_job).tasks[0].run == 1);
 	CHECK(it.stored_job(first_job).tasks[0].worker == worker_life{"life-1"});
 }
+
+TEST_CASE("the depths of an owner that has not read its jobs yet are not told", "[jobs]")
+{
+	// Found as MIXED at Grangemouth, the owner frozen near the end: its successor's first row said that nothing waits.
+	boost::asio::io_context io{1};
+	memory_store store{io};
+	job_entry_settings settings;
+	settings.member = member_id{"entry-2"};
+	std::vector<queue_depths> told;
+	job_owner standby{io, settings, store,
+					  [&](queue_depths depths)
+					  {
+						  told.push_back(std::move(depths));
+					  }};
+	stored::ownership row;
+	row.epoch = 3;
+	row.member = "entry-1";
+	store.put(job_partition, owner_table, owner_key, encode_ownership(row));
+	boost::asio::co_spawn(io, standby.run(), boost::asio::detached);
+	const auto until = steady_now() + millis{800}; // two looks; the row is not old enough to be taken over
+	while (steady_now() < until)
+		io.run_one_for(millis{10});
+	CHECK(told.empty());
+	stored::queue_depth depth;
+	depth.name = "checks";
+	depth.waiting = 4;
+	row.depths.push_back(depth);
+	row.loaded = true;
+	store.put(job_partition, owner_table, owner_key, encode_ownership(row));
+	const auto end = steady_now() + longest_wait;
+	while (told.empty() && steady_now() < end)
+		io.run_one_for(millis{10});
+	REQUIRE(!told.empty());
+	CHECK(told[0].waiting[queue_id{"checks"}] == 4);
+}
