--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -98,9 +98,11 @@
 		boost::json::value value;
 	};
 
-	/// \brief Writes one line: `E<number> <name> {"field":value,...}`.
+	/// \brief Writes one JSON object as a line of standard output: `time_ms` (Unix time), `event`, `name`, `level`, the
+	/// fields. \details Never waits for the reader. Each kind of event has a budget; `left_out_before` counts what went
+	/// over it, and warnings are never left out.
 	void log_event(event what, std::initializer_list<log_field> fields = {});
 
-	/// \brief Prepares the log of a process: everything goes to standard error.
+	/// \brief Prepares the log of a process.
 	void start_log(const char* program);
 }
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -1,11 +1,16 @@
 // SPDX-License-Identifier: MIT
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/core/log_writer.hpp>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <utility>
 
 namespace trailjunction
 {
@@ -13,10 +18,12 @@
 	{
 		/// Events that an operator should look at.
 		constexpr event warnings[] = {
-			event::member_superseded,    event::listen_failed,       event::frame_refused, event::worker_ejected,
-			event::platform_unreachable, event::member_renewed_late, event::shard_lost,    event::run_fenced,
-			event::run_paused,           event::run_stopped,         event::grant_refused, event::task_parked,
-			event::worker_quarantined,   event::config_refused,
+			event::member_superseded,    event::listen_failed,       event::frame_refused,    event::worker_ejected,
+			event::platform_unreachable, event::member_renewed_late, event::shard_lost,       event::run_fenced,
+			event::run_paused,           event::run_stopped,         event::grant_refused,    event::task_parked,
+			event::worker_quarantined,   event::config_refused,      event::settings_refused, event::worker_silent,
+			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,   event::job_refused,
+			event::job_unknown,          event::row_unreadable,
 		};
 
 		constexpr std::initializer_list<event> every_event = {
@@ -166,21 +173,59 @@
 		return every_event;
 	}
 
+	namespace
+	{
+		constexpr int standard_output = 1;
+		constexpr log_budget budget{};
+
+		/// The log of this process: all threads write lines of one writer.
+		struct process_log
+		{
+			std::mutex lock;
+			log_writer writer{standard_output};
+			std::map<event, log_allowance> allowances;
+		};
+
+		process_log& the_log()
+		{
+			static process_log one;
+			return one;
+		}
+
+		bool is_warning(event what) noexcept
+		{
+			return std::find(std::begin(warnings), std::end(warnings), what) != std::end(warnings);
+		}
+
+		std::int64_t unix_ms()
+		{
+			const auto since = std::chrono::system_clock::now().time_since_epoch();
+			return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+		}
+	}
+
 	void log_event(event what, std::initializer_list<log_field> fields)
 	{
-		boost::json::object object;
+		auto& log = the_log();
+		const std::lock_guard guard{log.lock};
+		auto& allowance = log.allowances[what];
+		const bool warn = is_warning(what);
+		if (!admit_line(allowance, budget, warn, steady_now()))
+			return;
+		boost::json::object line{{"time_ms", unix_ms()},
+								 {"event", static_cast<int>(what)},
+								 {"name", to_string(what)},
+								 {"level", warn ? "warning" : "info"}};
+		if (allowance.left_out > 0)
+			line["left_out_before"] = std::exchange(allowance.left_out, 0);
 		for (const auto& field : fields)
-			object[field.name] = field.value;
-		const auto number = static_cast<int>(what);
-		const bool warn = std::find(std::begin(warnings), std::end(warnings), what) != std::end(warnings);
-		if (warn)
-			LOG(WARNING) << 'E' << number << ' ' << to_string(what) << ' ' << boost::json::serialize(object);
-		else
-			LOG(INFO) << 'E' << number << ' ' << to_string(what) << ' ' << boost::json::serialize(object);
+			line[field.name] = field.value;
+		log.writer.write(boost::json::serialize(line));
 	}
 
 	void start_log(const char* program)
 	{
+		// glog carries only broken invariants; everything else is an event on standard output.
 		FLAGS_logtostderr = true;
 		google::InitGoogleLogging(program);
 	}
--- /dev/null
+++ b/tests/log.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Log lines: never waiting, bounded, failures always.
+#include <trailjunction/core/log_writer.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+using namespace trailjunction;
+
+namespace
+{
+	constexpr instant start{std::chrono::seconds{100}};
+
+	struct pipe_ends
+	{
+		pipe_ends()
+		{
+			REQUIRE(::pipe(ends.data()) == 0);
+			::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+		}
+		~pipe_ends()
+		{
+			::close(ends[0]);
+			::close(ends[1]);
+		}
+		[[nodiscard]] std::string read_all() const
+		{
+			std::string out;
+			std::array<char, 4096> part{};
+			for (ssize_t bytes = 0; (bytes = ::read(ends[0], part.data(), part.size())) > 0;)
+				out.append(part.data(), static_cast<std::size_t>(bytes));
+			return out;
+		}
+		std::array<int, 2> ends{};
+	};
+}
+
+TEST_CASE("a reader that does not read costs lines and no time, and learns how many", "[log]")
+{
+	const pipe_ends pipe;
+	log_writer writer{pipe.ends[1]};
+	const std::string line(1'000, 'x');
+	int written = 0;
+	while (writer.dropped() == 0 && written < 10'000)
+	{
+		writer.write(line);
+		++written;
+	}
+	REQUIRE(writer.dropped() == 1); // and this point was reached, so nothing waited
+	writer.write(line);
+	CHECK(writer.dropped() == 2);
+	(void)pipe.read_all();
+	writer.write("after");
+	CHECK(pipe.read_all() == "{\"name\":\"lines_dropped\",\"count\":2}\nafter\n");
+	CHECK(writer.dropped() == 0);
+}
+
+TEST_CASE("each kind of line has a budget, and failures are written beyond it", "[log]")
+{
+	log_allowance allowance;
+	const log_budget budget{10.0, 5.0};
+	for (int i = 0; i < 5; ++i)
+		CHECK(admit_line(allowance, budget, false, start));
+	CHECK(!admit_line(allowance, budget, false, start));
+	CHECK(allowance.left_out == 1);
+	CHECK(admit_line(allowance, budget, true, start));
+	CHECK(!admit_line(allowance, budget, false, start));
+	CHECK(admit_line(allowance, budget, false, start + millis{100}));
+}
