--- a/packages/agent/include/trailjunction/agent/job_agent_settings.hpp
+++ b/packages/agent/include/trailjunction/agent/job_agent_settings.hpp
@@ -26,6 +26,7 @@
 		std::optional<endpoint> metrics;
 		std::optional<endpoint> store;
 		millis longest_run_lease{6'000}; ///< The worker cuts longer ones down.
+		millis harm_limit{4'000};        ///< The longest that fillers may keep a serving task over its target on end.
 		millis stop_within{4'000};       ///< The longest that a planned stop takes.
 	};
 
--- a/packages/agent/src/job_agent_settings.cpp
+++ b/packages/agent/src/job_agent_settings.cpp
@@ -34,6 +34,7 @@
 						   });
 		read_endpoint(reader, "store", out.store);
 		reader.read("longest_run_lease_ms", out.longest_run_lease, time_range);
+		reader.read("harm_limit_ms", out.harm_limit, time_range);
 		reader.read("stop_within_ms", out.stop_within, time_range);
 		reader.finish();
 		if (!faults.empty())
--- a/packages/agent/src/process/job_agent_process.cpp
+++ b/packages/agent/src/process/job_agent_process.cpp
@@ -80,6 +80,7 @@
 		process_metrics metrics;
 		owner_links* links_of_runs = nullptr;
 		run_keeper runs{io, [&](endpoint where) { return carriers.make_worker(io, where); }, settings.longest_run_lease,
+						make_pacing_policy(settings.harm_limit),
 						[&links_of_runs]
 						{
 							if (links_of_runs != nullptr)
--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -41,19 +41,18 @@
 		/// A figure that moved by less than this share is not worth a message.
 		constexpr double figure_step = 0.2;
 
-		constexpr pacing_policy pacing{};
-
 		bool moved(std::int64_t before, std::int64_t now) noexcept
 		{
 			return std::abs(static_cast<double>(now - before)) > figure_step * static_cast<double>(before);
 		}
 	}
 
-	run_keeper::run_keeper(asio::io_context& io, port_maker make_port, millis longest_lease,
+	run_keeper::run_keeper(asio::io_context& io, port_maker make_port, millis longest_lease, pacing_policy pacing,
 						   std::function<void()> on_news)
 		: io_{io},
 		  make_port_{std::move(make_port)},
 		  longest_lease_{longest_lease},
+		  pacing_{pacing},
 		  on_news_{std::move(on_news)}
 	{
 		asio::co_spawn(io_, list_forever(), asio::detached);
@@ -195,6 +194,7 @@
 			if (before != runs_.end())
 			{
 				kept.reported_figure = before->second.reported_figure;
+				kept.over_since = before->second.over_since;
 				kept.changed = before->second.changed || before->second.listed.checkpoint != kept.listed.checkpoint;
 			}
 			kept.changed = kept.changed || moved(kept.reported_figure, kept.listed.figure);
@@ -430,16 +430,22 @@
 		return out;
 	}
 
-	std::vector<watched_serving> run_keeper::watch_serving() const
+	std::vector<watched_serving> run_keeper::watch_serving(instant now)
 	{
 		std::vector<watched_serving> out;
-		for (const auto& [what, run] : runs_)
+		for (auto& [what, run] : runs_)
 		{
 			const auto purpose = purposes_.find(what);
 			if (purpose == purposes_.end() || purpose->second.latency_target.count() == 0)
 				continue;
 			const auto target = static_cast<double>(purpose->second.latency_target.count());
-			out.push_back({purpose->second.image, static_cast<double>(run.listed.figure) / target});
+			const auto strain = static_cast<double>(run.listed.figure) / target;
+			if (strain <= pacing_.slow_above)
+				run.over_since.reset();
+			else if (!run.over_since)
+				run.over_since = now;
+			const auto over = run.over_since ? std::chrono::duration_cast<millis>(now - *run.over_since) : millis{0};
+			out.push_back({purpose->second.image, strain, over});
 		}
 		return out;
 	}
@@ -458,8 +464,8 @@
 				{&purpose->second.pressures, static_cast<double>(run.listed.figure) / cpu_milli, pace.wanted});
 			paces.push_back(&pace);
 		}
-		const auto serving = watch_serving();
-		if (now - paces_changed_ < pacing.settle || !adjust_paces(fillers, serving, pacing))
+		const auto serving = watch_serving(now);
+		if (now - paces_changed_ < pacing_.settle || !adjust_paces(fillers, serving, pacing_))
 			return;
 		paces_changed_ = now;
 		for (std::size_t i = 0; i < fillers.size(); ++i)
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -31,7 +31,7 @@
 		using port_maker = std::function<std::unique_ptr<worker_port>(endpoint)>;
 
 		/// \param on_news Called when there is something to report soon.
-		run_keeper(boost::asio::io_context& io, port_maker make_port, millis longest_lease,
+		run_keeper(boost::asio::io_context& io, port_maker make_port, millis longest_lease, pacing_policy pacing,
 				   std::function<void()> on_news);
 
 		void worker_seen(worker_heartbeat heartbeat) override;
@@ -72,6 +72,7 @@
 			listed_run listed;
 			bool changed{}; ///< Since the last report.
 			std::int64_t reported_figure{-1};
+			std::optional<instant> over_since; ///< Of a serving task: since when it is over its target.
 		};
 
 		struct ordered_pace
@@ -89,7 +90,7 @@
 		boost::asio::awaitable<bool> wait_for_listing(const worker_life& life);
 		void apply_listing(worker_listing listing);
 		void choose_paces(instant now);
-		[[nodiscard]] std::vector<watched_serving> watch_serving() const;
+		[[nodiscard]] std::vector<watched_serving> watch_serving(instant now);
 		[[nodiscard]] std::vector<task_run> fillers_to_pace(instant now) const;
 		[[nodiscard]] int mean_pace() const noexcept;
 		void note_result(const order_result& result, instant answered);
@@ -104,6 +105,7 @@
 		boost::asio::io_context& io_;
 		port_maker make_port_;
 		millis longest_lease_;
+		pacing_policy pacing_;
 		std::function<void()> on_news_;
 		std::shared_ptr<worker_port> port_;
 		std::optional<worker_heartbeat> worker_;
--- a/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
@@ -18,7 +18,14 @@
 	/// \brief When fillers are slowed and when they recover.
 	struct pacing_policy
 	{
-		double slow_above{0.95};    ///< Strain of any serving task above which fillers are slowed at once.
+		/// Strain above which a task counts as over its target: measures are rough.
+		double slow_above{0.95};
+		/// Over its target for so long, a task is relieved. Short peaks pass by themselves, and slowing fillers for
+		/// each of them cost batch jobs far more than it gave serving tasks (docs/MEASUREMENTS.md).
+		millis patience{1'000};
+		/// Over its target for so long, all fillers beside a task stand still: half of what users bear, since a measure
+		/// is up to a second old and an order may have to be repeated.
+		millis limit{2'000};
 		double aim{0.8};            ///< Strain that slowing aims at.
 		double recover_below{0.85}; ///< Worst strain below which fillers get more again.
 		int recover_step{25};       ///< Percent by which a pace rises.
@@ -43,9 +50,13 @@
 	struct watched_serving
 	{
 		std::string image;
-		double strain{}; ///< Its latency tail as a share of its target.
+		double strain{};   ///< Its latency tail as a share of its target.
+		millis over_for{}; ///< How long it has been over its target.
 	};
 
+	/// \brief A policy for serving tasks that may be over their targets for \p harm_limit on end at the most.
+	[[nodiscard]] pacing_policy make_pacing_policy(millis harm_limit) noexcept;
+
 	/// \brief Changes the paces of a worker's fillers, those first that press hardest on the tasks that suffer.
 	/// \returns Whether any pace differs from before.
 	bool adjust_paces(std::span<paced_filler> fillers, std::span<const watched_serving> serving,
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -50,9 +50,9 @@
 		double serving_use{0.5};
 		/// A filler does not join serving tasks whose strain is expected to be above this: it only slow down what is
 		/// there.
-		double strain_limit{1.3};
+		double strain_limit{3.0};
 		/// Weight of the strain above target that a filler is expected to cause, against its own speed.
-		double strain_cost{2.0};
+		double strain_cost{1.0};
 		pressure_policy pressing;
 		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
 		double least_speed{0.5};
--- a/packages/jobs/src/filler_pacing.cpp
+++ b/packages/jobs/src/filler_pacing.cpp
@@ -49,13 +49,35 @@
 			}
 		}
 
-		double worst_of(std::span<const watched_serving> serving) noexcept
+		/// What serving tasks ask for together.
+		struct demand
 		{
-			double worst = 0.0;
+			double worst_strain{};
+			millis longest_over{};
+		};
+
+		demand demand_of(std::span<const watched_serving> serving) noexcept
+		{
+			demand out;
 			for (const auto& one : serving)
-				worst = std::max(worst, one.strain);
-			return worst;
+			{
+				out.worst_strain = std::max(out.worst_strain, one.strain);
+				out.longest_over = std::max(out.longest_over, one.over_for);
+			}
+			return out;
 		}
+
+		/// Parts of the time that users bear; see pacing_policy.
+		constexpr int patience_part = 4;
+		constexpr int limit_part = 2;
+	}
+
+	pacing_policy make_pacing_policy(millis harm_limit) noexcept
+	{
+		pacing_policy out;
+		out.patience = harm_limit / patience_part;
+		out.limit = harm_limit / limit_part;
+		return out;
 	}
 
 	bool adjust_paces(std::span<paced_filler> fillers, std::span<const watched_serving> serving,
@@ -64,14 +86,19 @@
 		std::vector<int> before;
 		for (const auto& filler : fillers)
 			before.push_back(filler.percent);
-		const auto worst = worst_of(serving);
-		if (worst > policy.slow_above)
+		const auto now = demand_of(serving);
+		if (now.longest_over >= policy.limit)
+		{
+			for (auto& filler : fillers)
+				filler.percent = 0;
+		}
+		else if (now.worst_strain > policy.slow_above)
 		{
 			for (const auto& one : serving)
-				if (one.strain > policy.slow_above)
+				if (one.strain > policy.slow_above && one.over_for >= policy.patience)
 					relieve(fillers, one, policy);
 		}
-		else if (worst < policy.recover_below)
+		else if (now.worst_strain < policy.recover_below)
 			for (auto& filler : fillers)
 				filler.percent = std::min(full_pace, filler.percent + policy.recover_step);
 		return !std::equal(before.begin(), before.end(), fillers.begin(),
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -127,6 +127,7 @@
 		boost::asio::io_context io{1};
 		script lines;
 		run_keeper runs{io, [this](endpoint) { return std::make_unique<scripted_worker>(io, lines); }, millis{5'000},
+						pacing_policy{},
 						[] {
 						}};
 		std::vector<wire::job_refusal> refused;
