--- a/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
@@ -28,7 +28,7 @@
 		millis limit{2'000};
 		double aim{0.8};            ///< Strain that slowing aims at.
 		double recover_below{0.85}; ///< Worst strain below which fillers get more again.
-		int recover_step{25};       ///< Percent by which a pace rises.
+		int recover_step{40};       ///< Percent by which a pace rises.
 		millis settle{600};         ///< Between two changes: a measure covers half a second and a change takes a tenth.
 		int least_percent{8};       ///< Below this a filler stands still.
 		/// Where the known pressures explain too little of a strain, everybody gives up this share.
--- a/packages/jobs/src/filler_pacing.cpp
+++ b/packages/jobs/src/filler_pacing.cpp
@@ -68,7 +68,7 @@
 		}
 
 		/// Parts of the time that users bear; see pacing_policy.
-		constexpr int patience_part = 4;
+		constexpr int patience_part = 3;
 		constexpr int limit_part = 2;
 	}
 
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -11,16 +11,27 @@
 	namespace
 	{
 		constexpr double cpu_milli = 1'000.0;
+		/// Times its objective, a job is late and still worth something; from the users' rules.
+		constexpr int late_factor = 3;
 
 		/// How many tasks of a group each worker carries.
 		using group_counts = absl::flat_hash_map<worker_life, std::uint32_t>;
 
+		/// What can still be made of a job; what can be in time goes before what cannot.
+		enum class prospect : std::uint8_t
+		{
+			in_time,
+			late,
+			hopeless, ///< Later than anybody waits for.
+		};
+
 		struct wish
 		{
 			task_key key;
 			const job_state* job{};
 			const task_group* group{};
 			const job_task* task{};
+			prospect outlook{prospect::in_time};
 			millis slack{}; ///< Until the job's objective, less its longest chain; negative where it is late.
 		};
 
@@ -189,7 +200,12 @@
 			const auto objective =
 				std::chrono::duration_cast<millis>(whole * out.job->queue.stretch) + out.job->queue.latency_target;
 			const auto age = std::chrono::duration_cast<millis>(now - out.job->accepted);
-			out.slack = objective - age - chain_from(out.job->spec, key.group);
+			const auto rest = chain_from(out.job->spec, key.group);
+			out.slack = objective - age - rest;
+			if (age + rest > late_factor * objective)
+				out.outlook = prospect::hopeless;
+			else if (out.slack < -rest) // estimates are off by as much
+				out.outlook = prospect::late;
 			out.key = std::move(key);
 			return out;
 		}
@@ -197,7 +213,7 @@
 		auto urgency(const wish& what)
 		{
 			// A serving task that is away hurts until it is back, so it goes before batch tasks of its priority.
-			return std::make_tuple(what.job->queue.priority, !what.group->long_running, what.slack, what.key);
+			return std::make_tuple(what.job->queue.priority, !what.group->long_running, what.outlook, what.slack, what.key);
 		}
 
 		/// Places consecutive wishes of one group of one occurrence.
--- a/tests/jobs.cpp
+++ b/tests/jobs.cpp
@@ -212,6 +212,19 @@
 	CHECK(placed[2].worker != placed[0].worker);
 }
 
+TEST_CASE("a job that can still be in time goes before one that cannot", "[jobs]")
+{
+	job_table table;
+	auto late = job_of("a", {group_of(1, 8'000)});
+	late.accepted = start - millis{60'000};
+	add_job(table, std::move(late));
+	add_job(table, job_of("b", {group_of(1, 8'000)}));
+	std::vector<worker_room> rooms{room_of("w1")};
+	const auto placed = place(rooms, table);
+	REQUIRE(placed.size() == 1);
+	CHECK(placed[0].task.job == job_id{"b"});
+}
+
 TEST_CASE("the pressure of a pair of images is learnt, and that of other pairs is not", "[jobs]")
 {
 	pressure_model model;
