--- a/packages/entry/include/trailjunction/entry/job_gateway.hpp
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -6,6 +6,7 @@
 
 #include <trailjunction/jobs/job_configuration.hpp>
 #include <trailjunction/jobs/job_state.hpp>
+#include <trailjunction/net/process_metrics.hpp>
 #include <trailjunction/store/row_store.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -54,7 +55,7 @@
 	class job_gateway
 	{
 	public:
-		job_gateway(boost::asio::io_context& io, row_store& store);
+		job_gateway(boost::asio::io_context& io, row_store& store, process_metrics& metrics);
 
 		/// \brief Accepts a job: done once the store keeps it, also where it is kept already.
 		[[nodiscard]] boost::asio::awaitable<job_call_result> submit(queue_policy queue, job_id id, job_spec spec,
@@ -82,8 +83,11 @@
 		[[nodiscard]] bool is_in_doubt(const job_id& id, instant now) const;
 		void note_doubt(const job_id& id, instant now);
 
+		void count(const char* call, job_call_end how, instant began);
+
 		boost::asio::io_context& io_;
 		row_store& store_;
+		process_metrics& metrics_;
 		std::shared_ptr<const job_configuration> configuration_;
 		queue_depths depths_;
 		/// Jobs whose row may still be written by an earlier call, by when that was told: they must not be called
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -33,7 +33,7 @@
 		{
 			client_side(asio::io_context& io, const job_entry_settings& settings, const entry_carriers& carriers)
 				: store{carriers.make_store(io, *settings.store)},
-				  gateway{io, *store},
+				  gateway{io, *store, metrics},
 				  callers{io, http_limits{}, carriers.make_job_handler(gateway)},
 				  readiness{io, http_limits{},
 							[this](http_request) -> asio::awaitable<http_response>
@@ -122,7 +122,7 @@
 									  clients.gateway.note_depths(std::move(value));
 								  }};
 		const auto owner_store = carriers.make_store(owner_io, *settings.store);
-		job_owner owner{owner_io, settings, *owner_store,
+		job_owner owner{owner_io, settings, *owner_store, clients.metrics,
 						[&](queue_depths value)
 						{
 							// A full ring means that newer depths than these wait already.
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -17,7 +17,7 @@
 	{
 	public:
 		job_owner(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store,
-				  job_term::depth_handler on_depths);
+				  process_metrics& metrics, job_term::depth_handler on_depths);
 
 		/// \brief Stands by and owns in turns, until leave().
 		[[nodiscard]] boost::asio::awaitable<void> run();
@@ -45,6 +45,7 @@
 		job_entry_settings settings_;
 		row_store& store_;
 		store_watch watch_;
+		process_metrics& metrics_;
 		job_term::depth_handler on_depths_;
 		ownership_times times_;
 		ownership_sighting seen_;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -45,11 +45,12 @@
 		}
 	}
 
-	job_term::job_term(asio::io_context& io, const job_entry_settings& settings, row_store& store, owned_row owned,
-					   depth_handler on_depths)
+	job_term::job_term(asio::io_context& io, const job_entry_settings& settings, row_store& store,
+					   process_metrics& metrics, owned_row owned, depth_handler on_depths)
 		: io_{io},
 		  settings_{settings},
 		  store_{store},
+		  metrics_{metrics},
 		  owned_{std::move(owned)},
 		  on_depths_{std::move(on_depths)},
 		  ownership_{ownership_times_of(settings)},
@@ -229,6 +230,8 @@
 		watch_.note_answer();
 		owned_.renewal_sent = what.sent;
 		committed_ = steady_now();
+		const std::chrono::duration<double> took = committed_ - what.sent;
+		metrics_.histogram("job_commit", "Time of a transaction that keeps the jobs.").Observe(took.count());
 		co_return true;
 	}
 
@@ -239,6 +242,8 @@
 		for (const auto& ends : done.ends)
 			if (ends.peer->worker.life == ends.life)
 				ends.peer->worker.ends_kept = std::max(ends.peer->worker.ends_kept, ends.through);
+		metrics_.counter("job_runs_ordered", "Runs that were given to workers.")
+			.Increment(static_cast<double>(done.starts.size()));
 		for (const auto& what : done.starts)
 		{
 			undurable_starts_.erase(what);
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -12,6 +12,7 @@
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_table.hpp>
 #include <trailjunction/jobs/run_listing.hpp>
+#include <trailjunction/net/process_metrics.hpp>
 #include <trailjunction/store/row_store.hpp>
 #include <trailjunction/store/store_watch.hpp>
 
@@ -44,8 +45,8 @@
 	public:
 		using depth_handler = std::function<void(queue_depths)>;
 
-		job_term(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store, owned_row owned,
-				 depth_handler on_depths);
+		job_term(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store,
+				 process_metrics& metrics, owned_row owned, depth_handler on_depths);
 
 		/// \brief Reads all jobs and agents; unavailable where the store did not let it.
 		[[nodiscard]] boost::asio::awaitable<absl::Status> load();
@@ -116,6 +117,7 @@
 		const job_entry_settings& settings_;
 		row_store& store_;
 		store_watch watch_;
+		process_metrics& metrics_;
 		owned_row owned_;
 		depth_handler on_depths_;
 		ownership_times ownership_;
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -88,6 +88,8 @@
 			if (!is_placed_on(peer.worker.life, end.what) ||
 				end_run(table_, end.what, end.how, end.checkpoint, now) == end_effect::ignored)
 				continue;
+			metrics_.counter("job_runs_ended", "Runs by how they ended.", "how", std::string{to_string(end.how)})
+				.Increment();
 			log_event(event::run_ended, {{"task", to_string(end.what.task)},
 										 {"run", end.what.run},
 										 {"how", to_string(end.how)},
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -43,7 +43,39 @@
 		}
 	}
 
-	job_gateway::job_gateway(asio::io_context& io, row_store& store) : io_{io}, store_{store} {}
+	job_gateway::job_gateway(asio::io_context& io, row_store& store, process_metrics& metrics)
+		: io_{io},
+		  store_{store},
+		  metrics_{metrics}
+	{
+	}
+
+	namespace
+	{
+		const char* label_of(job_call_end how) noexcept
+		{
+			switch (how)
+			{
+			case job_call_end::done:
+				return "done";
+			case job_call_end::absent:
+				return "absent";
+			case job_call_end::refused:
+				return "refused";
+			case job_call_end::unknown:
+				break;
+			}
+			return "unknown";
+		}
+	}
+
+	void job_gateway::count(const char* call, job_call_end how, instant began)
+	{
+		const std::string name = call;
+		metrics_.counter("job_" + name, "Calls about jobs by their outcome.", "outcome", label_of(how)).Increment();
+		const std::chrono::duration<double> took = steady_now() - began;
+		metrics_.histogram("job_" + name + "_latency", "Time of a call about a job.").Observe(took.count());
+	}
 
 	void job_gateway::apply(job_configuration configuration)
 	{
@@ -111,11 +143,13 @@
 
 	asio::awaitable<job_call_result> job_gateway::submit(queue_policy queue, job_id id, job_spec spec, instant deadline)
 	{
+		const auto began = steady_now();
 		row_change change;
 		change.partition = job_partition;
 		change.expected.push_back({{submissions_table, id.str()}, 0});
 		change.put.push_back({{submissions_table, id.str()}, encode_submission(queue, spec)});
 		auto result = co_await commit_until(std::move(change), id, deadline - answer_reserve);
+		count("submit", result.how, began);
 		if (result.how == job_call_end::done)
 			log_event(event::job_accepted, {{"job", id.str()}, {"queue", queue.queue.str()}});
 		co_return result;
@@ -159,6 +193,7 @@
 
 	asio::awaitable<job_call_result> job_gateway::cancel(job_id id, instant deadline)
 	{
+		const auto began = steady_now();
 		const auto known = co_await status(id, deadline);
 		job_call_result out;
 		if (known.how != job_call_end::done || has_ended(known.status))
@@ -173,6 +208,7 @@
 		change.expected.push_back({{submissions_table, cancellation_key(id)}, 0});
 		change.put.push_back({{submissions_table, cancellation_key(id)}, ""});
 		out = co_await commit_until(std::move(change), id, deadline - answer_reserve);
+		count("cancel", out.how, began);
 		if (out.how == job_call_end::done)
 			log_event(event::job_cancelled, {{"job", id.str()}});
 		co_return out;
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -82,7 +82,7 @@
 					owned.version = page->rows.front().version;
 					owned.renewal_sent = now;
 					owned.store_ms = page->store_ms;
-					term = std::make_shared<job_term>(io, settings, store, owned, [](queue_depths) {});
+					term = std::make_shared<job_term>(io, settings, store, metrics, owned, [](queue_depths) {});
 					if ((co_await term->load()).ok())
 						co_await term->work();
 					worked = true;
@@ -114,6 +114,7 @@
 		memory_store store{io};
 		agent_standin agent{io};
 		job_entry_settings settings;
+		process_metrics metrics;
 		std::shared_ptr<job_term> term;
 		std::int64_t epochs{};
 		bool worked{};
@@ -156,7 +157,8 @@
 	job_entry_settings settings;
 	settings.member = member_id{"entry-2"};
 	std::vector<queue_depths> told;
-	job_owner standby{io, settings, store,
+	process_metrics metrics;
+	job_owner standby{io, settings, store, metrics,
 					  [&](queue_depths depths)
 					  {
 						  told.push_back(std::move(depths));
@@ -205,7 +207,8 @@
 {
 	boost::asio::io_context io{1};
 	memory_store store{io};
-	job_gateway gateway{io, store};
+	process_metrics metrics;
+	job_gateway gateway{io, store, metrics};
 	std::vector<job_call_end> ends;
 	const auto submit = [&](millis time)
 	{
@@ -237,4 +240,5 @@
 	CHECK(ends[0] == job_call_end::unknown);
 	CHECK(ends[1] == job_call_end::unknown);
 	CHECK(ends[2] == job_call_end::done);
+	CHECK(metrics.expose().find("trailjunction_job_submit_total{outcome=\"unknown\"} 2") != std::string::npos);
 }
