--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -19,8 +19,6 @@
 		/// How long a worker may hold a listing back. Shorter than half of the time between two reports is of no use,
 		/// longer ones would delay the extension of the lease.
 		constexpr auto listing_wait = millis{400};
-		/// For an answer on the same machine; above the slowest seen on a calm day by far.
-		constexpr auto answer_time = millis{400};
 		/// A start that the worker carries out later than this is refused by it, so an order that got lost cannot
 		/// surprise anybody for longer.
 		constexpr auto start_window = millis{1'500};
@@ -30,12 +28,7 @@
 		/// Failed listings in a row after which the worker counts as not answering.
 		constexpr int unresponsive_after = 2;
 
-		/// A run has it at its start.
-		constexpr int full_pace = 100;
-		constexpr double cpu_milli = 1'000.0;
 		constexpr double pressure_milli = 1'000.0;
-		/// A pace is ordered again after this time, since an older order may have been carried out after it.
-		constexpr auto pace_again = millis{2'000};
 		/// Between two listings while ends wait to be kept: the worker then answers at once.
 		constexpr auto listing_gap = millis{50};
 		/// A figure that moved by less than this share is not worth a message.
@@ -159,7 +152,7 @@
 			const auto life = worker_->life;
 			// Until the worker has its first lease an answer is not held back: the lease would wait with it.
 			listing_order order{deadline_ms_, ends_kept_, deadline_ms_ > 0 ? listing_wait : millis{0}};
-			const auto deadline = steady_now() + order.wait + answer_time;
+			const auto deadline = steady_now() + order.wait + worker_answer_time;
 			auto result = co_await port->list(authority(), order, deadline);
 			if (!is_current(life))
 				continue;
@@ -253,7 +246,7 @@
 			co_return;
 		}
 		++open_orders_;
-		const auto result = co_await port->start(authority(), std::move(call), steady_now() + answer_time);
+		const auto result = co_await port->start(authority(), std::move(call), steady_now() + worker_answer_time);
 		--open_orders_;
 		if (!is_current(life))
 			co_return;
@@ -315,7 +308,7 @@
 				break;
 			// A run that was stopped can never start there any more, so the answer to a stop settles the start.
 			const auto port = port_;
-			const auto result = co_await port->stop(authority(), what, steady_now() + answer_time);
+			const auto result = co_await port->stop(authority(), what, steady_now() + worker_answer_time);
 			if (!is_current(life))
 				break;
 			note_result(result, steady_now());
@@ -347,7 +340,7 @@
 		while (is_current(life))
 		{
 			const auto port = port_;
-			const auto result = co_await port->stop(authority(), what, steady_now() + answer_time);
+			const auto result = co_await port->stop(authority(), what, steady_now() + worker_answer_time);
 			if (!is_current(life))
 				break;
 			note_result(result, steady_now());
@@ -429,94 +422,4 @@
 		started_.clear();
 		return out;
 	}
-
-	std::vector<watched_serving> run_keeper::watch_serving(instant now)
-	{
-		std::vector<watched_serving> out;
-		for (auto& [what, run] : runs_)
-		{
-			const auto purpose = purposes_.find(what);
-			if (purpose == purposes_.end() || purpose->second.latency_target.count() == 0)
-				continue;
-			const auto target = static_cast<double>(purpose->second.latency_target.count());
-			const auto strain = static_cast<double>(run.listed.figure) / target;
-			if (strain <= pacing_.slow_above)
-				run.over_since.reset();
-			else if (!run.over_since)
-				run.over_since = now;
-			const auto over = run.over_since ? std::chrono::duration_cast<millis>(now - *run.over_since) : millis{0};
-			out.push_back({purpose->second.image, strain, over});
-		}
-		return out;
-	}
-
-	void run_keeper::choose_paces(instant now)
-	{
-		std::vector<paced_filler> fillers;
-		std::vector<ordered_pace*> paces;
-		for (const auto& [what, run] : runs_)
-		{
-			const auto purpose = purposes_.find(what);
-			if (purpose == purposes_.end() || !purpose->second.filler)
-				continue;
-			auto& pace = paces_[what];
-			fillers.push_back(
-				{&purpose->second.pressures, static_cast<double>(run.listed.figure) / cpu_milli, pace.wanted});
-			paces.push_back(&pace);
-		}
-		const auto serving = watch_serving(now);
-		if (now - paces_changed_ < pacing_.settle || !adjust_paces(fillers, serving, pacing_))
-			return;
-		paces_changed_ = now;
-		for (std::size_t i = 0; i < fillers.size(); ++i)
-			paces[i]->wanted = fillers[i].percent;
-		log_event(event::fillers_paced, {{"worker", worker_->life.str()},
-										 {"serving", serving.size()},
-										 {"fillers", fillers.size()},
-										 {"mean_percent", mean_pace()}});
-	}
-
-	int run_keeper::mean_pace() const noexcept
-	{
-		if (paces_.empty())
-			return full_pace;
-		int sum = 0;
-		for (const auto& [what, pace] : paces_)
-			sum += pace.wanted;
-		return sum / static_cast<int>(paces_.size());
-	}
-
-	std::vector<task_run> run_keeper::fillers_to_pace(instant now) const
-	{
-		std::vector<task_run> out;
-		for (const auto& [what, pace] : paces_)
-		{
-			const bool again = pace.ordered < full_pace && now - pace.ordered_at > pace_again;
-			if (pace.wanted != pace.ordered || again)
-				out.push_back(what);
-		}
-		return out;
-	}
-
-	asio::awaitable<void> run_keeper::pace_fillers()
-	{
-		pacing_now_ = true;
-		choose_paces(steady_now());
-		const auto life = worker_->life;
-		for (const auto& what : fillers_to_pace(steady_now()))
-		{
-			const auto port = port_;
-			const auto percent = paces_[what].wanted;
-			const auto result = co_await port->pace(authority(), what, percent, steady_now() + answer_time);
-			if (!is_current(life))
-				break;
-			note_result(result, steady_now());
-			if (const auto pace = paces_.find(what); pace != paces_.end() && result.how == order_end::done)
-			{
-				pace->second.ordered = percent;
-				pace->second.ordered_at = steady_now();
-			}
-		}
-		pacing_now_ = false;
-	}
 }
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -22,6 +22,9 @@
 
 namespace trailjunction
 {
+	/// \brief For an answer on the same instance; above the slowest seen on a calm day by far.
+	inline constexpr auto worker_answer_time = millis{400};
+
 	/// \brief Carries out an owner's orders on the worker and tells what came of them.
 	/// \details Keeps nothing that the worker does not list again: an agent that restarts learns everything from the
 	/// first listing, except what its runs are for, which the owner tells again.
--- /dev/null
+++ b/packages/agent/src/process/run_pacing.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The part of run_keeper that slows fillers down.
+#include "run_keeper.hpp"
+
+#include <trailjunction/core/event.hpp>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		/// A run has it at its start.
+		constexpr int full_pace = 100;
+		constexpr double cpu_milli = 1'000.0;
+		/// A pace is ordered again after this time, since an older order may have been carried out after it.
+		constexpr auto pace_again = millis{2'000};
+	}
+
+	std::vector<watched_serving> run_keeper::watch_serving(instant now)
+	{
+		std::vector<watched_serving> out;
+		for (auto& [what, run] : runs_)
+		{
+			const auto purpose = purposes_.find(what);
+			if (purpose == purposes_.end() || purpose->second.latency_target.count() == 0)
+				continue;
+			const auto target = static_cast<double>(purpose->second.latency_target.count());
+			const auto strain = static_cast<double>(run.listed.figure) / target;
+			if (strain <= pacing_.slow_above)
+				run.over_since.reset();
+			else if (!run.over_since)
+				run.over_since = now;
+			const auto over = run.over_since ? std::chrono::duration_cast<millis>(now - *run.over_since) : millis{0};
+			out.push_back({purpose->second.image, strain, over});
+		}
+		return out;
+	}
+
+	void run_keeper::choose_paces(instant now)
+	{
+		std::vector<paced_filler> fillers;
+		std::vector<ordered_pace*> paces;
+		for (const auto& [what, run] : runs_)
+		{
+			const auto purpose = purposes_.find(what);
+			if (purpose == purposes_.end() || !purpose->second.filler)
+				continue;
+			auto& pace = paces_[what];
+			fillers.push_back(
+				{&purpose->second.pressures, static_cast<double>(run.listed.figure) / cpu_milli, pace.wanted});
+			paces.push_back(&pace);
+		}
+		const auto serving = watch_serving(now);
+		if (now - paces_changed_ < pacing_.settle || !adjust_paces(fillers, serving, pacing_))
+			return;
+		paces_changed_ = now;
+		for (std::size_t i = 0; i < fillers.size(); ++i)
+			paces[i]->wanted = fillers[i].percent;
+		log_event(event::fillers_paced, {{"worker", worker_->life.str()},
+										 {"serving", serving.size()},
+										 {"fillers", fillers.size()},
+										 {"mean_percent", mean_pace()}});
+	}
+
+	int run_keeper::mean_pace() const noexcept
+	{
+		if (paces_.empty())
+			return full_pace;
+		int sum = 0;
+		for (const auto& [what, pace] : paces_)
+			sum += pace.wanted;
+		return sum / static_cast<int>(paces_.size());
+	}
+
+	std::vector<task_run> run_keeper::fillers_to_pace(instant now) const
+	{
+		std::vector<task_run> out;
+		for (const auto& [what, pace] : paces_)
+		{
+			const bool again = pace.ordered < full_pace && now - pace.ordered_at > pace_again;
+			if (pace.wanted != pace.ordered || again)
+				out.push_back(what);
+		}
+		return out;
+	}
+
+	asio::awaitable<void> run_keeper::pace_fillers()
+	{
+		pacing_now_ = true;
+		choose_paces(steady_now());
+		const auto life = worker_->life;
+		for (const auto& what : fillers_to_pace(steady_now()))
+		{
+			const auto port = port_;
+			const auto percent = paces_[what].wanted;
+			const auto result = co_await port->pace(authority(), what, percent, steady_now() + worker_answer_time);
+			if (!is_current(life))
+				break;
+			note_result(result, steady_now());
+			if (const auto pace = paces_.find(what); pace != paces_.end() && result.how == order_end::done)
+			{
+				pace->second.ordered = percent;
+				pace->second.ordered_at = steady_now();
+			}
+		}
+		pacing_now_ = false;
+	}
+}
--- a/packages/entry/src/process/command_runner.cpp
+++ b/packages/entry/src/process/command_runner.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "command_runner.hpp"
 
+#include "command_results.hpp"
 #include "command_specs.hpp"
 
 #include <trailjunction/core/event.hpp>
@@ -28,27 +29,6 @@
 		constexpr auto owner_pause = millis{100};
 		constexpr std::size_t requests_kept = 1'000;
 
-		command_result refuse(absl::Status status)
-		{
-			command_result result;
-			result.status = std::move(status);
-			return result;
-		}
-
-		command_result refuse_for_now(const std::string& reason)
-		{
-			auto result = refuse(absl::UnavailableError(reason));
-			result.no_owner = true;
-			return result;
-		}
-
-		command_result done(std::string message)
-		{
-			command_result result;
-			result.message = std::move(message);
-			return result;
-		}
-
 		int http_status(absl::StatusCode code)
 		{
 			switch (code)
@@ -483,105 +463,4 @@
 	}
 
 	// ------------------------------------------------------------------ questions
-
-	asio::awaitable<command_result> command_runner::show(command_call call)
-	{
-		command_result result;
-		switch (call.parsed.about)
-		{
-		case noun::tasks:
-			co_return co_await gather(std::move(call), task_table());
-		case noun::requests:
-			co_return co_await gather(std::move(call), request_table());
-		case noun::shards:
-			co_return co_await gather(std::move(call), shard_table());
-		case noun::workers:
-			result.table = worker_table();
-			break;
-		case noun::services:
-			result.table = service_table();
-			break;
-		case noun::accounts:
-			result.table = account_table();
-			break;
-		case noun::members:
-			result.table = member_table_now();
-			break;
-		default:
-			result.table = {{"version", "document"}, {{absl::StrCat(config_.current().version.value), config_.text()}}};
-			break;
-		}
-		auto selected = select(std::move(result.table), call.parsed);
-		if (!selected.ok())
-			co_return refuse(selected.status());
-		result.table = *std::move(selected);
-		co_return result;
-	}
-
-	asio::awaitable<command_result> command_runner::why(command_call call)
-	{
-		if (call.parsed.about == noun::service)
-			co_return why_service(call);
-		if (call.parsed.about == noun::worker && !call.parsed.negated)
-		{
-			const auto* worker = workers_.find(worker_id{call.parsed.subject});
-			if (worker == nullptr)
-				co_return refuse(absl::NotFoundError(absl::StrCat("no worker '", call.parsed.subject, "'")));
-			co_return done(absl::StrCat(worker->ready ? "ready" : "not ready",
-										workers_.leaving(*worker) ? ", leaving" : "", ", last heard ",
-										std::chrono::duration_cast<millis>(steady_now() - worker->heard).count(),
-										" ms ago, configuration ", worker->config.value));
-		}
-		const task_id id{call.parsed.negated ? *call.parsed.option("for") : call.parsed.subject};
-		auto& keeper = tasks_.keeper_of(id);
-		if (keeper.standing() != shard_standing::owned)
-			co_return co_await forward_to_owner(std::move(call), keeper.shard());
-		const auto found = keeper.state().tasks.find(id);
-		if (found == keeper.state().tasks.end())
-			co_return refuse(absl::NotFoundError(absl::StrCat("no task '", id.str(), "'")));
-		if (call.parsed.negated)
-			co_return why_worker_not(call, found->second);
-		co_return done(absl::StrCat("task ", id.str(), " is ", tasks_.why(found->second)));
-	}
-
-	command_result command_runner::why_worker_not(const command_call& call, const task_state& task)
-	{
-		const auto* view = workers_.places().find(worker_id{call.parsed.subject});
-		if (view == nullptr)
-			return refuse(absl::NotFoundError(absl::StrCat("no worker '", call.parsed.subject, "'")));
-		const auto reason = check_worker(*view, task.spec, task.failed_on, steady_now());
-		if (reason != refusal::none)
-			return done(absl::StrCat("worker ", view->worker.str(), " is refused: ", std::string{to_string(reason)}));
-		placement_decision one;
-		one.chosen = weighed_worker{view->worker,
-									score_worker(*view, task.spec, config_.current().placement, workers_.learned())};
-		return done(absl::StrCat("worker ", view->worker.str(), " is possible; ", explain(one)));
-	}
-
-	command_result command_runner::why_service(const command_call& call) const
-	{
-		const service_id service{call.parsed.subject};
-		std::string text;
-		for (const auto& [pair, learned] : workers_.learned().pairs)
-			if (pair.service == service)
-				absl::StrAppend(&text, "beside ", pair.kind.str(), ": latency times ", std::exp(learned.slowdown), " (",
-								learned.weight, " measurements)\n");
-		const auto table = service_table();
-		for (const auto& row : table.rows)
-			if (row.front() == service.str())
-				absl::StrAppend(&text, "workers ", row[1], ", worst p99 ", row[3], " us, target ", row[4], " ms\n");
-		if (text.empty())
-			return refuse(absl::NotFoundError(absl::StrCat("nothing is known of service '", service.str(), "'")));
-		return done(text);
-	}
-
-	command_result command_runner::explain_drain(const command_call& call) const
-	{
-		const worker_id worker{call.parsed.subject};
-		std::size_t moved = 0;
-		for (const auto& keeper : tasks_.keepers())
-			if (const auto here = keeper->state().on_worker.find(worker); here != keeper->state().on_worker.end())
-				moved += here->second.size();
-		return done(absl::StrCat("would move ", moved, " runs of this entry's shards away from worker ", worker.str()));
-	}
 }
