trailjunction explain JOB LOG...: one job's story from the logs of all processes

Reads what is JSON and concerns the job, in the order of time, with the time since the line before. Comments of three constants say now what is known of them.

--- a/packages/entry/include/trailjunction/entry.hpp
+++ b/packages/entry/include/trailjunction/entry.hpp
@@ -7,5 +7,6 @@
 #include "entry/job_entry_process.hpp"
 #include "entry/job_entry_settings.hpp"
 #include "entry/job_gateway.hpp"
+#include "entry/job_story.hpp"
 #include "entry/query_client.hpp"
 #include "entry/settings.hpp"
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -25,6 +25,7 @@
 		"  trailjunction entry --settings FILE    run an entry\n"
 		"  trailjunction query [--entry IP:PORT] [--format table|json] 'COMMAND'\n"
 		"  trailjunction check FILE               check an entry's settings\n"
+		"  trailjunction explain JOB LOG...       tell a job's story from the logs of all processes\n"
 		"\n"
 		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings, 3 nobody answered.\n"
 		"\n"
@@ -118,6 +119,15 @@
 		return static_cast<int>(exit_code::ok);
 	}
 
+	int run_explain_command(const std::vector<std::string>& words)
+	{
+		constexpr std::size_t fewest_words = 3;
+		if (words.size() < fewest_words)
+			return fail("explain: a JOB and its LOGs are wanted", exit_code::usage);
+		return static_cast<int>(
+			trailjunction::run_explain(trailjunction::job_id{words[1]}, {words.begin() + 2, words.end()}));
+	}
+
 	int run_query_command(const po::variables_map& given, const std::vector<std::string>& words)
 	{
 		const auto entry = trailjunction::parse_endpoint(given["entry"].as<std::string>());
@@ -165,14 +175,16 @@
 		const auto words =
 			given.count("words") == 0 ? std::vector<std::string>{} : given["words"].as<std::vector<std::string>>();
 		if (words.empty())
-			return fail("a command is wanted: entry, query or check; see --help", exit_code::usage);
+			return fail("a command is wanted: entry, query, check or explain; see --help", exit_code::usage);
 		if (words[0] == "entry")
 			return run_entry_command(given);
 		if (words[0] == "check")
 			return run_check_command(words);
+		if (words[0] == "explain")
+			return run_explain_command(words);
 		if (words[0] == "query")
 			return run_query_command(given, words);
-		return fail("no command '" + words[0] + "', one of entry, query, check is wanted", exit_code::usage);
+		return fail("no command '" + words[0] + "', one of entry, query, check, explain is wanted", exit_code::usage);
 	}
 }
 
--- a/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
@@ -20,12 +20,13 @@
 	/// \brief How fast the model learns, and what it takes for granted.
 	struct pressure_policy
 	{
-		double prior{0.06};      ///< Per processor, of a pair never seen: the mean over both deployments' calm days.
-		double most{1.0};        ///< Per processor: one sample must not ban a pair for good.
-		double rate{0.2};        ///< Share of an error that one sample corrects.
-		double base_rate{0.2};   ///< The same for a task's base, which drifts with its load.
-		double first_base{-0.9}; ///< ln(strain) of a serving task alone, before anything was measured.
-		double least_cpus{1.0};  ///< Fillers that use less than this together tell nothing.
+		double prior{0.06};    ///< Per processor, of a pair never seen: within the fits of both calm days.
+		double most{1.0};      ///< Per processor: one sample must not ban a pair for good.
+		double rate{0.2};      ///< Share of an error that one sample corrects.
+		double base_rate{0.2}; ///< The same for a task's base, which drifts with its load.
+		double first_base{
+			-0.9}; ///< ln(strain) of a serving task alone: its median on both calm days is 0.4 of a target.
+		double least_cpus{1.0}; ///< Fillers that use less than this together tell nothing.
 	};
 
 	/// \brief What one filler used while strains were measured.
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -45,8 +45,8 @@
 	/// \brief What placement is told beyond the workers.
 	struct placement_policy
 	{
-		/// The share of its claim that a serving task is taken to use, where nothing was measured; from the calm days
-		/// of both deployments (docs/MEASUREMENTS.md).
+		/// The share of its claim that a serving task is taken to use: workers do not tell, and both deployments'
+		/// sheets say somewhat less.
 		double serving_use{0.5};
 		/// A filler does not join serving tasks whose strain is expected to be above this: it only slow down what is
 		/// there.
--- a/tests/log.cpp
+++ b/tests/log.cpp
@@ -2,11 +2,13 @@
 /// \file
 /// \brief Log lines: never waiting, bounded, failures always.
 #include <trailjunction/core/log_writer.hpp>
+#include <trailjunction/entry/job_story.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <array>
 #include <fcntl.h>
+#include <sstream>
 #include <string>
 #include <unistd.h>
 
@@ -72,3 +74,22 @@
 	CHECK(!admit_line(allowance, budget, false, start));
 	CHECK(admit_line(allowance, budget, false, start + millis{100}));
 }
+
+TEST_CASE("the story of a job is told from several logs, in the order of time", "[log]")
+{
+	std::istringstream entry{
+		"{\"time_ms\":100,\"event\":430,\"name\":\"job_accepted\",\"job\":\"a1\"}\n"
+		"broken a1\n"
+		"{\"time_ms\":900,\"event\":434,\"name\":\"job_ended\",\"job\":\"a1\",\"status\":\"completed\"}\n"};
+	std::istringstream agent{
+		"{\"time_ms\":150,\"event\":418,\"name\":\"start_unanswered\",\"task\":\"a1/0/0/0\",\"run\":1}\n"
+		"{\"time_ms\":160,\"event\":418,\"name\":\"start_unanswered\",\"task\":\"a11/0/0/0\",\"run\":1}\n"};
+	std::vector<story_line> lines;
+	read_story(entry, "entry-1", job_id{"a1"}, lines);
+	read_story(agent, "agent-1", job_id{"a1"}, lines);
+	std::ostringstream out;
+	write_story(lines, out);
+	CHECK(out.str() == "100 +0 ms entry-1 job_accepted job=\"a1\"\n"
+					   "150 +50 ms agent-1 start_unanswered task=\"a1/0/0/0\" run=1\n"
+					   "900 +750 ms entry-1 job_ended job=\"a1\" status=\"completed\"\n");
+}
