A model of one job's task: durable starts, the fence, settled orders, ends kept before they are forgotten

Proof: 0 errors, 1,011,572 states, complete. Mutants without the durable start, the fence, the stop, the listing and the kept end each give a counterexample (6,422 to 149,342 states).

--- /dev/null
+++ b/model/jobs.pml
@@ -0,0 +1,162 @@
+/* SPDX-License-Identifier: MIT
+ *
+ * One task of a job, two workers, two entries that own the jobs in turns. Orders are delivered at any time, once, or never;
+ * answers may be lost. Time is left out: that a lease is over by the owner's count only after it is over on the worker is
+ * held by tests of run_lease.hpp.
+ *
+ * step here       function that carries it
+ * commit          job_term::commit: one transaction under the condition of the owner's row
+ * order           job_term::act_on, order_start: after the transaction only
+ * settle          run_keeper::settle_start: a stop until it is answered, then a listing
+ * note            job_term::note_ends, confirm: the end is kept before the worker may forget it
+ * take over       job_owner::take_over, job_term::load
+ */
+
+#define RUNS 3
+#define TAKEOVERS 3
+
+byte epoch = 0;
+
+/* in the store */
+byte kept_run = 0;      /* the latest run */
+byte kept_where = 0;    /* 1 or 2: the worker that has it; 0: none */
+bool kept_done = false;
+
+/* at the workers; index 0 is not used */
+byte running[3];        /* the run that runs; 0: none */
+byte closed[3];         /* the highest run that was stopped or has ended */
+byte ended[3];          /* a run that has ended done and is listed; 0: none */
+
+/* on the way: starts of a run to a worker, as bits by run */
+byte starts[3];
+
+bool forgotten = false; /* a worker was told that the done end is kept */
+bool done_once = false; /* some run has ended done */
+bool again = false;     /* a run has started after that */
+
+#define BIT(run) (1 << (run))
+
+inline deliver_start(w, r)
+{
+	starts[w] = starts[w] & ~BIT(r);
+	if
+	:: running[w] == 0 && r > closed[w] ->
+		/* never in two places, never again after a done end was taken note of */
+		assert(running[3 - w] == 0);
+		assert(!forgotten);
+		again = again || done_once;
+		running[w] = r
+	:: else -> skip
+	fi
+}
+
+proctype worker(byte w)
+{
+	byte r;
+	do
+	:: atomic {
+		starts[w] != 0 ->
+		if
+		:: (starts[w] & BIT(1)) -> r = 1
+		:: (starts[w] & BIT(2)) -> r = 2
+		:: (starts[w] & BIT(3)) -> r = 3
+		fi;
+		deliver_start(w, r)
+	}
+	:: atomic { running[w] != 0 -> closed[w] = running[w]; ended[w] = running[w]; running[w] = 0; done_once = true }
+	od
+}
+
+/* A stop that was answered: the run is over there, and can never start there any more. */
+inline stop(w, r)
+{
+	if
+	:: running[w] == r -> running[w] = 0
+	:: else -> skip
+	fi;
+	if
+	:: closed[w] < r -> closed[w] = r
+	:: else -> skip
+	fi
+}
+
+proctype entry()
+{
+	byte mine, latest, where, next;
+	bool done, mine_still;
+takeover:
+	atomic {
+		epoch < TAKEOVERS ->
+		epoch++;
+		mine = epoch;
+		latest = kept_run;
+		where = kept_where;
+		done = kept_done
+	}
+	do
+	:: where == 0 && !done && latest < RUNS ->
+		if
+		:: next = 1
+		:: next = 2
+		fi;
+#ifdef NO_DURABLE_START
+		starts[next] = starts[next] | BIT(latest + 1);
+#endif
+		/* the other entry may come in between */
+		atomic {
+#ifdef NO_FENCE
+			mine_still = true;
+#else
+			mine_still = (mine == epoch);
+#endif
+			if
+			:: mine_still -> kept_run = latest + 1; kept_where = next
+			:: else -> goto takeover
+			fi;
+			latest++;
+			where = next
+		}
+		starts[where] = starts[where] | BIT(latest)
+	:: where != 0 && !done ->
+		/* ordered once more, as after a full report */
+		starts[where] = starts[where] | BIT(latest)
+	:: where != 0 && !done && ended[where] == latest ->
+#ifdef NO_KEEP_FIRST
+		atomic { ended[where] = 0; forgotten = true }
+#endif
+		atomic {
+			if
+			:: mine == epoch -> kept_done = true; done = true
+			:: else -> goto takeover
+			fi
+		}
+		atomic { ended[where] = 0; forgotten = true; assert(!again) }
+	:: where != 0 && !done ->
+#ifndef NO_STOP
+		atomic { stop(where, latest) }
+#endif
+#ifndef NO_LISTING
+		if
+		:: ended[where] == latest -> goto listed
+		:: else -> skip
+		fi;
+#endif
+		atomic {
+			if
+			:: mine == epoch -> kept_where = 0; where = 0
+			:: else -> goto takeover
+			fi
+		}
+listed:		skip
+	/* an end that is not of the latest run changes nothing, and the worker may forget it; agents obey the newest owner */
+	:: atomic { mine == epoch && ended[1] != 0 && (where != 1 || ended[1] != latest) -> ended[1] = 0; forgotten = true; assert(!again) }
+	:: atomic { mine == epoch && ended[2] != 0 && (where != 2 || ended[2] != latest) -> ended[2] = 0; forgotten = true; assert(!again) }
+	:: mine != epoch -> goto takeover
+	:: done -> break
+	od
+}
+
+init
+{
+	atomic { run worker(1); run worker(2); run entry(); run entry() }
+}
