--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -74,7 +74,6 @@
 			term_.reset();
 			seen_ = {};
 		}
-		left_ = true;
 	}
 
 	asio::awaitable<void> job_owner::look()
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -31,11 +31,6 @@
 			settings_.status_kept = kept;
 		}
 
-		[[nodiscard]] bool has_left() const noexcept
-		{
-			return left_;
-		}
-
 	private:
 		boost::asio::awaitable<void> look();
 		boost::asio::awaitable<std::optional<owned_row>> take_over();
@@ -53,6 +48,5 @@
 		std::int64_t incarnation_{};
 		std::shared_ptr<job_term> term_;
 		bool leaving_{};
-		bool left_{};
 	};
 }
