The refusal of a repeated start proves nothing; it is settled like an unanswered one

Change: orders after a renewed link say so; whatever else than done comes back leads to a stop and a fresh listing. Tests: two cases in tests/run_keeper.cpp that failed before.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -222,7 +222,7 @@
 		}
 		if (has_ended(what) || order.known_running || ordering_.contains(what))
 			return;
-		if (worker_->draining || closing_)
+		if ((worker_->draining || closing_) && !order.repeated)
 		{
 			refuse(what, start_refusal::leaving);
 			return;
@@ -236,21 +236,25 @@
 		const auto what = from_wire(order.what);
 		const auto life = worker_->life;
 		const auto port = port_;
+		const bool repeated = order.repeated;
 		const auto clock = worker_now_ms(steady_now());
 		run_start call{what, std::move(order.payload), std::move(order.checkpoint),
 					   std::min(clock + start_window.count(), deadline_ms_)};
-		if (clock_ms_ == 0 || call.deadline_ms < clock + least_window.count())
+		const bool leased = clock_ms_ > 0 && call.deadline_ms >= clock + least_window.count();
+		order_result result{order_end::late, 0};
+		if (leased && !worker_->draining && !closing_)
 		{
-			ordering_.erase(what);
-			refuse(what, start_refusal::never_started);
-			co_return;
+			++open_orders_;
+			result = co_await port->start(authority(), std::move(call), steady_now() + worker_answer_time);
+			--open_orders_;
+			if (!is_current(life))
+				co_return;
+			note_result(result, steady_now());
 		}
-		++open_orders_;
-		const auto result = co_await port->start(authority(), std::move(call), steady_now() + worker_answer_time);
-		--open_orders_;
-		if (!is_current(life))
-			co_return;
-		note_result(result, steady_now());
+		// An earlier order may have been carried out and its run may even have ended, so a refusal of this one says
+		// nothing.
+		if (repeated && result.how != order_end::done)
+			result.how = order_end::unknown;
 		switch (result.how)
 		{
 		case order_end::done:
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -247,7 +247,7 @@
 		for (const auto& what : done.starts)
 		{
 			undurable_starts_.erase(what);
-			order_start(what, false);
+			order_start(what, order_kind::first);
 		}
 		for (const auto& id : done.saved)
 			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -105,7 +105,14 @@
 		void lose_lapsed(instant now);
 		void place_waiting(instant now);
 		void stop_needless();
-		void order_start(const task_run& what, bool known_running);
+		/// What is known of earlier orders of a run.
+		enum class order_kind
+		{
+			first,         ///< There was none.
+			repeated,      ///< One may have been carried out.
+			known_running, ///< One was: the agent only learns what the run is.
+		};
+		void order_start(const task_run& what, order_kind kind);
 		void order_stop(agent_peer& peer, const task_run& what);
 		[[nodiscard]] std::vector<wire::image_pressure> pressures_beside(const worker_life& worker,
 																		 const std::string& filler) const;
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -188,7 +188,7 @@
 			const task_run what{key, find_task(table_, key)->run};
 			// A run whose start is not durable yet is ordered once it is.
 			if (!undurable_starts_.contains(what))
-				order_start(what, listed.contains(what));
+				order_start(what, listed.contains(what) ? order_kind::known_running : order_kind::repeated);
 		}
 	}
 
@@ -311,7 +311,7 @@
 		return out;
 	}
 
-	void job_term::order_start(const task_run& what, bool known_running)
+	void job_term::order_start(const task_run& what, order_kind kind)
 	{
 		const auto* job = find_job(table_, what.task.job);
 		const auto* task = find_task(table_, what.task);
@@ -329,14 +329,15 @@
 		wire::job_start order;
 		order.what = to_wire(what);
 		order.worker = task->worker.str();
-		if (!known_running)
+		if (kind != order_kind::known_running)
 		{
 			order.payload = job->spec.payload;
 			order.checkpoint = task->checkpoint;
 		}
 		order.latency_target_ms = group.latency_target.count();
 		order.filler = group.filler;
-		order.known_running = known_running;
+		order.known_running = kind == order_kind::known_running;
+		order.repeated = kind == order_kind::repeated;
 		order.image = group.image;
 		if (group.filler)
 			order.pressures = pressures_beside(task->worker, group.image);
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -238,6 +238,7 @@
 	7: bool known_running,      // the worker has listed it: only learn what it is
 	8: string image,
 	9: list<image_pressure> pressures, // of a filler, where it differs from nothing
+	10: bool repeated,          // an earlier order of the same run may have been carried out
 }
 
 /** Entry to agent: stop a run, whether it has begun or not. */
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -116,11 +116,12 @@
 				});
 		}
 
-		void order_start()
+		void order_start(bool repeated = false)
 		{
 			wire::job_start order;
 			order.what = to_wire(some_run);
 			order.worker = "life-1";
+			order.repeated = repeated;
 			runs.start(order);
 		}
 
@@ -175,6 +176,50 @@
 	CHECK(it.refused[0].why == wire::start_refusal::refused_superseded);
 }
 
+TEST_CASE("the refusal of a repeated start proves nothing: its run may have ended before", "[jobs]")
+{
+	// Found as TWICE on day 41 of Sirr (busy workers and late orders): the link was renewed, the start ordered once
+	// more.
+	scene it;
+	it.lines.on_start = [&]
+	{
+		it.lines.on_list = []
+		{
+			return listing_with_end(run_outcome::done);
+		};
+		return order_result{order_end::unhealthy, 1'000};
+	};
+	it.order_start(true);
+	REQUIRE(it.run_until_told());
+	CHECK(it.refused.empty());
+	CHECK(it.ended.size() == 1);
+}
+
+TEST_CASE("a repeated start at a draining worker is settled, a first one is refused", "[jobs]")
+{
+	scene it;
+	auto leaving = heartbeat_of("life-1");
+	leaving.draining = true;
+	leaving.sequence = 1;
+	it.runs.worker_seen(leaving);
+	it.lines.on_stop = [&]
+	{
+		it.lines.on_list = []
+		{
+			return listing_with_end(run_outcome::done);
+		};
+		return order_result{order_end::superseded, 1'000};
+	};
+	it.order_start(true);
+	REQUIRE(it.run_until_told());
+	CHECK(it.refused.empty());
+	CHECK(it.lines.starts == 0);
+	it.lines.on_list = []
+	{
+		return listing_result{{order_end::done, 1'000}, {}};
+	};
+}
+
 TEST_CASE("a start without an answer is settled by a stop and a listing after it", "[jobs]")
 {
 	scene it;
