The first guess of a worker that was never tried fades like any estimate

With two usable workers both are drawn, so the cheaper one is always taken. A worker's estimate fades when it is not tried, but the first guess (2 ms) of a worker that had never been tried did not: an entry whose other worker answers in under 1 ms never used it.

Ruled out: the undrain (the directory is pushed whole every 200 ms and resets the leaving flag), the order of the configuration at entry and agent (a refusal only holds until the next push).

Change: freshness counts from the later of the last answer and the joining.

Conclusion: a real fault of routing, not load; it needed fast answers of the others to show.

--- a/packages/decide/src/request/balance.cpp
+++ b/packages/decide/src/request/balance.cpp
@@ -53,12 +53,11 @@
 		}
 
 		/// Between 1 for a worker that has just been tried and 0: an old estimate, however bad, is tried again some
-		/// time.
+		/// time. So is the first guess of a worker that was never tried, counted from when it joined.
 		double freshness(const target_view& target, const balance_policy& policy, instant now)
 		{
-			if (target.answered_at == instant{})
-				return 1;
-			const auto age = std::chrono::duration<double>(now - target.answered_at);
+			const auto known_since = std::max(target.answered_at, target.joined);
+			const auto age = std::chrono::duration<double>(now - known_since);
 			return std::exp2(-age / std::chrono::duration<double>(policy.estimate_half_life));
 		}
 
--- a/tests/decide.cpp
+++ b/tests/decide.cpp
@@ -102,6 +102,17 @@
 	CHECK(choose_often(targets, start + std::chrono::seconds{10})[0] > 0);
 }
 
+TEST_CASE("a worker that was never tried is tried some time, however quick the others are", "[decide]")
+{
+	auto targets = make_targets(2);
+	targets[0].latency_us = 0; // unknown: the first guess stands
+	targets[0].joined = start;
+	targets[1].latency_us = 300;
+	const auto later = start + std::chrono::seconds{10};
+	targets[1].answered_at = later; // only this one is used
+	CHECK(choose_often(targets, later)[0] > 0);
+}
+
 TEST_CASE("an outlier is ejected, but never so many that none are left", "[decide]")
 {
 	auto targets = make_targets(10);
