A full report that was asked for before the worker was known is owed until it is given

An agent that restarts answers an owner's claim with an empty report while its worker has not been listed yet. Later reports told only what had changed, so the owner never compared its runs with what the worker lists: runs that had been ordered while the agent was away stayed `ordered` for ever, and nothing was placed for them again.

Ruled out: the feed of submissions (the job was taken up by both owners), the outage of the store (the runs were durable), the worker (it listed other runs all the while).

Change: run_keeper remembers that a full report is owed; the first one with a worker in it is full.

Test: "a full report that was asked for before the worker was known ..." failed before.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace trailjunction
 {
@@ -392,9 +393,10 @@
 	{
 		wire::job_report out;
 		out.stamp_ms = to_millis(steady_now());
-		out.full = full;
+		full_owed_ = full_owed_ || full;
 		if (!worker_ || !listed_once_)
 			return out;
+		out.full = std::exchange(full_owed_, false);
 		out.worker = worker_->life.str();
 		out.service_name = worker_->service.str();
 		out.labels = worker_->labels;
@@ -407,14 +409,14 @@
 		out.responsive = failed_listings_ < unresponsive_after;
 		for (auto& [what, run] : runs_)
 		{
-			if (!full && !run.changed)
+			if (!out.full && !run.changed)
 				continue;
 			run.changed = false;
 			run.reported_figure = run.listed.figure;
 			out.running.push_back(to_wire(run.listed));
 		}
 		for (const auto& end : ends_)
-			if (full || end.number > ends_reported_)
+			if (out.full || end.number > ends_reported_)
 				out.ended.push_back(to_wire(end));
 		if (!ends_.empty())
 			ends_reported_ = std::max(ends_reported_, ends_.back().number);
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -48,7 +48,8 @@
 		void confirm(const wire::job_confirm& answer);
 
 		/// \brief What an owner should know now.
-		/// \param full Everything, for an owner that knows nothing yet.
+		/// \param full Everything, for an owner that knows nothing yet. Where the worker is not known yet, the first
+		/// report in which it is will be full instead.
 		[[nodiscard]] wire::job_report report(bool full);
 
 		/// \brief Refuses further starts: the agent is about to stop.
@@ -122,6 +123,7 @@
 		std::uint64_t listings_{}; ///< Answered so far; a counter for those who wait for a fresh one.
 		int failed_listings_{};
 		bool listed_once_{};
+		bool full_owed_{}; ///< A full report was asked for and not given yet.
 		absl::flat_hash_map<task_run, kept_run> runs_;
 		absl::flat_hash_map<task_run, run_purpose> purposes_;
 		absl::flat_hash_map<task_run, ordered_pace> paces_; ///< Of fillers.
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -144,6 +144,28 @@
 	}
 }
 
+TEST_CASE("a full report that was asked for before the worker was known is given as soon as it is", "[jobs]")
+{
+	// Found as LOST on scale-1 of Grangemouth, seed 2: an owner that claimed before the first listing never heard which
+	// of the runs that it knew were not there, and ordered none of them again.
+	boost::asio::io_context io{1};
+	script lines;
+	run_keeper runs{io, [&](endpoint) { return std::make_unique<scripted_worker>(io, lines); }, millis{6'000},
+					make_pacing_policy(millis{4'000}),
+					[] {
+					}};
+	CHECK(runs.report(true).worker.empty());
+	runs.worker_seen(heartbeat_of("life-1"));
+	CHECK(runs.report(false).worker.empty()); // not listed yet
+	const auto end = steady_now() + longest_wait;
+	while (lines.lists < 2 && steady_now() < end)
+		io.run_one_for(millis{10});
+	const auto first = runs.report(false);
+	CHECK(first.worker == "life-1");
+	CHECK(first.full);
+	CHECK(!runs.report(false).full);
+}
+
 TEST_CASE("a start that the worker takes for an old one may have run: its end decides, not the answer", "[jobs]")
 {
 	// Found as TWICE on days with many late orders: the run had ended done before the agent had listed it.
