After a power loss work starts again at once: a member retakes its own row, and earlier lives are known

Nobody took over until 38.05 s, since standbys waited for the lease of a process that was gone. And the 45 serving tasks were only restarted at 44 s: the new owner did not know at which agent the stored incarnations of workers had been, so the new incarnations proved nothing to it and it waited for their run leases.

Ruled out: start-up (90 ms), the store (up all the while), room (workers were empty).

Change, both in what is stored: the owner's row names the address where it takes callers; a process that holds that address under the same member name takes over at once, since its predecessor cannot run any more. And the owner writes which worker it met beside each agent (job_workers); a successor that meets another one there releases the earlier one's runs. An owner that leaves confirms no run any more.

Tests: "a new owner learns from an agent's next incarnation ..." and "a member takes its own row over at once ..." failed before; "another agent's incarnation says nothing ..." holds the other side.

--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -62,6 +62,7 @@
 		}
 
 		worker_facts worker;
+		worker_life stored_life; ///< Of the worker beside this agent, as the store keeps it.
 
 	private:
 		boost::asio::awaitable<void> dial_forever();
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -90,7 +90,7 @@
 		if (page->rows.empty())
 		{
 			seen_row_ = {};
-			note_look(seen_, 0, false, now);
+			note_look(seen_, 0, {}, now);
 			co_return;
 		}
 		const auto row = decode_ownership(page->rows.front().value);
@@ -102,7 +102,15 @@
 		if (seen_.version != page->rows.front().version)
 			tell_depths(*row, now);
 		seen_row_ = *row;
-		note_look(seen_, page->rows.front().version, row->released, now);
+		note_look(seen_, page->rows.front().version, {row->released, is_own(*row)}, now);
+	}
+
+	bool job_owner::is_own(const stored::ownership& row) const
+	{
+		// A process listens at its address before it looks at the row, and two cannot listen there. An instance of the
+		// same name at another address may have been replaced while it still runs.
+		return row.member == settings_.member.str() && settings_.callers &&
+			   row.address == to_string(*settings_.callers);
 	}
 
 	void job_owner::tell_depths(const stored::ownership& row, instant read_at)
@@ -122,6 +130,8 @@
 		out.row.epoch = seen_row_.epoch + 1;
 		out.row.member = settings_.member.str();
 		out.row.incarnation = incarnation_;
+		if (settings_.callers)
+			out.row.address = to_string(*settings_.callers);
 		row_change change;
 		change.partition = job_partition;
 		change.expected.push_back({owner_row(), seen_.version});
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -35,6 +35,8 @@
 		boost::asio::awaitable<void> look();
 		boost::asio::awaitable<std::optional<owned_row>> take_over();
 		void tell_depths(const stored::ownership& row, instant read_at);
+		/// Whether an earlier process at this process's address wrote the row, or this one itself.
+		[[nodiscard]] bool is_own(const stored::ownership& row) const;
 
 		boost::asio::io_context& io_;
 		job_entry_settings settings_;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -162,13 +162,28 @@
 			for (const auto& [name, peer] : peers_)
 				if (peer->worker.ends_seen > peer->worker.ends_kept)
 					out.ends.push_back({peer, peer->worker.life, peer->worker.ends_seen});
+		add_workers(out);
 		add_forgotten(out, now);
 		return out;
 	}
 
+	void job_term::add_workers(batch& out)
+	{
+		for (const auto& [name, peer] : peers_)
+		{
+			if (out.saved.size() + out.workers == most_rows)
+				break; // the next transaction has room
+			if (peer->worker.life.empty() || peer->worker.life == peer->stored_life)
+				continue;
+			out.change.put.push_back({{workers_table, name}, encode_worker(peer->worker.life)});
+			peer->stored_life = peer->worker.life;
+			++out.workers;
+		}
+	}
+
 	void job_term::add_forgotten(batch& out, instant now)
 	{
-		if (now - swept_ < sweep_every || !out.saved.empty())
+		if (now - swept_ < sweep_every || !out.saved.empty() || out.workers > 0)
 			return;
 		swept_ = now;
 		const auto clock = store_now_ms(now);
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -71,12 +71,14 @@
 			std::vector<job_id> forgotten;
 			std::vector<task_run> starts;
 			std::vector<kept_ends> ends;
+			std::size_t workers{}; ///< Rows of workers' incarnations.
 			instant sent{};
 		};
 
 		// job_term.cpp: the transactions
 		[[nodiscard]] batch make_batch(instant now);
 		void add_forgotten(batch& out, instant now);
+		void add_workers(batch& out);
 		boost::asio::awaitable<bool> commit(batch& what);
 		void act_on(const batch& done, instant now);
 		boost::asio::awaitable<void> wait_for_work();
@@ -91,6 +93,7 @@
 		void take_submissions(const std::vector<stored_row>& rows);
 		void take_progress(const std::vector<stored_row>& rows);
 		void take_agents(const std::vector<stored_row>& rows);
+		void take_workers(const std::vector<stored_row>& rows);
 
 		// job_term_workers.cpp: what comes from and goes to workers
 		void on_report(agent_peer& peer, wire::job_report&& report);
@@ -102,6 +105,7 @@
 		void reconcile(agent_peer& peer, const wire::job_report& report);
 		void confirm(agent_peer& peer, const wire::job_report& report, instant now);
 		void lose_worker(const worker_life& life, std::string_view why, instant now);
+		void lose_earlier_lives(const agent_peer& peer, instant now);
 		void lose_lapsed(instant now);
 		void place_waiting(instant now);
 		void stop_needless();
@@ -135,6 +139,8 @@
 		absl::flat_hash_set<task_run> undurable_starts_; ///< Not ordered before the store keeps them.
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
+		/// The agent beside each worker that was ever heard of in this term or just before it.
+		absl::flat_hash_map<worker_life, std::string> agent_beside_;
 		instant began_{};
 		instant committed_{};
 		instant swept_{};
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -61,6 +61,10 @@
 		const auto agents = co_await read_all(store_, whole_table(agents_table), steady_now() + read_time);
 		if (!agents.ok())
 			co_return agents.status();
+		const auto workers = co_await read_all(store_, whole_table(workers_table), steady_now() + read_time);
+		if (!workers.ok())
+			co_return workers.status();
+		take_workers(workers->rows);
 		take_progress(progress->rows);
 		take_submissions(submissions->rows);
 		take_agents(agents->rows);
@@ -116,6 +120,18 @@
 		wake();
 	}
 
+	void job_term::take_workers(const std::vector<stored_row>& rows)
+	{
+		for (const auto& row : rows)
+		{
+			auto life = decode_worker(row.value);
+			if (life.ok())
+				agent_beside_[*std::move(life)] = row.name.key;
+			else
+				log_event(event::row_unreadable, {{"worker", row.name.key}, {"reason", life.status().ToString()}});
+		}
+	}
+
 	void job_term::take_agents(const std::vector<stored_row>& rows)
 	{
 		for (const auto& row : rows)
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -63,12 +63,10 @@
 		auto& worker = peer.worker;
 		if (worker.life != life)
 		{
-			const auto before = worker.life;
 			worker = {};
 			worker.life = life;
-			// A worker that shows a new incarnation has ended the one before and all that ran in it.
-			if (!before.empty())
-				lose_worker(before, "restarted", steady_now());
+			agent_beside_[life] = peer.name();
+			lose_earlier_lives(peer, steady_now());
 			wake();
 		}
 		worker.service = service_id{report.service_name};
@@ -194,7 +192,8 @@
 
 	void job_term::confirm(agent_peer& peer, const wire::job_report& report, instant now)
 	{
-		if (!report.responsive || !may_act(now))
+		// An owner that leaves confirms nothing more: its successor at the same address does not wait for its lease.
+		if (!report.responsive || releasing_ || !may_act(now))
 			return;
 		wire::job_confirm answer;
 		answer.worker = report.worker;
@@ -215,6 +214,21 @@
 			end_run(table_, {key, find_task(table_, key)->run}, run_outcome::lapsed, "", now);
 	}
 
+	void job_term::lose_earlier_lives(const agent_peer& peer, instant now)
+	{
+		// Agents tell of an incarnation only once it has answered them, and there is one worker beside an agent. So
+		// those that were there before have ended, and all that ran in them.
+		std::vector<worker_life> gone;
+		for (const auto& [life, agent] : agent_beside_)
+			if (agent == peer.name() && life != peer.worker.life)
+				gone.push_back(life);
+		for (const auto& life : gone)
+		{
+			agent_beside_.erase(life);
+			lose_worker(life, "restarted", now);
+		}
+	}
+
 	void job_term::lose_lapsed(instant now)
 	{
 		std::vector<worker_life> lapsed;
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -37,4 +37,8 @@
 	/// \brief The row of one agent.
 	[[nodiscard]] std::string encode_agent(const stored::agent& row);
 	[[nodiscard]] absl::StatusOr<stored::agent> decode_agent(std::string_view row);
+
+	/// \brief The row of the worker beside one agent.
+	[[nodiscard]] std::string encode_worker(const worker_life& life);
+	[[nodiscard]] absl::StatusOr<worker_life> decode_worker(std::string_view row);
 }
--- a/packages/jobs/include/trailjunction/jobs/job_tables.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_tables.hpp
@@ -16,6 +16,7 @@
 	inline constexpr const char* submissions_table = "job_submissions"; ///< Jobs as handed in, and their cancellations.
 	inline constexpr const char* progress_table = "job_progress";       ///< How far jobs are.
 	inline constexpr const char* agents_table = "job_agents";           ///< Where agents take links.
+	inline constexpr const char* workers_table = "job_workers";         ///< Which worker each agent was seen with.
 
 	/// \brief Ends the key of a cancellation in submissions_table; sorts behind the job's own key.
 	inline constexpr const char* cancellation_suffix = ".cancelled";
--- a/packages/jobs/include/trailjunction/jobs/ownership.hpp
+++ b/packages/jobs/include/trailjunction/jobs/ownership.hpp
@@ -29,10 +29,19 @@
 		std::int64_t version{};       ///< Of the row; 0: it is absent.
 		std::optional<instant> since; ///< When that version was first seen; nothing after a failed look.
 		bool released{};
+		/// Written by a process that is certainly gone: it served at the address that this process now holds.
+		bool by_predecessor{};
+	};
+
+	/// \brief What the row says of its writer.
+	struct row_writer
+	{
+		bool released{};       ///< It has left in a planned way.
+		bool by_predecessor{}; ///< See ownership_sighting.
 	};
 
 	/// \brief Notes a successful look at the row.
-	void note_look(ownership_sighting& seen, std::int64_t version, bool released, instant answered) noexcept;
+	void note_look(ownership_sighting& seen, std::int64_t version, row_writer writer, instant answered) noexcept;
 
 	/// \brief Notes a look that failed: the time before it proves nothing about the owner's chance to renew.
 	void note_failed_look(ownership_sighting& seen) noexcept;
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -83,6 +83,13 @@
 	5: bool released,           // the owner has left in a planned way
 	6: list<queue_depth> depths,
 	7: bool loaded,             // the owner knows all jobs, so depths are complete
+	8: string address,          // where the owner takes callers; held by one process at a time
+}
+
+/** The worker beside an agent, as an owner last heard of it; written by the owner of the shard. */
+struct worker
+{
+	1: string life,
 }
 
 /** Where the agent beside a worker takes links. */
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -234,4 +234,19 @@
 	{
 		return decode<stored::agent>(row);
 	}
+
+	std::string encode_worker(const worker_life& life)
+	{
+		stored::worker row;
+		row.life = life.str();
+		return encode(row);
+	}
+
+	absl::StatusOr<worker_life> decode_worker(std::string_view text)
+	{
+		const auto row = decode<stored::worker>(text);
+		if (!row.ok())
+			return row.status();
+		return worker_life{row->life};
+	}
 }
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -3,12 +3,13 @@
 
 namespace trailjunction
 {
-	void note_look(ownership_sighting& seen, std::int64_t version, bool released, instant answered) noexcept
+	void note_look(ownership_sighting& seen, std::int64_t version, row_writer writer, instant answered) noexcept
 	{
 		if (seen.version != version || !seen.since)
 			seen.since = answered;
 		seen.version = version;
-		seen.released = released;
+		seen.released = writer.released;
+		seen.by_predecessor = writer.by_predecessor;
 	}
 
 	void note_failed_look(ownership_sighting& seen) noexcept
@@ -20,7 +21,7 @@
 	{
 		if (!seen.since)
 			return false;
-		if (seen.version == 0 || seen.released)
+		if (seen.version == 0 || seen.released || seen.by_predecessor)
 			return true;
 		return now - *seen.since >= times.lease + times.margin;
 	}
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -149,6 +149,78 @@
 	CHECK(it.stored_job(first_job).tasks[0].worker == worker_life{"life-1"});
 }
 
+TEST_CASE("a new owner learns from an agent's next incarnation that the runs of the one before are gone", "[jobs]")
+{
+	// Found on trouble-1 of Sirr: after all instances had lost power, nothing was restarted for the 6 s of the lease.
+	scene it;
+	it.settings.contact = millis{600'000}; // nobody waits for a lease here
+	it.settings.longest_run_lease = millis{600'000};
+	it.begin();
+	it.submit(first_job, one_task());
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 1; }));
+	it.term->release();
+	REQUIRE(it.run_until([&] { return it.worked; }));
+	it.agent.full_report = report_of("life-2");
+	it.begin();
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 2; }));
+	CHECK(it.agent.starts[1].worker == "life-2");
+	CHECK(it.agent.starts[1].what.run == 2);
+}
+
+TEST_CASE("another agent's incarnation says nothing about the runs of a worker that is not heard of", "[jobs]")
+{
+	scene it;
+	it.settings.contact = millis{600'000};
+	it.settings.longest_run_lease = millis{600'000};
+	it.begin();
+	it.submit(first_job, one_task());
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 1; }));
+	it.term->release();
+	REQUIRE(it.run_until([&] { return it.worked; }));
+	agent_standin other{it.io};
+	other.full_report = report_of("life-2");
+	stored::agent row;
+	row.address = to_string(other.where());
+	it.store.put(job_partition, agents_table, "agent-2", encode_agent(row));
+	it.agent.full_report.worker.clear(); // it does not know its worker yet
+	it.begin();
+	REQUIRE(it.run_until([&] { return other.confirms.size() > 0; }));
+	other.send(report_of("life-2"));
+	REQUIRE(it.run_until([&] { return other.confirms.size() > 1; }));
+	CHECK(other.starts.empty());
+	CHECK(it.stored_job(first_job).tasks[0].worker == worker_life{"life-1"});
+}
+
+TEST_CASE("a member takes its own row over at once, since its earlier process is gone, and nobody else's", "[jobs]")
+{
+	const auto begins = [](const std::string& member, const std::string& address)
+	{
+		boost::asio::io_context io{1};
+		memory_store store{io};
+		job_entry_settings settings;
+		settings.member = member_id{"entry-1"};
+		settings.callers = *parse_endpoint("127.0.0.1:7001");
+		settings.contact = millis{600'000}; // the lease of others does not end in this test
+		process_metrics metrics;
+		job_owner owner{io, settings, store, metrics, [](queue_depths) {
+						}};
+		stored::ownership row;
+		row.epoch = 3;
+		row.member = member;
+		row.address = address;
+		store.put(job_partition, owner_table, owner_key, encode_ownership(row));
+		boost::asio::co_spawn(io, owner.run(), boost::asio::detached);
+		const auto until = steady_now() + millis{1'500};
+		while (store.asked.empty() && steady_now() < until)
+			io.run_one_for(millis{10});
+		return !store.asked.empty();
+	};
+	CHECK(begins("entry-1", "127.0.0.1:7001"));
+	CHECK(!begins("entry-1", "127.0.0.2:7001")); // an instance that was replaced may still run
+	CHECK(!begins("entry-2", "127.0.0.1:7001"));
+	CHECK(!begins("entry-1", ""));
+}
+
 TEST_CASE("the depths of an owner that has not read its jobs yet are not told", "[jobs]")
 {
 	// Found as MIXED at Grangemouth, the owner frozen near the end: its successor's first row said that nothing waits.
--- a/tests/jobs.cpp
+++ b/tests/jobs.cpp
@@ -266,13 +266,13 @@
 	const ownership_times times;
 	ownership_sighting seen;
 	CHECK(!may_take_over(seen, times, start));
-	note_look(seen, 7, false, start);
+	note_look(seen, 7, {}, start);
 	CHECK(!may_take_over(seen, times, start + times.lease));
 	CHECK(may_take_over(seen, times, start + times.lease + times.margin));
 	note_failed_look(seen); // the owner may not have been able to renew either
-	note_look(seen, 7, false, start + times.lease);
+	note_look(seen, 7, {}, start + times.lease);
 	CHECK(!may_take_over(seen, times, start + times.lease + times.margin));
-	note_look(seen, 8, true, start + times.lease);
+	note_look(seen, 8, {.released = true}, start + times.lease);
 	CHECK(may_take_over(seen, times, start + times.lease));
 	CHECK(holds_lease(start, times, start + times.lease - millis{1}));
 	CHECK(!holds_lease(start, times, start + times.lease));
