Members of a gang share runs, checkpoints and failures, and come together again as a whole

A member whose start was refused or whose worker was lost left the others waiting until they ended `alone`, and a restarted member had a number that the others did not have.

Change: the first member that is placed begins a run and the others join it; the checkpoint of any member is kept for all; a failure counts once a run; one member's `done` ends all; members whose gang lost others are stopped at once, and a gang is placed only when all of it waits, on one rack where it asks for one and fits.

Tests: "members of a gang share run numbers ...", "a gang fails once a run ...", "a gang that wants one rack ..." (written with the change; the first one's checks on numbers and stops cannot hold before it).

Which failure of a run was counted is known to one owner only, so a change of owner between the failures of two members may count a run twice.

--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -31,14 +31,15 @@
 	struct job_task
 	{
 		task_stage phase{task_stage::waiting};
-		std::uint32_t run{};      ///< The latest run; 0 before the first.
-		std::uint32_t failures{}; ///< Runs that failed by their own fault or their worker's.
-		worker_life worker;       ///< Where the latest run is, while ordered or running.
-		std::string checkpoint;   ///< To resume from.
-		instant since{};          ///< Of the present phase; of this process only.
-		worker_life failed_on;    ///< Where the latest failure was; of this process only.
-		std::int64_t figure{};    ///< The worker's last measure; see job_run in wire.thrift.
-		bool stop_ordered{};      ///< Its worker was told to stop the latest run.
+		std::uint32_t run{};        ///< The latest run; 0 before the first.
+		std::uint32_t failures{};   ///< Runs that failed by their own fault or their worker's; of a gang: its runs.
+		worker_life worker;         ///< Where the latest run is, while ordered or running.
+		std::string checkpoint;     ///< To resume from.
+		instant since{};            ///< Of the present phase; of this process only.
+		worker_life failed_on;      ///< Where the latest failure was; of this process only.
+		std::uint32_t failed_run{}; ///< The latest run whose failure is counted; of this process only.
+		std::int64_t figure{};      ///< The worker's last measure; see job_run in wire.thrift.
+		bool stop_ordered{};        ///< Its worker was told to stop the latest run.
 	};
 
 	/// \brief How a job stands.
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -54,7 +54,7 @@
 	/// \returns Whether this changed anything.
 	bool cancel_job(job_table& table, const job_id& id);
 
-	/// \brief Gives a waiting task to a worker under the next run number.
+	/// \brief Gives a waiting task to a worker under the next run number, which the members of a gang share.
 	task_run assign(job_table& table, const task_key& key, const worker_life& worker, instant now);
 
 	/// \brief Notes that a worker has confirmed a run.
@@ -68,7 +68,7 @@
 		job_over, ///< The job has ended with this.
 	};
 
-	/// \brief Notes the end of a run.
+	/// \brief Notes the end of a run. That one member of a gang is done says so of all.
 	/// \param checkpoint What a next run may resume from; empty keeps the one before.
 	end_effect end_run(job_table& table, const task_run& what, run_outcome how, const std::string& checkpoint,
 					   instant now);
@@ -82,7 +82,7 @@
 	/// \brief Tasks whose turn has come and that are nowhere.
 	[[nodiscard]] std::vector<task_key> waiting_tasks(const job_table& table, std::int64_t unix_ms);
 
-	/// \brief Runs that have to stop: those of jobs that have ended.
+	/// \brief Runs that have to stop: those of jobs that have ended, and members of a gang that has lost others.
 	[[nodiscard]] std::vector<task_run> needless_runs(const job_table& table);
 
 	/// \brief Jobs of a queue none of whose tasks has begun.
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <limits>
 #include <numbers>
+#include <set>
 #include <tuple>
 
 namespace trailjunction
@@ -41,6 +42,12 @@
 			return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 		}
 
+		/// Workers name their kind first and their rack second.
+		std::string rack_of(const worker_room& worker)
+		{
+			return worker.labels.size() > 1 ? worker.labels[1] : std::string{};
+		}
+
 		resources counted_claim(const task_group& group) noexcept
 		{
 			auto claim = group.claim;
@@ -217,31 +224,69 @@
 								   what.key);
 		}
 
-		/// Places consecutive wishes of one group of one occurrence.
-		void place_group(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
-						 std::vector<placement>& out)
+		/// Places consecutive wishes of one group of one occurrence, as many as there is room for.
+		/// \returns Whether all were placed.
+		bool place_each(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
+						std::vector<placement>& out)
 		{
 			const auto& first = wishes.front();
 			auto counts = count_group(*first.job, first.key.occurrence, first.key.group);
-			const auto kept = out.size();
-			std::vector<worker_room> before;
-			if (first.group->gang)
-				before.assign(workers.begin(), workers.end());
 			for (const auto& what : wishes)
 			{
 				const auto found = choose(workers, what, counts, rules);
-				if (!found && !first.group->gang)
-					return;
 				if (!found)
-				{
-					out.resize(kept);
-					std::copy(before.begin(), before.end(), workers.begin());
-					return;
-				}
+					return false;
 				charge(workers[*found], *what.group, rules);
 				++counts[workers[*found].life];
 				out.push_back({what.key, *found});
 			}
+			return true;
+		}
+
+		/// Places all wishes or none, on the workers of one rack where a rack is named.
+		bool place_all(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
+					   const std::string& rack, std::vector<placement>& out)
+		{
+			std::vector<worker_room> tried(workers.begin(), workers.end());
+			for (auto& worker : tried)
+				worker.accepts = worker.accepts && (rack.empty() || has_label(worker, rack));
+			std::vector<placement> placed;
+			if (!place_each(tried, wishes, rules, placed))
+				return false;
+			for (std::size_t i = 0; i < workers.size(); ++i)
+			{
+				tried[i].accepts = workers[i].accepts;
+				workers[i] = std::move(tried[i]);
+			}
+			out.insert(out.end(), placed.begin(), placed.end());
+			return true;
+		}
+
+		/// Members of a gang start together, so those of a run that still ends somewhere are waited for.
+		void place_gang(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
+						std::vector<placement>& out)
+		{
+			const auto& group = *wishes.front().group;
+			if (wishes.size() < group.count)
+				return;
+			std::set<std::string> racks;
+			if (group.same_rack)
+				for (const auto& worker : workers)
+					racks.insert(rack_of(worker));
+			const bool together = std::any_of(
+				racks.begin(), racks.end(),
+				[&](const std::string& rack) { return !rack.empty() && place_all(workers, wishes, rules, rack, out); });
+			if (!together)
+				(void)place_all(workers, wishes, rules, "", out);
+		}
+
+		void place_group(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
+						 std::vector<placement>& out)
+		{
+			if (wishes.front().group->gang)
+				place_gang(workers, wishes, rules, out);
+			else
+				(void)place_each(workers, wishes, rules, out);
 		}
 
 		bool same_group(const wish& left, const wish& right) noexcept
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -2,6 +2,7 @@
 #include <trailjunction/jobs/job_table.hpp>
 
 #include <algorithm>
+#include <span>
 
 namespace trailjunction
 {
@@ -38,12 +39,89 @@
 			return task != nullptr && task->run == what.run && is_placed(*task) ? task : nullptr;
 		}
 
+		/// All tasks of a task's group and occurrence: if the group is a gang, the members.
+		std::span<job_task> siblings_of(job_state& job, const task_key& key)
+		{
+			const auto first = place_of(job, {key.job, key.occurrence, key.group, 0});
+			return std::span{job.tasks}.subspan(first, group_of(job, key).count);
+		}
+
+		/// The run number of a task that is about to be placed. Members of a gang are placed one after the other: the
+		/// first begins a run, the others join it.
+		std::uint32_t next_run(job_state& job, const task_key& key, const job_task& task)
+		{
+			if (!group_of(job, key).gang)
+				return task.run + 1;
+			std::uint32_t highest = 0;
+			bool placed = false;
+			for (const auto& member : siblings_of(job, key))
+			{
+				if (member.run > highest)
+					placed = false;
+				highest = std::max(highest, member.run);
+				placed = placed || (is_placed(member) && member.run == highest);
+			}
+			return placed && task.run < highest ? highest : highest + 1;
+		}
+
+		/// Whether a member of a gang waits for others that are not there any more.
+		bool has_lost_members(job_state& job, const task_key& key, std::uint32_t run)
+		{
+			if (!group_of(job, key).gang)
+				return false;
+			const auto members = siblings_of(job, key);
+			return !std::all_of(members.begin(), members.end(),
+								[&](const job_task& member) { return is_placed(member) && member.run == run; });
+		}
+
+		/// Members of a gang resume from one checkpoint, whoever of them wrote it.
+		void keep_checkpoint(job_state& job, const task_key& key, job_task& task, const std::string& checkpoint)
+		{
+			if (checkpoint.empty())
+				return;
+			task.checkpoint = checkpoint;
+			if (group_of(job, key).gang)
+				for (auto& member : siblings_of(job, key))
+					member.checkpoint = checkpoint;
+		}
+
+		/// A gang fails as a whole, and once a run, however many of its members say so.
+		void count_failure(job_state& job, const task_key& key, job_task& task, const worker_life& worker)
+		{
+			task.failed_on = worker;
+			if (!group_of(job, key).gang)
+			{
+				++task.failures;
+				return;
+			}
+			for (auto& member : siblings_of(job, key))
+			{
+				if (member.failed_run < task.run)
+					++member.failures;
+				member.failed_run = std::max(member.failed_run, task.run);
+			}
+		}
+
 		bool all_done(const job_state& job)
 		{
 			return std::all_of(job.tasks.begin(), job.tasks.end(),
 							   [](const job_task& task) { return task.phase == task_stage::done; });
 		}
 
+		/// The other members of a gang are done with the one whose end was told.
+		void end_others(job_table& table, job_state& job, const task_key& key, instant now)
+		{
+			auto other = key;
+			for (other.index = 0; other.index < group_of(job, key).count; ++other.index)
+			{
+				auto& member = *find_task(table, other);
+				if (is_placed(member))
+					take_off_worker(table, other, member);
+				member.phase = task_stage::done;
+				member.since = now;
+			}
+		}
+
 		/// Where a task stands after a run that did not end `done`.
 		task_stage phase_after(const job_state& job, const task_group& group, const job_task& task)
 		{
@@ -117,7 +195,7 @@
 		task.worker = worker;
 		task.since = now;
 		task.stop_ordered = false;
-		++task.run;
+		task.run = next_run(job, key, task);
 		if (job.status == job_status::queued)
 			job.status = job_status::running;
 		table.placed[worker].insert(key);
@@ -146,21 +224,19 @@
 		take_off_worker(table, what.task, *task);
 		task->since = now;
 		table.unsaved.insert(job.id);
-		if (!checkpoint.empty())
-			task->checkpoint = checkpoint;
+		keep_checkpoint(job, what.task, *task, checkpoint);
 		if (how == run_outcome::done && !group.long_running)
 		{
 			task->phase = task_stage::done;
+			if (group.gang)
+				end_others(table, job, what.task, now);
 			if (has_ended(job.status) || !all_done(job))
 				return end_effect::recorded;
 			job.status = job_status::completed;
 			return end_effect::job_over;
 		}
 		if (how == run_outcome::failed)
-		{
-			++task->failures;
-			task->failed_on = worker;
-		}
+			count_failure(job, what.task, *task, worker);
 		task->phase = phase_after(job, group, *task);
 		if (task->phase != task_stage::failed || has_ended(job.status))
 			return end_effect::recorded;
@@ -182,8 +258,8 @@
 	void note_checkpoint(job_table& table, const task_run& what, const std::string& checkpoint)
 	{
 		auto* task = placed_run(table, what);
-		if (task != nullptr && !checkpoint.empty())
-			task->checkpoint = checkpoint;
+		if (task != nullptr)
+			keep_checkpoint(*find_job(table, what.task.job), what.task, *task, checkpoint);
 	}
 
 	std::vector<task_key> waiting_tasks(const job_table& table, std::int64_t unix_ms)
@@ -216,8 +292,12 @@
 		std::vector<task_run> out;
 		for (const auto& [worker, keys] : table.placed)
 			for (const auto& key : keys)
-				if (has_ended(find_job(table, key.job)->status))
-					out.push_back({key, find_task(table, key)->run});
+			{
+				auto& job = *find_job(table, key.job);
+				const auto run = find_task(table, key)->run;
+				if (has_ended(job.status) || has_lost_members(job, key, run))
+					out.push_back({key, run});
+			}
 		return out;
 	}
 
--- a/tests/jobs.cpp
+++ b/tests/jobs.cpp
@@ -263,6 +263,87 @@
 	CHECK(place_by(rooms).size() == 1);
 }
 
+namespace
+{
+	task_group gang_of(std::uint32_t count, std::int64_t cpu)
+	{
+		auto out = group_of(count, cpu);
+		out.gang = true;
+		out.checkpointing = true;
+		return out;
+	}
+
+	std::vector<task_run> assign_gang(job_table& table, const std::string& job, std::uint32_t count)
+	{
+		std::vector<task_run> out;
+		for (std::uint32_t i = 0; i < count; ++i)
+			out.push_back(assign(table, {job_id{job}, 0, 0, i}, worker_life{"w" + std::to_string(i)}, start));
+		return out;
+	}
+}
+
+TEST_CASE("members of a gang share run numbers and checkpoints, and come together again as a whole", "[jobs]")
+{
+	job_table table;
+	add_job(table, job_of("a", {gang_of(3, 1'000)}));
+	const auto first = assign_gang(table, "a", 3);
+	for (const auto& run : first)
+		CHECK(run.run == 1);
+	CHECK(needless_runs(table).empty());
+	// One was refused: the others would wait in vain, so they are stopped.
+	release_run(table, first[1], start);
+	CHECK(needless_runs(table).size() == 2);
+	std::vector<worker_room> rooms{room_of("w0"), room_of("w1"), room_of("w2")};
+	CHECK(place(rooms, table).empty());
+	end_run(table, first[0], run_outcome::stopped, "half", start);
+	end_run(table, first[2], run_outcome::alone, "", start);
+	CHECK(place(rooms, table).size() == 3);
+	for (const auto& run : assign_gang(table, "a", 3))
+	{
+		CHECK(run.run == 2);
+		CHECK(find_task(table, run.task)->checkpoint == "half");
+	}
+}
+
+TEST_CASE("a gang fails once a run, and is done with its first member's end", "[jobs]")
+{
+	job_table table;
+	add_job(table, job_of("a", {gang_of(3, 1'000)}, 2));
+	auto runs = assign_gang(table, "a", 3);
+	CHECK(end_run(table, runs[0], run_outcome::failed, "", start) == end_effect::recorded);
+	CHECK(end_run(table, runs[1], run_outcome::failed, "", start) == end_effect::recorded);
+	CHECK(end_run(table, runs[2], run_outcome::broken, "", start) == end_effect::recorded);
+	runs = assign_gang(table, "a", 3);
+	CHECK(end_run(table, runs[2], run_outcome::done, "", start) == end_effect::job_over);
+	CHECK(find_job(table, job_id{"a"})->status == job_status::completed);
+	CHECK(table.placed.empty());
+
+	add_job(table, job_of("b", {gang_of(2, 1'000)}, 2));
+	runs = assign_gang(table, "b", 2);
+	end_run(table, runs[0], run_outcome::failed, "", start);
+	end_run(table, runs[1], run_outcome::broken, "", start);
+	runs = assign_gang(table, "b", 2);
+	CHECK(end_run(table, runs[1], run_outcome::failed, "", start) == end_effect::job_over);
+	CHECK(find_job(table, job_id{"b"})->status == job_status::failed);
+}
+
+TEST_CASE("a gang that wants one rack gets one where it fits, and any room otherwise", "[jobs]")
+{
+	auto group = gang_of(3, 4'000);
+	group.same_rack = true;
+	job_table table;
+	add_job(table, job_of("a", {group}));
+	std::vector<worker_room> rooms{room_of("w0", 4'000), room_of("w1"), room_of("w2"), room_of("w3", 4'000)};
+	const char* racks[] = {"r1", "r2", "r2", "r1"};
+	for (std::size_t i = 0; i < rooms.size(); ++i)
+		rooms[i].labels = {"kind", racks[i]};
+	for (const auto& one : place(rooms, table))
+		CHECK(rooms[one.worker].labels[1] == "r2");
+	rooms[2].accepts = false;
+	rooms[1].claimed = {};
+	CHECK(place(rooms, table).size() == 3);
+}
+
 TEST_CASE("the pressure of a pair of images is learnt, and that of other pairs is not", "[jobs]")
 {
 	pressure_model model;
