What was learnt of fillers is stored every two seconds and outlives its owner

Cause: pressures of pairs of images lived in the owner's memory.

Test: "what was learnt of fillers outlives its owner" (written with the change).

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -30,6 +30,8 @@
 		/// Jobs whose progress is removed in one transaction.
 		constexpr std::size_t most_forgotten = 50;
 		constexpr auto sweep_every = millis{1'000};
+		/// A successor that goes on from figures of this age has lost one or two measurements of a pair.
+		constexpr auto store_pressures_every = millis{2'000};
 
 		stored::queue_depth depth_row(const queue_id& queue, std::int64_t waiting)
 		{
@@ -165,6 +167,7 @@
 				if (peer->worker.ends_seen > peer->worker.ends_kept)
 					out.ends.push_back({peer, peer->worker.life, peer->worker.ends_seen});
 		add_workers(out);
+		add_pressures(out, now);
 		add_forgotten(out);
 		return out;
 	}
@@ -183,6 +186,14 @@
 		}
 	}
 
+	void job_term::add_pressures(batch& out, instant now)
+	{
+		if (pressures_.pairs.empty() || now - pressures_stored_ < store_pressures_every)
+			return;
+		pressures_stored_ = now;
+		out.change.put.push_back({{pressures_table, pressures_key}, encode_pressures(pressures_)});
+	}
+
 	void job_term::add_forgotten(batch& out)
 	{
 		if (!out.saved.empty() || out.workers > 0)
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -81,6 +81,7 @@
 		boost::asio::awaitable<void> remove_old_submissions();
 		[[nodiscard]] std::vector<job_id> jobs_to_forget(instant now) const;
 		void add_workers(batch& out);
+		void add_pressures(batch& out, instant now);
 		boost::asio::awaitable<bool> commit(batch& what);
 		void act_on(const batch& done, instant now);
 		boost::asio::awaitable<void> wait_for_work();
@@ -97,6 +98,7 @@
 		void take_progress(const std::vector<stored_row>& rows);
 		void take_agents(const std::vector<stored_row>& rows);
 		void take_workers(const std::vector<stored_row>& rows);
+		void take_pressures(const std::vector<stored_row>& rows);
 
 		// job_term_workers.cpp: what comes from and goes to workers
 		void on_report(agent_peer& peer, wire::job_report&& report);
@@ -139,6 +141,7 @@
 		job_table table_;
 		absl::flat_hash_map<job_id, std::string> unread_progress_; ///< Rows whose submission was not read yet.
 		pressure_model pressures_;
+		instant pressures_stored_{};
 		absl::flat_hash_set<task_run> undurable_starts_; ///< Not ordered before the store keeps them.
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -73,14 +73,15 @@
 	{
 		// Nobody else changes what the owner writes from here on, and a submission goes before its job's progress is
 		// removed; so what has progress here and no submission below is a job whose removal was cut short.
-		std::vector<row_range> own{whole_table(progress_table, job_partition),
-								   whole_table(workers_table, job_partition),
-								   whole_table(agents_table, agent_partition)};
+		std::vector<row_range> own{
+			whole_table(progress_table, job_partition), whole_table(workers_table, job_partition),
+			whole_table(pressures_table, job_partition), whole_table(agents_table, agent_partition)};
 		const auto known = co_await read_all(io_, store_, std::move(own), steady_now() + read_time);
 		if (!known.ok())
 			co_return known.status();
 		take_progress(rows_of(known->rows, progress_table));
 		take_workers(rows_of(known->rows, workers_table));
+		take_pressures(rows_of(known->rows, pressures_table));
 		auto ranges = all_submissions();
 		const auto submissions = co_await read_all(io_, store_, std::move(ranges), steady_now() + read_time);
 		if (!submissions.ok())
@@ -158,6 +159,18 @@
 		}
 	}
 
+	void job_term::take_pressures(const std::vector<stored_row>& rows)
+	{
+		for (const auto& row : rows)
+		{
+			auto model = decode_pressures(row.value, steady_now());
+			if (model.ok())
+				pressures_ = *std::move(model);
+			else
+				log_event(event::row_unreadable, {{"row", row.name.key}, {"reason", model.status().ToString()}});
+		}
+	}
+
 	void job_term::take_agents(const std::vector<stored_row>& rows)
 	{
 		for (const auto& row : rows)
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -4,6 +4,7 @@
 /// \brief The rows that keep jobs in the store.
 #pragma once
 
+#include "filler_pressure.hpp"
 #include "job_state.hpp"
 
 #include <jobs_types.h>
@@ -38,6 +39,16 @@
 	[[nodiscard]] std::string encode_agent(const stored::agent& row);
 	[[nodiscard]] absl::StatusOr<stored::agent> decode_agent(std::string_view row);
 
+	/// \brief Pairs of images in one row, the latest corrected first: some 40 bytes each, well below what a row holds.
+	inline constexpr std::size_t most_stored_pairs = 500;
+
+	/// \brief The row of the learnt pressures; bases of tasks are not kept, they are learnt within a second.
+	[[nodiscard]] std::string encode_pressures(const pressure_model& model);
+
+	/// \brief Reads encode_pressures()'s row.
+	/// \param now Taken for the time of the last corrections.
+	[[nodiscard]] absl::StatusOr<pressure_model> decode_pressures(std::string_view row, instant now);
+
 	/// \brief The row of the worker beside one agent.
 	[[nodiscard]] std::string encode_worker(const worker_life& life);
 	[[nodiscard]] absl::StatusOr<worker_life> decode_worker(std::string_view row);
--- a/packages/jobs/include/trailjunction/jobs/job_tables.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_tables.hpp
@@ -20,6 +20,8 @@
 	inline constexpr const char* progress_table = "job_progress";       ///< How far jobs are.
 	inline constexpr const char* agents_table = "job_agents";           ///< Where agents take links.
 	inline constexpr const char* workers_table = "job_workers";         ///< Which worker each agent was seen with.
+	inline constexpr const char* pressures_table = "job_pressures";     ///< One row: what was learnt of fillers.
+	inline constexpr const char* pressures_key = "pairs";
 
 	/// \brief Ends the key of a cancellation in submissions_table; sorts behind the job's own key.
 	inline constexpr const char* cancellation_suffix = ".cancelled";
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -92,6 +92,21 @@
 	1: string life,
 }
 
+/** How much a filler image slows a serving image down; see filler_pressure.hpp. */
+struct pair_pressure
+{
+	1: string serving,
+	2: string filler,
+	3: double mean,             // on ln(strain), per processor
+	4: double variance,
+}
+
+/** What the owner of the shard has learnt of pairs of images; a successor goes on from here. */
+struct pressures
+{
+	1: list<pair_pressure> pairs,
+}
+
 /** Where the agent beside a worker takes links. */
 struct agent
 {
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -235,6 +235,40 @@
 		return decode<stored::agent>(row);
 	}
 
+	std::string encode_pressures(const pressure_model& model)
+	{
+		using pair_entry = decltype(model.pairs)::value_type;
+		std::vector<const pair_entry*> latest;
+		for (const auto& pair : model.pairs)
+			latest.push_back(&pair);
+		std::sort(latest.begin(), latest.end(),
+				  [](const pair_entry* left, const pair_entry* right)
+				  { return left->second.corrected_at > right->second.corrected_at; });
+		latest.resize(std::min(latest.size(), most_stored_pairs));
+		stored::pressures row;
+		for (const auto* pair : latest)
+		{
+			stored::pair_pressure one;
+			one.serving = pair->first.first;
+			one.filler = pair->first.second;
+			one.mean = pair->second.mean;
+			one.variance = pair->second.variance;
+			row.pairs.push_back(std::move(one));
+		}
+		return encode(row);
+	}
+
+	absl::StatusOr<pressure_model> decode_pressures(std::string_view text, instant now)
+	{
+		const auto row = decode<stored::pressures>(text);
+		if (!row.ok())
+			return row.status();
+		pressure_model out;
+		for (const auto& pair : row->pairs)
+			out.pairs[std::make_pair(pair.serving, pair.filler)] = {pair.mean, pair.variance, now};
+		return out;
+	}
+
 	std::string encode_worker(const worker_life& life)
 	{
 		stored::worker row;
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -306,6 +306,32 @@
 	CHECK(it.run_until([&] { return it.agent.starts.size() == 16; })); // as many as there is room for
 }
 
+TEST_CASE("what was learnt of fillers outlives its owner", "[jobs]")
+{
+	scene it;
+	it.settings.contact = millis{6'000};
+	pressure_model learnt;
+	learnt.pairs[{"serving", "filling"}] = {0.02, 0.001, steady_now()};
+	it.store.put(job_partition, pressures_table, pressures_key, encode_pressures(learnt));
+	auto serving = one_task();
+	serving.groups[0].long_running = true;
+	serving.groups[0].image = "serving";
+	serving.groups[0].latency_target = millis{20};
+	auto filling = one_task();
+	filling.groups[0].filler = true;
+	filling.groups[0].image = "filling";
+	it.submit(first_job, serving);
+	it.begin();
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 1; }));
+	it.submit("00000000000000a2", filling);
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 2; }));
+	REQUIRE(it.agent.starts[1].pressures.size() == 1);
+	CHECK(it.agent.starts[1].pressures[0].milli == 20);
+	// It is written again while the owner works.
+	it.store.put(job_partition, pressures_table, pressures_key, "");
+	CHECK(it.run_until([&] { return !it.store.value(job_partition, pressures_table, pressures_key).empty(); }));
+}
+
 TEST_CASE("agents are not heard before all jobs are read", "[jobs]")
 {
 	// Found as TWICE on every day with a new owner, by a trial that dialled agents while submissions were being read:
