--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -50,12 +50,13 @@
 		double serving_use{0.5};
 		/// Standard deviation of ln(strain) around what the pressure model expects: its residuals on both deployments.
 		double strain_spread{0.35};
-		/// Cost of one serving task over its target, against a filler's full speed. By the sheets one is worth 2.5
-		/// fillers; 4 served better than 1.5 and 2.5, since a filler can also wait (docs/MEASUREMENTS.md).
-		double harm_cost{4.0};
+		/// Cost of one serving task over its target, against a filler's full speed: by both sheets' worths.
+		double harm_cost{2.5};
 		/// A filler waits rather than put more serving tasks than this over their targets: the point where the cost
 		/// outweighs its own work.
-		double most_harm{0.25};
+		double most_harm{0.4};
+		/// The same for a filler whose job is late, as a share: late work is worth less on all sheets.
+		double late_share{0.3};
 		pressure_policy pressing;
 		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
 		double least_speed{0.5};
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -124,9 +124,11 @@
 			return out;
 		}
 
-		bool has_filler_room(const worker_room& worker, const task_group& group, const placement_rules& rules)
+		bool has_filler_room(const worker_room& worker, const wish& what, const placement_rules& rules)
 		{
-			return harm_by(worker, group, rules) <= rules.policy.most_harm &&
+			const auto& group = *what.group;
+			const double share = what.outlook == prospect::in_time ? 1.0 : rules.policy.late_share;
+			return harm_by(worker, group, rules) <= share * rules.policy.most_harm &&
 				   filler_speed(worker, group, rules.policy) >= rules.policy.least_speed;
 		}
 
@@ -143,7 +145,7 @@
 			const auto count = counts.find(worker.life);
 			if (group.per_worker_limit > 0 && count != counts.end() && count->second >= group.per_worker_limit)
 				return false;
-			return !group.filler || has_filler_room(worker, group, rules);
+			return !group.filler || has_filler_room(worker, what, rules);
 		}
 
 		/// The cost of a worker; the lowest is taken.
