While a serving task bears no filler, new ones are stopped at once, and none are placed there

Fillers there take one to two seconds. When an agent had stopped all of them, they ended or new ones came: those began at full pace and worked on until the change of paces before was 600 ms old, and once the stopped ones were gone the owner was told a pace of 100 % and sent more. So a task could stay over its target although every filler that the agent had seen was stopped.

Ruled out: lost orders (no fault was near), a missing purpose of the runs (the task's was known since its start).

Change: the bound that stops all fillers does not wait for the settling time, and as long as it holds the agent reports a pace of 0, at once, with fillers or without, so that the owner places none there.

Test: "while a serving task bears no filler ..." failed before.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -88,6 +88,7 @@
 		runs_.clear();
 		purposes_.clear();
 		paces_.clear();
+		fillers_stopped_ = false;
 		ordering_.clear();
 		stopping_.clear();
 		ends_.clear();
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -133,6 +133,7 @@
 		std::vector<refused_run> refusals_;
 		std::vector<task_run> started_;
 		instant paces_changed_{};
+		bool fillers_stopped_{}; ///< A serving task bears no filler now; the owner is told a pace of 0 meanwhile.
 		bool pacing_now_{};
 		bool closing_{};
 		std::size_t open_orders_{};
--- a/packages/agent/src/process/run_pacing.cpp
+++ b/packages/agent/src/process/run_pacing.cpp
@@ -5,6 +5,8 @@
 
 #include <trailjunction/core/event.hpp>
 
+#include <utility>
+
 namespace trailjunction
 {
 	namespace asio = boost::asio;
@@ -57,7 +59,13 @@
 			paces.push_back(&pace);
 		}
 		const auto serving = watch_serving(now);
-		if (now - paces_changed_ < pacing_.settle || !adjust_paces(fillers, serving, pacing_))
+		const bool stop = must_stop_fillers(serving, pacing_);
+		if (std::exchange(fillers_stopped_, stop) != stop)
+			on_news_();
+		// Fillers that have started since the last change would work on while a task bears none.
+		if (!stop && now - paces_changed_ < pacing_.settle)
+			return;
+		if (!adjust_paces(fillers, serving, pacing_))
 			return;
 		paces_changed_ = now;
 		for (std::size_t i = 0; i < fillers.size(); ++i)
@@ -70,6 +78,8 @@
 
 	int run_keeper::mean_pace() const noexcept
 	{
+		if (fillers_stopped_)
+			return 0;
 		if (paces_.empty())
 			return full_pace;
 		int sum = 0;
--- a/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
@@ -78,6 +78,10 @@
 	/// \brief A policy for serving tasks that may be over their targets for \p harm_limit on end at the most.
 	[[nodiscard]] pacing_policy make_pacing_policy(millis harm_limit) noexcept;
 
+	/// \brief Whether all fillers beside these serving tasks have to stand still, whatever was ordered last.
+	[[nodiscard]] bool must_stop_fillers(std::span<const watched_serving> serving,
+										 const pacing_policy& policy) noexcept;
+
 	/// \brief Changes the paces of a worker's fillers, those first that press hardest on the tasks that suffer.
 	/// \returns Whether any pace differs from before.
 	bool adjust_paces(std::span<paced_filler> fillers, std::span<const watched_serving> serving,
--- a/packages/jobs/src/filler_pacing.cpp
+++ b/packages/jobs/src/filler_pacing.cpp
@@ -106,6 +106,12 @@
 		return out;
 	}
 
+	bool must_stop_fillers(std::span<const watched_serving> serving, const pacing_policy& policy) noexcept
+	{
+		const auto now = demand_of(serving);
+		return now.longest_over >= policy.limit || now.longest_doubt >= policy.doubtful_limit;
+	}
+
 	bool adjust_paces(std::span<paced_filler> fillers, std::span<const watched_serving> serving,
 					  const pacing_policy& policy)
 	{
@@ -113,7 +119,7 @@
 		for (const auto& filler : fillers)
 			before.push_back(filler.percent);
 		const auto now = demand_of(serving);
-		if (now.longest_over >= policy.limit || now.longest_doubt >= policy.doubtful_limit)
+		if (must_stop_fillers(serving, policy))
 		{
 			for (auto& filler : fillers)
 				filler.percent = 0;
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace trailjunction;
 
 namespace
@@ -33,6 +35,7 @@
 		int stops{};
 		int lists{};
 		std::vector<std::int64_t> tokens; ///< Of all calls, in order.
+		std::map<task_run, int> paces;    ///< The latest of each filler.
 	};
 
 	class scripted_worker final : public worker_port
@@ -59,8 +62,9 @@
 			lines_.tokens.push_back(authority.fencing_token);
 			co_return lines_.on_list();
 		}
-		boost::asio::awaitable<order_result> pace(order_authority, task_run, int, instant) override
+		boost::asio::awaitable<order_result> pace(order_authority, task_run what, int percent, instant) override
 		{
+			lines_.paces[what] = percent;
 			co_return order_result{order_end::done, 0};
 		}
 
@@ -144,6 +148,46 @@
 	}
 }
 
+TEST_CASE("while a serving task bears no filler, new ones are stopped at once and the owner is told", "[jobs]")
+{
+	// Found as HARM on quiet-1 of Sirr, seed 2: fillers of a second each came one after the other, and each worked at
+	// full pace until the change of paces before it was old enough.
+	scene it;
+	const auto start = [&](std::uint32_t index, bool filler)
+	{
+		wire::job_start order;
+		order.what = to_wire(task_run{{job_id{"00000000000000b1"}, 0, 0, index}, 1});
+		order.worker = "life-1";
+		order.filler = filler;
+		order.latency_target_ms = filler ? 0 : 20;
+		order.image = filler ? "f" : "s";
+		it.runs.start(std::move(order));
+		return task_run{{job_id{"00000000000000b1"}, 0, 0, index}, 1};
+	};
+	std::vector<listed_run> running;
+	it.lines.on_list = [&]
+	{
+		return listing_result{{order_end::done, 1'000}, {running, {}}};
+	};
+	const auto serving = start(0, false);
+	const auto first = start(1, true);
+	running = {{serving, "", 100, 40}, {first, "", 10, 3'000}};
+	REQUIRE(it.run_until([&] { return it.lines.paces.contains(first) && it.lines.paces[first] == 0; }));
+	CHECK(it.runs.report(false).pace_percent == 0);
+	running.pop_back(); // it has ended; another one comes
+	const auto lists = it.lines.lists;
+	REQUIRE(it.run_until([&] { return it.lines.lists > lists + 2; }));
+	CHECK(it.runs.report(false).pace_percent == 0);
+	const auto second = start(2, true);
+	running.push_back({second, "", 0, 3'000});
+	const auto seen = it.lines.lists;
+	REQUIRE(it.run_until([&] { return it.lines.paces.contains(second); }));
+	CHECK(it.lines.paces[second] == 0);
+	CHECK(it.lines.lists - seen <= 4);
+	running = {{serving, "", 100, 4}};
+	CHECK(it.run_until([&] { return it.runs.report(false).pace_percent == 100; }));
+}
+
 TEST_CASE("a full report that was asked for before the worker was known is given as soon as it is", "[jobs]")
 {
 	// Found as LOST on scale-1 of Grangemouth, seed 2: an owner that claimed before the first listing never heard which
