--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -27,8 +27,6 @@
 		constexpr std::size_t most_rows = 90;
 		/// Bytes of values in one transaction: the store takes 1 MB with base64 and names.
 		constexpr std::size_t most_bytes = 500'000;
-		/// Jobs whose progress is removed in one transaction.
-		constexpr std::size_t most_forgotten = 50;
 		constexpr auto sweep_every = millis{1'000};
 		/// A successor that goes on from figures of this age has lost one or two measurements of a pair.
 		constexpr auto store_pressures_every = millis{2'000};
@@ -196,14 +194,15 @@
 
 	void job_term::add_forgotten(batch& out)
 	{
-		if (!out.saved.empty() || out.workers > 0)
-			return; // the next transaction has room
-		const auto count = std::min(most_forgotten, removed_submissions_.size());
-		out.forgotten.assign(removed_submissions_.end() - static_cast<std::ptrdiff_t>(count),
-							 removed_submissions_.end());
-		removed_submissions_.resize(removed_submissions_.size() - count);
-		for (const auto& id : out.forgotten)
-			out.change.remove.push_back({progress_table, id.str()});
+		auto room = most_rows - out.saved.size() - out.workers;
+		for (; room > 0 && !removed_submissions_.empty(); --room)
+		{
+			const auto id = std::move(removed_submissions_.back());
+			removed_submissions_.pop_back();
+			// A job that was handed in again meanwhile has progress of its own.
+			if (find_job(table_, id) == nullptr)
+				out.change.remove.push_back({progress_table, id.str()});
+		}
 	}
 
 	std::vector<job_id> job_term::jobs_to_forget(instant now) const
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -68,7 +68,6 @@
 		{
 			row_change change;
 			std::vector<job_id> saved;
-			std::vector<job_id> forgotten;
 			std::vector<task_run> starts;
 			std::vector<kept_ends> ends;
 			std::size_t workers{}; ///< Rows of workers' incarnations.
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -186,7 +186,7 @@
 	it.store.put(agent_partition, agents_table, "agent-2", encode_agent(row));
 	it.agent.full_report.worker.clear(); // it does not know its worker yet
 	it.begin();
-	REQUIRE(it.run_until([&] { return other.confirms.size() > 0; }));
+	REQUIRE(it.run_until([&] { return !other.confirms.empty(); }));
 	other.send(report_of("life-2"));
 	REQUIRE(it.run_until([&] { return other.confirms.size() > 1; }));
 	CHECK(other.starts.empty());
