An owner that cannot read its jobs pauses before it takes its row over again

Cause: found by reading the change: since a member retakes its own row at once, an owner whose store answers transactions and refuses reads would take over and fail to load in a loop without any pause; before, the lease made it wait.

Change: 100 ms after a failed load.

Test: "an owner that cannot read its jobs ..." hung (the loop never yielded) before; it allows one transaction in 100 ms now.

--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -73,6 +73,8 @@
 				co_await term_->work();
 			term_.reset();
 			seen_ = {};
+			if (!loaded.ok())
+				co_await pause_for(io_, retry_pause); // the row is this member's own, so nothing else makes it wait
 		}
 	}
 
--- a/packages/testkit/include/trailjunction/testkit/memory_store.hpp
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -25,7 +25,8 @@
 		/// A transaction takes so long, and those of one partition follow each other; one that would have to wait for
 		/// more than a second is refused.
 		millis transaction_time{};
-		millis read_time{}; ///< A read takes so long.
+		millis read_time{};       ///< A read takes so long.
+		std::string refuse_reads; ///< Of this table; empty: of none.
 	};
 
 	/// \brief Keeps rows, checks conditions, counts versions; lives on one io_context.
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -101,7 +101,7 @@
 	{
 		if (faults.read_time.count() > 0)
 			co_await pause_for(io_, faults.read_time);
-		if (faults.refuse_all)
+		if (faults.refuse_all || (!faults.refuse_reads.empty() && faults.refuse_reads == range.table))
 			co_return absl::UnavailableError("refused");
 		row_page out;
 		out.version = version_;
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -223,6 +223,25 @@
 	CHECK(!begins("entry-1", ""));
 }
 
+TEST_CASE("an owner that cannot read its jobs does not take its row over in a loop", "[jobs]")
+{
+	boost::asio::io_context io{1};
+	memory_store store{io};
+	store.faults.refuse_reads = progress_table;
+	job_entry_settings settings;
+	settings.member = member_id{"entry-1"};
+	settings.callers = *parse_endpoint("127.0.0.1:7001");
+	process_metrics metrics;
+	job_owner owner{io, settings, store, metrics, [](queue_depths) {
+					}};
+	boost::asio::co_spawn(io, owner.run(), boost::asio::detached);
+	const auto until = steady_now() + millis{1'000};
+	while (steady_now() < until)
+		io.run_one_for(millis{10});
+	CHECK(!store.asked.empty());
+	CHECK(store.asked.size() < 20); // one in 100 ms at the most
+}
+
 TEST_CASE("the depths of an owner that has not read its jobs yet are not told", "[jobs]")
 {
 	// Found as MIXED at Grangemouth, the owner frozen near the end: its successor's first row said that nothing waits.
