Batch work: the job with the least work left is placed first, what nobody waits for last

Change: order_wishes in a file of its own (placement_order), by priority, serving tasks first, hopeless jobs last, then the work left. Test first: it failed on the order of before.

--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -16,6 +16,7 @@
 #include "jobs/job_table.hpp"
 #include "jobs/job_tables.hpp"
 #include "jobs/ownership.hpp"
+#include "jobs/placement_order.hpp"
 #include "jobs/queue_policy.hpp"
 #include "jobs/run_lease.hpp"
 #include "jobs/run_listing.hpp"
--- /dev/null
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+// trailjunction: a scheduler for latency-critical and batch work on the same workers.
+/// \file
+/// \brief Which waiting task is placed first.
+#pragma once
+
+#include "job_table.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace trailjunction
+{
+	/// \brief What can still be made of a job, by the estimates of its tasks.
+	enum class job_outlook : std::uint8_t
+	{
+		in_time,
+		late,
+		hopeless, ///< Later than anybody waits for.
+	};
+
+	/// \brief A task that waits for a worker, with what its turn depends on.
+	struct placement_wish
+	{
+		task_key key;
+		const job_state* job{};
+		const task_group* group{};
+		const job_task* task{};
+		job_outlook outlook{job_outlook::in_time};
+		double work_left{}; ///< Core-seconds that its occurrence of the job still needs; 0 for serving tasks.
+	};
+
+	/// \brief Puts waiting tasks in the order of their turns.
+	/// \details By the priority of their queues; serving tasks first, since one that is away is missed until it is
+	/// back; what nobody waits for any more last. Then the job with the least work left: where not all can be in time,
+	/// this order brings the most of them there, and jobs that have begun end before others begin. \param waiting As
+	/// from waiting_tasks(): the tasks of a group one after the other. \returns Tasks of a group and occurrence stay
+	/// together.
+	[[nodiscard]] std::vector<placement_wish> order_wishes(const job_table& table, std::vector<task_key> waiting,
+														   instant now);
+}
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -1,42 +1,22 @@
 // SPDX-License-Identifier: MIT
 #include <trailjunction/jobs/job_placement.hpp>
+#include <trailjunction/jobs/placement_order.hpp>
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <numbers>
 #include <set>
-#include <tuple>
 
 namespace trailjunction
 {
 	namespace
 	{
 		constexpr double cpu_milli = 1'000.0;
-		/// Times its objective, a job is late and still worth something; from the users' rules.
-		constexpr int late_factor = 3;
 
 		/// How many tasks of a group each worker carries.
 		using group_counts = absl::flat_hash_map<worker_life, std::uint32_t>;
 
-		/// What can still be made of a job; what can be in time goes before what cannot.
-		enum class prospect : std::uint8_t
-		{
-			in_time,
-			late,
-			hopeless, ///< Later than anybody waits for.
-		};
-
-		struct wish
-		{
-			task_key key;
-			const job_state* job{};
-			const task_group* group{};
-			const job_task* task{};
-			prospect outlook{prospect::in_time};
-			millis slack{}; ///< Until the job's objective, less its longest chain; negative where it is late.
-		};
-
 		bool has_label(const worker_room& worker, const std::string& label)
 		{
 			return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -124,15 +104,15 @@
 			return out;
 		}
 
-		bool has_filler_room(const worker_room& worker, const wish& what, const placement_rules& rules)
+		bool has_filler_room(const worker_room& worker, const placement_wish& what, const placement_rules& rules)
 		{
 			const auto& group = *what.group;
-			const double share = what.outlook == prospect::in_time ? 1.0 : rules.policy.late_share;
+			const double share = what.outlook == job_outlook::in_time ? 1.0 : rules.policy.late_share;
 			return harm_by(worker, group, rules) <= share * rules.policy.most_harm &&
 				   filler_speed(worker, group, rules.policy) >= rules.policy.least_speed;
 		}
 
-		bool may_run(const worker_room& worker, const wish& what, const group_counts& counts,
+		bool may_run(const worker_room& worker, const placement_wish& what, const group_counts& counts,
 					 const placement_rules& rules)
 		{
 			const auto& group = *what.group;
@@ -149,7 +129,7 @@
 		}
 
 		/// The cost of a worker; the lowest is taken.
-		double cost(const worker_room& worker, const wish& what, const placement_rules& rules)
+		double cost(const worker_room& worker, const placement_wish& what, const placement_rules& rules)
 		{
 			const auto& group = *what.group;
 			const auto capacity = std::max(1.0, static_cast<double>(worker.capacity.cpu_milli));
@@ -169,7 +149,7 @@
 			return out + static_cast<double>(worker.claimed.cpu_milli) / capacity;
 		}
 
-		std::optional<std::size_t> choose(std::span<const worker_room> workers, const wish& what,
+		std::optional<std::size_t> choose(std::span<const worker_room> workers, const placement_wish& what,
 										  const group_counts& counts, const placement_rules& rules)
 		{
 			std::optional<std::size_t> best;
@@ -199,37 +179,10 @@
 			return out;
 		}
 
-		wish make_wish(const job_table& table, task_key key, instant now)
-		{
-			wish out;
-			out.job = find_job(table, key.job);
-			out.group = &out.job->spec.groups[key.group];
-			out.task = find_task(table, key);
-			const auto whole = chain_from(out.job->spec, 0);
-			const auto objective =
-				std::chrono::duration_cast<millis>(whole * out.job->queue.stretch) + out.job->queue.latency_target;
-			const auto age = std::chrono::duration_cast<millis>(now - out.job->accepted);
-			const auto rest = chain_from(out.job->spec, key.group);
-			out.slack = objective - age - rest;
-			if (age + rest > late_factor * objective)
-				out.outlook = prospect::hopeless;
-			else if (out.slack < -rest) // estimates are off by as much
-				out.outlook = prospect::late;
-			out.key = std::move(key);
-			return out;
-		}
-
-		auto urgency(const wish& what)
-		{
-			// A serving task that is away hurts until it is back, so it goes before batch tasks of its priority.
-			return std::make_tuple(what.job->queue.priority, !what.group->long_running, what.outlook, what.slack,
-								   what.key);
-		}
-
 		/// Places consecutive wishes of one group of one occurrence, as many as there is room for.
 		/// \returns Whether all were placed.
-		bool place_each(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
-						std::vector<placement>& out)
+		bool place_each(std::span<worker_room> workers, std::span<const placement_wish> wishes,
+						const placement_rules& rules, std::vector<placement>& out)
 		{
 			const auto& first = wishes.front();
 			auto counts = count_group(*first.job, first.key.occurrence, first.key.group);
@@ -246,8 +199,8 @@
 		}
 
 		/// Places all wishes or none, on the workers of one rack where a rack is named.
-		bool place_all(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
-					   const std::string& rack, std::vector<placement>& out)
+		bool place_all(std::span<worker_room> workers, std::span<const placement_wish> wishes,
+					   const placement_rules& rules, const std::string& rack, std::vector<placement>& out)
 		{
 			std::vector<worker_room> tried(workers.begin(), workers.end());
 			for (auto& worker : tried)
@@ -265,8 +218,8 @@
 		}
 
 		/// Members of a gang start together, so those of a run that still ends somewhere are waited for.
-		void place_gang(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
-						std::vector<placement>& out)
+		void place_gang(std::span<worker_room> workers, std::span<const placement_wish> wishes,
+						const placement_rules& rules, std::vector<placement>& out)
 		{
 			const auto& group = *wishes.front().group;
 			if (wishes.size() < group.count)
@@ -282,8 +235,8 @@
 				(void)place_all(workers, wishes, rules, "", out);
 		}
 
-		void place_group(std::span<worker_room> workers, std::span<const wish> wishes, const placement_rules& rules,
-						 std::vector<placement>& out)
+		void place_group(std::span<worker_room> workers, std::span<const placement_wish> wishes,
+						 const placement_rules& rules, std::vector<placement>& out)
 		{
 			if (wishes.front().group->gang)
 				place_gang(workers, wishes, rules, out);
@@ -291,7 +244,7 @@
 				(void)place_each(workers, wishes, rules, out);
 		}
 
-		bool same_group(const wish& left, const wish& right) noexcept
+		bool same_group(const placement_wish& left, const placement_wish& right) noexcept
 		{
 			return left.job == right.job && left.key.occurrence == right.key.occurrence &&
 				   left.key.group == right.key.group;
@@ -319,12 +272,7 @@
 									   const placement_policy& policy, instant now)
 	{
 		const placement_rules rules{pressures, policy};
-		std::vector<wish> wishes;
-		wishes.reserve(waiting.size());
-		for (auto& key : waiting)
-			wishes.push_back(make_wish(table, std::move(key), now));
-		std::sort(wishes.begin(), wishes.end(),
-				  [](const wish& left, const wish& right) { return urgency(left) < urgency(right); });
+		const auto wishes = order_wishes(table, std::move(waiting), now);
 		std::vector<placement> out;
 		for (std::size_t i = 0; i < wishes.size();)
 		{
--- a/tests/job_placement.cpp
+++ b/tests/job_placement.cpp
@@ -73,6 +73,27 @@
 	CHECK(placed[0].task.job == job_id{"b"});
 }
 
+TEST_CASE("of jobs that can be in time, the one with the least work left goes first", "[jobs]")
+{
+	job_table table;
+	auto large = job_of("a", {group_of(4, 8'000)});
+	large.accepted = start - millis{1'000}; // the least slack
+	add_job(table, std::move(large));
+	add_job(table, job_of("b", {group_of(2, 8'000)}));
+	std::vector<worker_room> rooms{room_of("w1")};
+	const auto first = place(rooms, table);
+	REQUIRE(first.size() == 1);
+	CHECK(first[0].task.job == job_id{"b"});
+
+	// Once all but one of its tasks are done, the large job is nearer to its end.
+	for (std::uint32_t i = 0; i < 3; ++i)
+		end_run(table, assign(table, {job_id{"a"}, 0, 0, i}, worker_life{"w1"}, start), run_outcome::done, "", start);
+	rooms = {room_of("w1")};
+	const auto second = place(rooms, table);
+	REQUIRE(second.size() == 1);
+	CHECK(second[0].task.job == job_id{"a"});
+}
+
 TEST_CASE("a filler goes beside serving tasks that it does not press on, and waits rather than harm others", "[jobs]")
 {
 	auto serving = group_of(1, 4'000);
