Fillers that may work at little of their pace leave and resume elsewhere from their checkpoint

Cause: an agent that slows a filler for the serving tasks beside it kept it there, at 0 to 30 % of its pace, until they recovered or it ended. Its job became late, its serving neighbours stayed near their targets, while other workers had room.

Change: the policy gets two figures (30 %, 0.5 s), orders say which fillers may be moved (they save their work and are in no gang), the agent stops those and the owner places them again as any stopped run.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -213,7 +213,7 @@
 		const auto what = from_wire(order.what);
 		if (!is_current(worker_life{order.worker}))
 			return; // the owner learns of the new incarnation from the next report
-		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.image, {}};
+		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.movable, order.image, {}};
 		for (const auto& pressure : order.pressures)
 			purpose.pressures[pressure.image] = pressure.milli / pressure_milli;
 		purposes_[what] = std::move(purpose);
@@ -335,9 +335,14 @@
 	void run_keeper::stop(const wire::job_stop& order)
 	{
 		const auto what = from_wire(order.what);
-		if (!is_current(worker_life{order.worker}) || has_ended(what) || !stopping_.insert(what).second)
-			return;
-		asio::co_spawn(io_, carry_out_stop(what, worker_->life), asio::detached);
+		if (is_current(worker_life{order.worker}) && !has_ended(what))
+			begin_stop(what);
+	}
+
+	void run_keeper::begin_stop(const task_run& what)
+	{
+		if (stopping_.insert(what).second)
+			asio::co_spawn(io_, carry_out_stop(what, worker_->life), asio::detached);
 	}
 
 	asio::awaitable<void> run_keeper::carry_out_stop(task_run what, worker_life life)
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -68,6 +68,7 @@
 		{
 			millis latency_target{};
 			bool filler{};
+			bool movable{}; ///< Of a filler; see wire.thrift.
 			std::string image;
 			pressures_by_image pressures; ///< Of a filler.
 		};
@@ -84,6 +85,7 @@
 			int wanted{100};  ///< Percent.
 			int ordered{100}; ///< Percent, as the worker has acknowledged it.
 			instant ordered_at{};
+			slow_since slow;
 		};
 
 		boost::asio::awaitable<void> list_forever();
@@ -91,6 +93,7 @@
 		boost::asio::awaitable<void> carry_out_stop(task_run what, worker_life life);
 		boost::asio::awaitable<void> settle_start(task_run what, worker_life life);
 		boost::asio::awaitable<void> pace_fillers();
+		void move_slow_fillers(instant now);
 		boost::asio::awaitable<bool> wait_for_listing(const worker_life& life);
 		void apply_listing(worker_listing listing);
 		void choose_paces(instant now);
@@ -99,6 +102,7 @@
 		[[nodiscard]] int mean_pace() const noexcept;
 		void note_result(const order_result& result, instant answered);
 		void begin_life(const worker_heartbeat& heartbeat);
+		void begin_stop(const task_run& what);
 		void refuse(const task_run& what, start_refusal why);
 		void started(const task_run& what);
 		[[nodiscard]] bool is_current(const worker_life& life) const noexcept;
--- a/packages/agent/src/process/run_pacing.cpp
+++ b/packages/agent/src/process/run_pacing.cpp
@@ -100,10 +100,28 @@
 		return out;
 	}
 
+	void run_keeper::move_slow_fillers(instant now)
+	{
+		for (auto& [what, pace] : paces_)
+		{
+			note_pace(pace.slow, pace.wanted, pacing_, now);
+			const auto purpose = purposes_.find(what);
+			const bool movable = purpose != purposes_.end() && purpose->second.movable;
+			if (!movable || stopping_.contains(what) || !should_move(pace.slow, pacing_, now))
+				continue;
+			log_event(event::filler_moved, {{"task", to_string(what.task)},
+											{"run", what.run},
+											{"worker", worker_->life.str()},
+											{"percent", pace.wanted}});
+			begin_stop(what);
+		}
+	}
+
 	asio::awaitable<void> run_keeper::pace_fillers()
 	{
 		pacing_now_ = true;
 		choose_paces(steady_now());
+		move_slow_fillers(steady_now());
 		const auto life = worker_->life;
 		for (const auto& what : fillers_to_pace(steady_now()))
 		{
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -68,6 +68,7 @@
 		job_ended = 434,
 		job_taken_up = 435,
 		row_unreadable = 436,
+		filler_moved = 437,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -53,6 +53,7 @@
 			event::job_refused,          event::job_unknown,
 			event::job_cancelled,        event::job_ended,
 			event::job_taken_up,         event::row_unreadable,
+			event::filler_moved,
 		};
 	}
 
@@ -164,6 +165,8 @@
 			return "job_taken_up";
 		case event::row_unreadable:
 			return "row_unreadable";
+		case event::filler_moved:
+			return "filler_moved";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -350,6 +350,7 @@
 		}
 		order.latency_target_ms = group.latency_target.count();
 		order.filler = group.filler;
+		order.movable = group.filler && group.checkpointing && !group.gang;
 		order.known_running = kind == order_kind::known_running;
 		order.repeated = kind == order_kind::repeated;
 		order.image = group.image;
--- a/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
@@ -40,6 +40,10 @@
 		int least_percent{8};       ///< Below this a filler stands still.
 		/// Where the known pressures explain too little of a strain, everybody gives up this share.
 		double blind_share{0.5};
+		/// A filler that may work at no more than this pace is better off elsewhere, and so are the serving tasks here.
+		int move_at_percent{30};
+		/// After so long at such a pace: a peak may pass, and a move costs a stop and a start, 0.3 s together.
+		millis move_after{500};
 	};
 
 	/// \brief Pressures of one filler on serving tasks by their images; see filler_pressure.hpp.
@@ -75,6 +79,15 @@
 	/// for a while, or one says so clearly.
 	void note_strain(overrun& known, double strain, const pacing_policy& policy, instant now) noexcept;
 
+	/// \brief Since when a filler has worked at a pace at which it is better off elsewhere; nothing: it does not.
+	using slow_since = std::optional<instant>;
+
+	/// \brief Takes in the pace that a filler has now.
+	void note_pace(slow_since& known, int percent, const pacing_policy& policy, instant now) noexcept;
+
+	/// \brief Whether a filler should give its place up and resume from its checkpoint where there is room for it.
+	[[nodiscard]] bool should_move(const slow_since& known, const pacing_policy& policy, instant now) noexcept;
+
 	/// \brief A policy for serving tasks that may be over their targets for \p harm_limit on end at the most.
 	[[nodiscard]] pacing_policy make_pacing_policy(millis harm_limit) noexcept;
 
--- a/packages/jobs/src/filler_pacing.cpp
+++ b/packages/jobs/src/filler_pacing.cpp
@@ -97,6 +97,19 @@
 			known = {};
 	}
 
+	void note_pace(slow_since& known, int percent, const pacing_policy& policy, instant now) noexcept
+	{
+		if (percent > policy.move_at_percent)
+			known.reset();
+		else if (!known)
+			known = now;
+	}
+
+	bool should_move(const slow_since& known, const pacing_policy& policy, instant now) noexcept
+	{
+		return known && now - *known >= policy.move_after;
+	}
+
 	pacing_policy make_pacing_policy(millis harm_limit) noexcept
 	{
 		pacing_policy out;
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -239,6 +239,7 @@
 	8: string image,
 	9: list<image_pressure> pressures, // of a filler, where it differs from nothing
 	10: bool repeated,          // an earlier order of the same run may have been carried out
+	11: bool movable,           // of a filler: it saves its work at a stop, and no other task has to stay with it
 }
 
 /** Entry to agent: stop a run, whether it has begun or not. */
--- a/tests/filler_pacing.cpp
+++ b/tests/filler_pacing.cpp
@@ -113,3 +113,15 @@
 		note_strain(known, 0.8, policy, now += millis{400});
 	CHECK(!known.since);
 }
+
+TEST_CASE("a filler leaves a worker that has let it work at little of its pace for a while", "[jobs]")
+{
+	const pacing_policy policy;
+	slow_since slow;
+	note_pace(slow, policy.move_at_percent, policy, start);
+	CHECK_FALSE(should_move(slow, policy, start));
+	note_pace(slow, 0, policy, start + policy.move_after / 2);
+	CHECK(should_move(slow, policy, start + policy.move_after));
+	note_pace(slow, policy.move_at_percent + 1, policy, start + policy.move_after);
+	CHECK_FALSE(should_move(slow, policy, start + policy.move_after));
+}
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -34,6 +34,7 @@
 		int starts{};
 		int stops{};
 		int lists{};
+		std::optional<task_run> stopped;  ///< By the latest stop.
 		std::vector<std::int64_t> tokens; ///< Of all calls, in order.
 		std::map<task_run, int> paces;    ///< The latest of each filler.
 	};
@@ -49,9 +50,10 @@
 			lines_.tokens.push_back(authority.fencing_token);
 			co_return lines_.on_start();
 		}
-		boost::asio::awaitable<order_result> stop(order_authority authority, task_run, instant) override
+		boost::asio::awaitable<order_result> stop(order_authority authority, task_run what, instant) override
 		{
 			++lines_.stops;
+			lines_.stopped = what;
 			lines_.tokens.push_back(authority.fencing_token);
 			co_return lines_.on_stop();
 		}
@@ -188,6 +190,40 @@
 	CHECK(it.run_until([&] { return it.runs.report(false).pace_percent == 100; }));
 }
 
+TEST_CASE("a filler that may not work here is stopped, once, if it can resume elsewhere", "[jobs]")
+{
+	scene it;
+	const auto start = [&](std::uint32_t index, bool filler, bool movable)
+	{
+		const task_run what{{job_id{"00000000000000b2"}, 0, 0, index}, 1};
+		wire::job_start order;
+		order.what = to_wire(what);
+		order.worker = "life-1";
+		order.filler = filler;
+		order.movable = movable;
+		order.latency_target_ms = filler ? 0 : 20;
+		it.runs.start(std::move(order));
+		return what;
+	};
+	const auto serving = start(0, false, false);
+	const auto keeps_nothing = start(1, true, false);
+	const auto movable = start(2, true, true);
+	const std::vector<listed_run> running{
+		{serving, "", 100, 40}, {keeps_nothing, "", 10, 3'000}, {movable, "", 10, 3'000}};
+	it.lines.on_list = [&]
+	{
+		return listing_result{{order_end::done, 1'000}, {running, {}}};
+	};
+	it.lines.on_stop = [&]
+	{
+		CHECK(it.lines.paces[movable] == 0);
+		return order_result{order_end::done, 1'000};
+	};
+	REQUIRE(it.run_until([&] { return it.lines.stops == 1; }));
+	CHECK(it.lines.stopped == movable);
+	CHECK(it.lines.paces[keeps_nothing] == 0);
+}
+
 TEST_CASE("a full report that was asked for before the worker was known is given as soon as it is", "[jobs]")
 {
 	// Found as LOST on scale-1 of Grangemouth, seed 2: an owner that claimed before the first listing never heard which
