--- a/packages/entry/include/trailjunction/entry.hpp
+++ b/packages/entry/include/trailjunction/entry.hpp
@@ -3,6 +3,7 @@
 /// \brief Umbrella header of the entry package.
 #pragma once
 
+#include "entry/day_report.hpp"
 #include "entry/entry_process.hpp"
 #include "entry/job_entry_process.hpp"
 #include "entry/job_entry_settings.hpp"
--- a/packages/entry/src/client/job_story.cpp
+++ b/packages/entry/src/client/job_story.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: MIT
+#include "log_files.hpp"
+
 #include <trailjunction/core/json.hpp>
 #include <trailjunction/entry/job_story.hpp>
 
@@ -6,8 +8,6 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 
 namespace trailjunction
@@ -66,15 +66,12 @@
 	exit_code run_explain(const job_id& job, const std::vector<std::string>& files)
 	{
 		std::vector<story_line> lines;
-		for (const auto& path : files)
+		const auto status = read_log_files(files, [&](std::istream& log, const std::string& process)
+										   { read_story(log, process, job, lines); });
+		if (!status.ok())
 		{
-			std::ifstream log{path};
-			if (!log)
-			{
-				std::cerr << "trailjunction: " << path << ": cannot be read\n";
-				return exit_code::failed;
-			}
-			read_story(log, std::filesystem::path{path}.stem().string(), job, lines);
+			std::cerr << "trailjunction: " << status.message() << "\n";
+			return exit_code::failed;
 		}
 		if (lines.empty())
 		{
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -26,6 +26,7 @@
 		"  trailjunction query [--entry IP:PORT] [--format table|json] 'COMMAND'\n"
 		"  trailjunction check FILE               check an entry's settings\n"
 		"  trailjunction explain JOB LOG...       tell a job's story from the logs of all processes\n"
+		"  trailjunction report LOG...            draw a day from the logs of all processes, as an HTML page\n"
 		"\n"
 		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings, 3 nobody answered.\n"
 		"\n"
@@ -128,6 +129,13 @@
 			trailjunction::run_explain(trailjunction::job_id{words[1]}, {words.begin() + 2, words.end()}));
 	}
 
+	int run_report_command(const std::vector<std::string>& words)
+	{
+		if (words.size() < 2)
+			return fail("report: LOGs are wanted", exit_code::usage);
+		return static_cast<int>(trailjunction::run_report({words.begin() + 1, words.end()}));
+	}
+
 	int run_query_command(const po::variables_map& given, const std::vector<std::string>& words)
 	{
 		const auto entry = trailjunction::parse_endpoint(given["entry"].as<std::string>());
@@ -175,16 +183,19 @@
 		const auto words =
 			given.count("words") == 0 ? std::vector<std::string>{} : given["words"].as<std::vector<std::string>>();
 		if (words.empty())
-			return fail("a command is wanted: entry, query, check or explain; see --help", exit_code::usage);
+			return fail("a command is wanted: entry, query, check, explain or report; see --help", exit_code::usage);
 		if (words[0] == "entry")
 			return run_entry_command(given);
 		if (words[0] == "check")
 			return run_check_command(words);
 		if (words[0] == "explain")
 			return run_explain_command(words);
+		if (words[0] == "report")
+			return run_report_command(words);
 		if (words[0] == "query")
 			return run_query_command(given, words);
-		return fail("no command '" + words[0] + "', one of entry, query, check, explain is wanted", exit_code::usage);
+		return fail("no command '" + words[0] + "', one of entry, query, check, explain, report is wanted",
+					exit_code::usage);
 	}
 }
 
--- /dev/null
+++ b/tests/day_report.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The page that is drawn from logs.
+#include <trailjunction/entry/day_report.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace trailjunction;
+
+namespace
+{
+	day_report day_of(const std::string& process, const std::string& lines)
+	{
+		day_report out;
+		std::istringstream log{lines};
+		read_day(log, process, out);
+		return out;
+	}
+}
+
+TEST_CASE("a report counts jobs and runs by second, over all processes", "[report]")
+{
+	auto day = day_of("entry-1", R"({"time_ms":5100,"name":"job_accepted","job":"a"}
+{"time_ms":5900,"name":"job_accepted","job":"b"}
+no line of a log
+{"time_ms":6000,"name":"run_ended","task":"a/0/0/0","how":"done"}
+{"time_ms":6100,"name":"run_ended","task":"b/0/0/0","how":"lapsed"}
+{"time_ms":6200,"name":"job_ended","job":"a","status":"completed"}
+{"time_ms":6300,"name":"job_ended","job":"b","status":"failed"}
+{"time_ms":6400,"name":"job_en)");
+	std::istringstream other{R"({"time_ms":5500,"name":"job_refused","job":"c","reason":"no store"})"};
+	read_day(other, "entry-2", day);
+	REQUIRE(day.seconds.size() == 2);
+	CHECK(day.seconds[5].accepted == 2);
+	CHECK(day.seconds[5].refused == 1);
+	CHECK(day.seconds[6].done == 1);
+	CHECK(day.seconds[6].broken_off == 1);
+	CHECK(day.seconds[6].completed == 1);
+	CHECK(day.seconds[6].failed == 1);
+}
+
+TEST_CASE("a report marks owners, configurations and workers on the line of their process", "[report]")
+{
+	const auto day = day_of("entry<1>", R"(   3.2 entry {"time_ms":5000,"name":"shard_taken","epoch":3,"from":"<b>"}
+{"time_ms":5200,"name":"config_applied","version":7}
+{"time_ms":5300,"name":"worker_silent","worker":"w1"}
+{"time_ms":5400,"name":"link_opened","member":"x"})");
+	const auto& marks = day.process.at("entry<1>");
+	REQUIRE(marks.size() == 3);
+	CHECK(marks[0].kind == report_mark_kind::ownership);
+	CHECK(marks[1].kind == report_mark_kind::configuration);
+	CHECK(marks[2].kind == report_mark_kind::worker);
+	std::ostringstream out;
+	write_report(day, out);
+	const auto page = out.str();
+	CHECK(page.find("entry&lt;1&gt;") != std::string::npos);
+	CHECK(page.find("<b>") == std::string::npos);
+	CHECK(page.find("+200 ms") != std::string::npos);
+	CHECK(page.ends_with("</html>\n"));
+}
+
+TEST_CASE("a report without anything to show is refused", "[report]")
+{
+	CHECK(run_report({"/nowhere/at/all"}) == exit_code::failed);
+}
