Fillers see the serving tasks that are placed in the same round

Ruled out: the charge of processor claims, which had counted them. Test first (it failed, 2 placed instead of 1).

--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -191,6 +191,7 @@
 				const auto found = choose(workers, what, counts, rules);
 				if (!found)
 					return false;
+				note_serving(workers[*found], what.key, *what.job, rules);
 				charge(workers[*found], *what.group, rules);
 				++counts[workers[*found].life];
 				out.push_back({what.key, *found});
--- a/tests/job_placement.cpp
+++ b/tests/job_placement.cpp
@@ -135,6 +135,28 @@
 	CHECK(place_by(rooms).size() == 1);
 }
 
+TEST_CASE("a filler sees the serving tasks that are placed in the same round", "[jobs]")
+{
+	auto serving = group_of(1, 4'000);
+	serving.long_running = true;
+	serving.latency_target = millis{20};
+	serving.image = "touchy";
+	auto filler = group_of(1, 3'000);
+	filler.filler = true;
+	filler.image = "f";
+	job_table table;
+	add_job(table, job_of("a", {serving}));
+	add_job(table, job_of("b", {filler}));
+	std::vector<worker_room> rooms{room_of("w1")};
+	pressure_model pressures;
+	pressures.pairs[{"touchy", "f"}] = {0.4, 0.001, start};
+	const placement_policy policy;
+	charge_workers(rooms, table, pressures, policy);
+	const auto placed = place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, start);
+	REQUIRE(placed.size() == 1);
+	CHECK(placed[0].task.job == job_id{"a"});
+}
+
 TEST_CASE("a gang that wants one rack gets one where it fits, and any room otherwise", "[jobs]")
 {
 	auto group = gang_of(3, 4'000);
