--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -11,7 +11,6 @@
 #include <trailjunction/jobs/job_placement.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_table.hpp>
-#include <trailjunction/jobs/preemption.hpp>
 #include <trailjunction/jobs/run_listing.hpp>
 #include <trailjunction/net/process_metrics.hpp>
 #include <trailjunction/store/row_store.hpp>
@@ -24,7 +23,6 @@
 
 #include <functional>
 #include <memory>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -114,9 +112,7 @@
 		void lose_earlier_lives(const agent_peer& peer, instant now);
 		void lose_lapsed(instant now);
 		void place_waiting(instant now);
-		void preempt(std::span<const worker_room> workers, instant now);
 		void stop_needless();
-		void stop_run(const task_run& what);
 		/// What is known of earlier orders of a run.
 		enum class order_kind
 		{
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -16,7 +16,6 @@
 
 		constexpr trust_policy trust{};
 		constexpr placement_policy placing{};
-		constexpr preemption_policy preempting{};
 		constexpr pressure_policy pressing{};
 		constexpr double cpu_milli = 1'000.0;
 		constexpr double pressure_milli = 1'000.0;
@@ -280,37 +279,21 @@
 			undurable_starts_.insert(what);
 			log_event(event::run_ordered, {{"task", to_string(what.task)}, {"run", what.run}, {"worker", life.str()}});
 		}
-		preempt(workers, now);
-	}
-
-	void job_term::preempt(std::span<const worker_room> workers, instant now)
-	{
-		const auto waiting = waiting_tasks(table_, unix_now_ms());
-		for (const auto& what : choose_preemptions(workers, table_, waiting, preempting, now))
-		{
-			log_event(event::run_preempted, {{"task", to_string(what.task)},
-											 {"run", what.run},
-											 {"worker", find_task(table_, what.task)->worker.str()}});
-			stop_run(what);
-		}
-	}
-
-	void job_term::stop_run(const task_run& what)
-	{
-		auto& task = *find_task(table_, what.task);
-		if (task.stop_ordered)
-			return;
-		if (auto* peer = peer_of(task.worker); peer != nullptr)
-		{
-			order_stop(*peer, what);
-			task.stop_ordered = true;
-		}
 	}
 
 	void job_term::stop_needless()
 	{
 		for (const auto& what : needless_runs(table_))
-			stop_run(what);
+		{
+			auto& task = *find_task(table_, what.task);
+			if (task.stop_ordered)
+				continue;
+			if (auto* peer = peer_of(task.worker); peer != nullptr)
+			{
+				order_stop(*peer, what);
+				task.stop_ordered = true;
+			}
+		}
 	}
 
 	void job_term::order_stop(agent_peer& peer, const task_run& what)
@@ -350,8 +333,8 @@
 			return;
 		auto* peer = peer_of(task->worker);
 		if (peer == nullptr)
-			return;                                       // the full report of its next link brings this up again
-		if (has_ended(job->status) || task->stop_ordered) // the link may have lost an earlier order to stop
+			return; // the full report of its next link brings this up again
+		if (has_ended(job->status))
 		{
 			order_stop(*peer, what);
 			return;
--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -17,7 +17,6 @@
 #include "jobs/job_tables.hpp"
 #include "jobs/ownership.hpp"
 #include "jobs/placement_order.hpp"
-#include "jobs/preemption.hpp"
 #include "jobs/queue_policy.hpp"
 #include "jobs/run_lease.hpp"
 #include "jobs/run_listing.hpp"
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -62,12 +62,6 @@
 		double least_speed{0.5};
 	};
 
-	/// \brief What a task takes of its worker's room: fillers live on processors that others leave unused.
-	[[nodiscard]] resources counted_claim(const task_group& group) noexcept;
-
-	/// \brief Whether a worker gets tasks of this group at all, whatever room it has.
-	[[nodiscard]] bool may_take(const worker_room& worker, const job_state& job, const task_group& group);
-
 	/// \brief One decision.
 	struct placement
 	{
--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -27,7 +27,6 @@
 		const task_group* group{};
 		const job_task* task{};
 		job_outlook outlook{job_outlook::in_time};
-		millis slack{};     ///< Until the job's objective, less its longest chain; negative where it will be late.
 		double work_left{}; ///< Core-seconds that its occurrence of the job still needs; 0 for serving tasks.
 	};
 
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -28,6 +28,14 @@
 			return worker.labels.size() > 1 ? worker.labels[1] : std::string{};
 		}
 
+		resources counted_claim(const task_group& group) noexcept
+		{
+			auto claim = group.claim;
+			if (group.filler)
+				claim.cpu_milli = 0;
+			return claim;
+		}
+
 		/// What a choice may look at besides the workers.
 		struct placement_rules
 		{
@@ -108,7 +116,11 @@
 					 const placement_rules& rules)
 		{
 			const auto& group = *what.group;
-			if (!may_take(worker, *what.job, group) || !counted_claim(group).fits(worker.capacity - worker.claimed))
+			if (!worker.accepts || worker.service != what.job->queue.service)
+				return false;
+			if (!counted_claim(group).fits(worker.capacity - worker.claimed))
+				return false;
+			if (!group.required_label.empty() && !has_label(worker, group.required_label))
 				return false;
 			const auto count = counts.find(worker.life);
 			if (group.per_worker_limit > 0 && count != counts.end() && count->second >= group.per_worker_limit)
@@ -240,21 +252,6 @@
 		}
 	}
 
-	resources counted_claim(const task_group& group) noexcept
-	{
-		auto claim = group.claim;
-		if (group.filler)
-			claim.cpu_milli = 0;
-		return claim;
-	}
-
-	bool may_take(const worker_room& worker, const job_state& job, const task_group& group)
-	{
-		if (!worker.accepts || worker.service != job.queue.service)
-			return false;
-		return group.required_label.empty() || has_label(worker, group.required_label);
-	}
-
 	void charge_workers(std::span<worker_room> workers, const job_table& table, const pressure_model& pressures,
 						const placement_policy& policy)
 	{
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -36,19 +36,17 @@
 			return out;
 		}
 
-		void judge(placement_wish& what, std::uint32_t group, instant now)
+		job_outlook outlook_of(const job_state& job, std::uint32_t group, instant now)
 		{
-			const auto& job = *what.job;
 			const auto whole = chain_from(job.spec, 0);
 			const auto objective =
 				std::chrono::duration_cast<millis>(whole * job.queue.stretch) + job.queue.latency_target;
 			const auto age = std::chrono::duration_cast<millis>(now - job.accepted);
 			const auto rest = chain_from(job.spec, group);
-			what.slack = objective - age - rest;
 			if (age + rest > late_factor * objective)
-				what.outlook = job_outlook::hopeless;
-			else if (age > objective) // estimates are off by as much as the rest itself
-				what.outlook = job_outlook::late;
+				return job_outlook::hopeless;
+			// Estimates are off by as much as the rest itself.
+			return age > objective ? job_outlook::late : job_outlook::in_time;
 		}
 
 		auto turn_of(const placement_wish& what)
@@ -73,7 +71,7 @@
 			what.job = find_job(table, key.job);
 			what.group = &what.job->spec.groups[key.group];
 			what.task = find_task(table, key);
-			judge(what, key.group, now);
+			what.outlook = outlook_of(*what.job, key.group, now);
 			if (!what.group->long_running)
 				what.work_left = !out.empty() && same_occurrence(out.back().key, key) && !out.back().group->long_running
 									 ? out.back().work_left
