Occurrences with due times are judged from those times, not from when their job was handed in

Cause: the outlook of a task (in time, late, hopeless) counted the age of a repeated job from its acceptance, so each later occurrence was late or hopeless before it was due and went last, and its fillers got a third of the harm others may do. Ruled out: the due times themselves (is_due; now one function, due_ms).

Change: what decides gets both clocks (decision_time). Test first: it failed with the age of before.

--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -265,12 +265,13 @@
 
 	void job_term::place_waiting(instant now)
 	{
-		auto waiting = waiting_tasks(table_, unix_now_ms());
+		const decision_time at{now, unix_now_ms()};
+		auto waiting = waiting_tasks(table_, at.unix_ms);
 		if (waiting.empty())
 			return;
 		auto workers = view_workers(now);
 		charge_workers(workers, table_, pressures_, placing);
-		for (const auto& one : place_tasks(workers, table_, std::move(waiting), pressures_, placing, now))
+		for (const auto& one : place_tasks(workers, table_, std::move(waiting), pressures_, placing, at))
 		{
 			const auto& life = workers[one.worker].life;
 			const auto what = assign(table_, one.task, life, now);
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -8,6 +8,7 @@
 #include "job_ids.hpp"
 #include "job_spec.hpp"
 #include "job_table.hpp"
+#include "placement_order.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -77,5 +78,5 @@
 	/// \details Charges the views with what it places. Members of a gang are placed all or none.
 	[[nodiscard]] std::vector<placement> place_tasks(std::span<worker_room> workers, const job_table& table,
 													 std::vector<task_key> waiting, const pressure_model& pressures,
-													 const placement_policy& policy, instant now);
+													 const placement_policy& policy, decision_time at);
 }
--- a/packages/jobs/include/trailjunction/jobs/job_spec.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_spec.hpp
@@ -46,6 +46,12 @@
 		bool repeated{};             ///< Its occurrences wait for their due times.
 	};
 
+	/// \brief When an occurrence of a repeated job is due, in Unix time.
+	[[nodiscard]] constexpr std::int64_t due_ms(const job_spec& spec, std::uint32_t occurrence) noexcept
+	{
+		return spec.first_due_ms + occurrence * spec.interval.count();
+	}
+
 	/// \brief The most tasks that one job may have over all occurrences; bounds the row that its progress takes.
 	inline constexpr std::uint64_t most_tasks = 20'000;
 
--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -19,6 +19,13 @@
 		hopeless, ///< Later than anybody waits for.
 	};
 
+	/// \brief When something is decided, by both clocks that jobs go by.
+	struct decision_time
+	{
+		instant now{};
+		std::int64_t unix_ms{}; ///< For occurrences with due times.
+	};
+
 	/// \brief A task that waits for a worker, with what its turn depends on.
 	struct placement_wish
 	{
@@ -37,5 +44,5 @@
 	/// from waiting_tasks(): the tasks of a group one after the other. \returns Tasks of a group and occurrence stay
 	/// together.
 	[[nodiscard]] std::vector<placement_wish> order_wishes(const job_table& table, std::vector<task_key> waiting,
-														   instant now);
+														   decision_time at);
 }
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -1,6 +1,5 @@
 // SPDX-License-Identifier: MIT
 #include <trailjunction/jobs/job_placement.hpp>
-#include <trailjunction/jobs/placement_order.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -270,10 +269,10 @@
 
 	std::vector<placement> place_tasks(std::span<worker_room> workers, const job_table& table,
 									   std::vector<task_key> waiting, const pressure_model& pressures,
-									   const placement_policy& policy, instant now)
+									   const placement_policy& policy, decision_time at)
 	{
 		const placement_rules rules{pressures, policy};
-		const auto wishes = order_wishes(table, std::move(waiting), now);
+		const auto wishes = order_wishes(table, std::move(waiting), at);
 		std::vector<placement> out;
 		for (std::size_t i = 0; i < wishes.size();)
 		{
--- a/packages/jobs/src/job_state.cpp
+++ b/packages/jobs/src/job_state.cpp
@@ -71,7 +71,7 @@
 
 	bool is_due(const job_state& job, std::uint32_t occurrence, std::uint32_t group, std::int64_t unix_ms) noexcept
 	{
-		if (job.spec.repeated && unix_ms < job.spec.first_due_ms + occurrence * job.spec.interval.count())
+		if (job.spec.repeated && unix_ms < due_ms(job.spec, occurrence))
 			return false;
 		const auto& after = job.spec.groups[group].after;
 		return std::all_of(after.begin(), after.end(),
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -36,13 +36,21 @@
 			return out;
 		}
 
-		job_outlook outlook_of(const job_state& job, std::uint32_t group, instant now)
+		/// Since its client handed it in, or since its time came.
+		millis age_of(const job_state& job, std::uint32_t occurrence, decision_time at)
+		{
+			if (job.spec.repeated)
+				return millis{at.unix_ms - due_ms(job.spec, occurrence)};
+			return std::chrono::duration_cast<millis>(at.now - job.accepted);
+		}
+
+		job_outlook outlook_of(const job_state& job, const task_key& key, decision_time at)
 		{
 			const auto whole = chain_from(job.spec, 0);
 			const auto objective =
 				std::chrono::duration_cast<millis>(whole * job.queue.stretch) + job.queue.latency_target;
-			const auto age = std::chrono::duration_cast<millis>(now - job.accepted);
-			const auto rest = chain_from(job.spec, group);
+			const auto age = age_of(job, key.occurrence, at);
+			const auto rest = chain_from(job.spec, key.group);
 			if (age + rest > late_factor * objective)
 				return job_outlook::hopeless;
 			// Estimates are off by as much as the rest itself.
@@ -61,7 +69,7 @@
 		}
 	}
 
-	std::vector<placement_wish> order_wishes(const job_table& table, std::vector<task_key> waiting, instant now)
+	std::vector<placement_wish> order_wishes(const job_table& table, std::vector<task_key> waiting, decision_time at)
 	{
 		std::vector<placement_wish> out;
 		out.reserve(waiting.size());
@@ -71,7 +79,7 @@
 			what.job = find_job(table, key.job);
 			what.group = &what.job->spec.groups[key.group];
 			what.task = find_task(table, key);
-			what.outlook = outlook_of(*what.job, key.group, now);
+			what.outlook = outlook_of(*what.job, key, at);
 			if (!what.group->long_running)
 				what.work_left = !out.empty() && same_occurrence(out.back().key, key) && !out.back().group->long_running
 									 ? out.back().work_left
--- a/tests/job_fixtures.hpp
+++ b/tests/job_fixtures.hpp
@@ -44,7 +44,7 @@
 		const placement_policy policy;
 		const pressure_model pressures;
 		charge_workers(rooms, table, pressures, policy);
-		return place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, start);
+		return place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {start, 0});
 	}
 
 	inline task_group gang_of(std::uint32_t count, std::int64_t cpu)
--- a/tests/job_placement.cpp
+++ b/tests/job_placement.cpp
@@ -94,6 +94,27 @@
 	CHECK(second[0].task.job == job_id{"a"});
 }
 
+TEST_CASE("an occurrence with a due time is judged from that time", "[jobs]")
+{
+	job_table table;
+	auto repeated = job_of("a", {group_of(1, 8'000)});
+	repeated.spec.repeated = true;
+	repeated.spec.first_due_ms = 100'000;
+	repeated.accepted = start - std::chrono::seconds{60}; // long before its time
+	add_job(table, std::move(repeated));
+	add_job(table, job_of("b", {group_of(2, 8'000)}));
+	const pressure_model pressures;
+	const auto first_placed = [&](std::int64_t unix_ms)
+	{
+		std::vector<worker_room> rooms{room_of("w1")};
+		const auto placed =
+			place_tasks(rooms, table, waiting_tasks(table, unix_ms), pressures, placement_policy{}, {start, unix_ms});
+		return placed.at(0).task.job;
+	};
+	CHECK(first_placed(100'500) == job_id{"a"});
+	CHECK(first_placed(160'000) == job_id{"b"}); // nobody waits for that occurrence any more
+}
+
 TEST_CASE("a filler goes beside serving tasks that it does not press on, and waits rather than harm others", "[jobs]")
 {
 	auto serving = group_of(1, 4'000);
@@ -119,7 +140,7 @@
 	const auto place_by = [&](std::vector<worker_room> on)
 	{
 		charge_workers(on, table, pressures, policy);
-		return place_tasks(on, table, waiting_tasks(table, 0), pressures, policy, start);
+		return place_tasks(on, table, waiting_tasks(table, 0), pressures, policy, {start, 0});
 	};
 	const auto placed = place_by(rooms);
 	REQUIRE(placed.size() == 1);
@@ -152,7 +173,7 @@
 	pressures.pairs[{"touchy", "f"}] = {0.4, 0.001, start};
 	const placement_policy policy;
 	charge_workers(rooms, table, pressures, policy);
-	const auto placed = place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, start);
+	const auto placed = place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {start, 0});
 	REQUIRE(placed.size() == 1);
 	CHECK(placed[0].task.job == job_id{"a"});
 }
