--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -40,9 +40,10 @@
 	/// \brief Puts waiting tasks in the order of their turns.
 	/// \details By the priority of their queues; serving tasks first, since one that is away is missed until it is
 	/// back; what nobody waits for any more last. Then the job with the least work left: where not all can be in time,
-	/// this order brings the most of them there, and jobs that have begun end before others begin. \param waiting As
-	/// from waiting_tasks(): the tasks of a group one after the other. \returns Tasks of a group and occurrence stay
-	/// together.
+	/// this order brings the most of them there, and jobs that have begun end before others begin.
+	///
+	/// \param waiting As from waiting_tasks(): the tasks of a group one after the other.
+	/// \returns Tasks of a group and occurrence stay together.
 	[[nodiscard]] std::vector<placement_wish> order_wishes(const job_table& table, std::vector<task_key> waiting,
 														   decision_time at);
 }
