Tests: a value that is returned is not const, as lint asks

Lint's one finding in the tree (performance-no-automatic-move, tests/run_keeper.cpp); the test's meaning is unchanged.

--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -195,7 +195,7 @@
 	scene it;
 	const auto start = [&](std::uint32_t index, bool filler, bool movable)
 	{
-		const task_run what{{job_id{"00000000000000b2"}, 0, 0, index}, 1};
+		task_run what{{job_id{"00000000000000b2"}, 0, 0, index}, 1};
 		wire::job_start order;
 		order.what = to_wire(what);
 		order.worker = "life-1";
