A worker's next incarnation is believed once it answers to its name

Cause: an agent took any heartbeat of another incarnation for the next one. One that a cut held back, of an incarnation that has crashed, so brought the old one back: the agent forgot the present one's runs, purposes and paces until its next heartbeat (1.5 s), in which fillers are not paced and reports are empty. Ruled out: that the owner believes it (an agent reports an incarnation only after it has answered a listing).

Change: a heartbeat of another incarnation is answered by a listing in that incarnation's name; only if the worker answers to it a new life begins. Otherwise E438 says so. Tests first: 'a late heartbeat ...' failed before.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -54,11 +54,18 @@
 
 	void run_keeper::worker_seen(worker_heartbeat heartbeat)
 	{
-		if (!worker_ || worker_->life != heartbeat.life)
+		if (!worker_)
 		{
 			begin_life(heartbeat);
 			return;
 		}
+		if (worker_->life != heartbeat.life)
+		{
+			// A heartbeat of an incarnation that has gone may arrive after those of the next one.
+			if (probing_.insert(heartbeat.life).second)
+				asio::co_spawn(io_, probe_life(std::move(heartbeat)), asio::detached);
+			return;
+		}
 		if (heartbeat.sequence < worker_->sequence)
 			return; // overtaken on its way
 		const bool news = heartbeat.draining != worker_->draining;
@@ -70,6 +77,26 @@
 			on_news_();
 	}
 
+	asio::awaitable<void> run_keeper::probe_life(worker_heartbeat heartbeat)
+	{
+		const std::shared_ptr<worker_port> port =
+			heartbeat.address == worker_->address ? port_ : make_port_(heartbeat.address);
+		const order_authority authority{heartbeat.life, heartbeat.clock_ms};
+		const listing_order nothing_new;
+		const auto result = co_await port->list(authority, nothing_new, steady_now() + worker_answer_time);
+		probing_.erase(heartbeat.life);
+		if (is_current(heartbeat.life))
+			co_return;
+		// A worker answers to the name of its present incarnation only. Without an answer the next heartbeat asks
+		// again.
+		if (result.how == order_end::done || result.how == order_end::fenced)
+			begin_life(heartbeat);
+		else
+			log_event(event::heartbeat_ignored, {{"worker", heartbeat.life.str()},
+												 {"current", worker_->life.str()},
+												 {"how", static_cast<int>(result.how)}});
+	}
+
 	void run_keeper::begin_life(const worker_heartbeat& heartbeat)
 	{
 		log_event(event::worker_seen,
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -89,6 +89,8 @@
 		};
 
 		boost::asio::awaitable<void> list_forever();
+		/// Takes an incarnation that is not the current one for the next only once it has answered to its name.
+		boost::asio::awaitable<void> probe_life(worker_heartbeat heartbeat);
 		boost::asio::awaitable<void> carry_out_start(wire::job_start order);
 		boost::asio::awaitable<void> carry_out_stop(task_run what, worker_life life);
 		boost::asio::awaitable<void> settle_start(task_run what, worker_life life);
@@ -117,6 +119,7 @@
 		std::function<void()> on_news_;
 		std::shared_ptr<worker_port> port_;
 		std::optional<worker_heartbeat> worker_;
+		absl::flat_hash_set<worker_life> probing_; ///< Incarnations that are being asked whether they are there.
 		millis lease_{};
 		std::int64_t fencing_token_{};
 		std::int64_t clock_ms_{}; ///< The worker's clock in an answer that had arrived by clock_read_.
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -69,6 +69,7 @@
 		job_taken_up = 435,
 		row_unreadable = 436,
 		filler_moved = 437,
+		heartbeat_ignored = 438,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -53,7 +53,7 @@
 			event::job_refused,          event::job_unknown,
 			event::job_cancelled,        event::job_ended,
 			event::job_taken_up,         event::row_unreadable,
-			event::filler_moved,
+			event::filler_moved,         event::heartbeat_ignored,
 		};
 	}
 
@@ -167,6 +167,8 @@
 			return "row_unreadable";
 		case event::filler_moved:
 			return "filler_moved";
+		case event::heartbeat_ignored:
+			return "heartbeat_ignored";
 		}
 		return "unnamed";
 	}
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -37,6 +37,7 @@
 		std::optional<task_run> stopped;  ///< By the latest stop.
 		std::vector<std::int64_t> tokens; ///< Of all calls, in order.
 		std::map<task_run, int> paces;    ///< The latest of each filler.
+		std::string life;                 ///< The only one that listings are answered for; empty: any.
 	};
 
 	class scripted_worker final : public worker_port
@@ -61,6 +62,8 @@
 		{
 			co_await pause_for(io_, millis{5});
 			++lines_.lists;
+			if (!lines_.life.empty() && authority.life.str() != lines_.life)
+				co_return listing_result{{order_end::other_life, 0}, {}};
 			lines_.tokens.push_back(authority.fencing_token);
 			co_return lines_.on_list();
 		}
@@ -375,3 +378,47 @@
 	CHECK(it.lines.tokens.back() == 5'000);
 	CHECK(it.runs.report(true).worker == "life-2");
 }
+
+TEST_CASE("a late heartbeat of an incarnation that has gone changes nothing", "[jobs]")
+{
+	scene it;
+	it.lines.life = "life-2";
+	it.lines.on_list = []
+	{
+		listing_result out{{order_end::done, 6'000}, {}};
+		out.listing.running.push_back({some_run, "", 10, 0});
+		return out;
+	};
+	auto next = heartbeat_of("life-2");
+	next.clock_ms = 5'000;
+	it.runs.worker_seen(next);
+	REQUIRE(it.run_until([&] { return it.runs.report(true).worker == "life-2"; }));
+	bool changed = false;
+	for (int late = 0; late < 3; ++late)
+	{
+		it.runs.worker_seen(heartbeat_of("life-1"));
+		const auto lists = it.lines.lists;
+		REQUIRE(it.run_until(
+			[&]
+			{
+				changed = changed || it.runs.report(true).worker != "life-2";
+				return it.lines.lists > lists + 3;
+			}));
+	}
+	CHECK_FALSE(changed);
+	CHECK(it.runs.report(true).running.size() == 1);
+	CHECK(it.lines.tokens.back() == 5'000);
+}
+
+TEST_CASE("an incarnation that does not answer yet is believed as soon as it does", "[jobs]")
+{
+	scene it;
+	it.lines.life = "nobody";
+	it.runs.worker_seen(heartbeat_of("life-2"));
+	const auto lists = it.lines.lists;
+	REQUIRE(it.run_until([&] { return it.lines.lists > lists + 3; }));
+	CHECK(it.runs.report(true).worker != "life-2");
+	it.lines.life = "life-2";
+	it.runs.worker_seen(heartbeat_of("life-2"));
+	CHECK(it.run_until([&] { return it.runs.report(true).worker == "life-2"; }));
+}
