Silent connections: one that gave no answer in time takes the pool's idle ones with it

Cause: connections may fall silent without being closed. The pool then tried its idle connections one after the other, each for a whole answer time (0.4 s to a worker, 0.7 s to the store; up to 32 of them). Ruled out: links between entries and agents (closed after 1.5 s without a byte) and accepted connections (bounded by the times for head, body and answer).

Change: after a time-out on a pooled connection all idle ones are closed. Tests first: the pooled one failed before (proxy that silences connections).

--- a/packages/net/include/trailjunction/net/http_client.hpp
+++ b/packages/net/include/trailjunction/net/http_client.hpp
@@ -47,6 +47,8 @@
 		http_client& operator=(const http_client&) = delete;
 
 		/// \brief Sends one request and waits for its whole answer, until \p deadline at the latest.
+		/// \details A kept connection that gave no answer by then is closed together with all that idle beside it:
+		/// connections may fall silent without being closed, and mostly several at once.
 		[[nodiscard]] boost::asio::awaitable<http_result> send(http_request request, instant deadline);
 
 		[[nodiscard]] const endpoint& where() const noexcept;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -41,6 +41,30 @@
 			socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
 			return error != asio::error::would_block;
 		}
+
+		/// Takes the latest pooled connection that the other side has not closed.
+		template <typename State>
+		std::unique_ptr<beast::tcp_stream> take_idle(State& state)
+		{
+			while (!state.idle.empty())
+			{
+				auto stream = std::move(state.idle.back());
+				state.idle.pop_back();
+				if (!is_stale(*stream))
+					return stream;
+			}
+			return nullptr;
+		}
+
+		/// A pooled connection that gave no answer in time may have fallen silent for good, and what silenced it then
+		/// silenced those that idled beside it. Giving up good ones costs a handshake each, keeping silent ones a whole
+		/// answer time each.
+		template <typename State>
+		void drop_siblings(State& state, bool pooled, const beast::error_code& error)
+		{
+			if (pooled && error == beast::error::timeout)
+				state.idle.clear();
+		}
 	}
 
 	http_client::http_client(asio::io_context& io, endpoint where, std::size_t connections, std::size_t body_bytes)
@@ -58,15 +82,9 @@
 	asio::awaitable<http_result> http_client::send(http_request request, instant deadline)
 	{
 		const auto state = state_;
-		std::unique_ptr<beast::tcp_stream> stream;
-		while (!state->idle.empty() && !stream)
-		{
-			stream = std::move(state->idle.back());
-			state->idle.pop_back();
-			if (is_stale(*stream))
-				stream.reset();
-		}
-		if (!stream)
+		auto stream = take_idle(*state);
+		const bool pooled = stream != nullptr;
+		if (!pooled)
 		{
 			stream = std::make_unique<beast::tcp_stream>(state->io);
 			stream->expires_at(deadline);
@@ -80,6 +98,7 @@
 		auto message = impl::to_beast(request, state->host);
 		stream->expires_at(deadline);
 		auto [write_error, written] = co_await http::async_write(*stream, message, as_result);
+		drop_siblings(*state, pooled, write_error);
 		if (write_error)
 			co_return http_result{written == 0 ? delivery::not_sent : delivery::unknown,
 								  absl::UnavailableError(absl::StrCat(state->host, ": ", write_error.message())),
@@ -89,6 +108,7 @@
 		parser.body_limit(state->body_bytes);
 		parser.skip(request.method == "HEAD");
 		auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, as_result);
+		drop_siblings(*state, pooled, read_error);
 		if (read_error)
 		{
 			const auto text = absl::StrCat(state->host, ": ", read_error.message());
--- a/packages/testkit/include/trailjunction/testkit/fault_proxy.hpp
+++ b/packages/testkit/include/trailjunction/testkit/fault_proxy.hpp
@@ -42,6 +42,10 @@
 		}
 		/// \brief Cuts all connections that are open.
 		void cut_all();
+		/// \brief From now on nothing passes on the connections that are open, either way, and none of them is closed.
+		void silence_all();
+		/// \brief Connections that are open towards the target and pass data.
+		[[nodiscard]] std::size_t working_connections() const;
 
 	private:
 		struct connection;
--- a/packages/testkit/src/fault_proxy.cpp
+++ b/packages/testkit/src/fault_proxy.cpp
@@ -53,6 +53,7 @@
 		tcp::socket far;
 		std::shared_ptr<proxy_faults> faults;
 		std::int64_t answered{};
+		bool silent{}; ///< For good.
 	};
 
 	namespace
@@ -81,7 +82,7 @@
 			auto& to = answers ? one->near : one->far;
 			while (to.is_open() && !(from->queue.empty() && from->done))
 			{
-				const bool held = one->faults->hold || (answers && one->faults->hold_answers);
+				const bool held = one->silent || one->faults->hold || (answers && one->faults->hold_answers);
 				const auto at = std::chrono::steady_clock::now();
 				if (held)
 					co_await pause_for(io, hold_check);
@@ -146,6 +147,22 @@
 		connections_.clear();
 	}
 
+	void fault_proxy::silence_all()
+	{
+		for (const auto& weak : connections_)
+			if (const auto one = weak.lock())
+				one->silent = true;
+	}
+
+	std::size_t fault_proxy::working_connections() const
+	{
+		std::size_t out = 0;
+		for (const auto& weak : connections_)
+			if (const auto one = weak.lock(); one && !one->silent && one->far.is_open())
+				++out;
+		return out;
+	}
+
 	asio::awaitable<void> fault_proxy::accept()
 	{
 		while (acceptor_.is_open())
