An entry that has lost the store for more than a moment is not ready

Ruled out: the owner's part (its orders went on).

Change: the feed of the configuration, which every entry always has open, tells whether the store answers; after 0.3 s without, readiness says no. While the store is away from all, all are unready and the balancer uses all. Test: the gateway's readiness over time.

--- a/packages/entry/include/trailjunction/entry/job_gateway.hpp
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -8,6 +8,7 @@
 #include <trailjunction/jobs/job_state.hpp>
 #include <trailjunction/net/process_metrics.hpp>
 #include <trailjunction/store/row_store.hpp>
+#include <trailjunction/store/store_contact.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/awaitable.hpp>
@@ -77,6 +78,12 @@
 		/// \brief Puts a configuration in force, unless a newer one is.
 		void apply(job_configuration configuration);
 		void note_depths(queue_depths depths);
+		/// \brief Takes in whether the store answered a call that is made all the time.
+		void note_store(bool answered, instant now);
+
+		/// \brief Whether clients should come here: a configuration is known, and the store answers this entry.
+		/// \details Other entries may reach a store that this one has lost, so the balancer is told.
+		[[nodiscard]] bool is_ready(instant now) const noexcept;
 
 	private:
 		boost::asio::awaitable<job_call_result> commit_until(row_change change, job_id id, instant deadline);
@@ -90,6 +97,7 @@
 		process_metrics& metrics_;
 		std::shared_ptr<const job_configuration> configuration_;
 		queue_depths depths_;
+		store_contact contact_;
 		/// Jobs whose row may still be written by an earlier call, by when that was told: they must not be called
 		/// refused.
 		absl::flat_hash_map<job_id, instant> in_doubt_;
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -38,7 +38,7 @@
 				  readiness{io, http_limits{},
 							[this](http_request) -> asio::awaitable<http_response>
 							{
-								const bool ready = gateway.configuration() != nullptr && !stopping;
+								const bool ready = gateway.is_ready(steady_now()) && !stopping;
 								co_return ready ? json_response(200, "{}") : error_response(503, "not ready");
 							}},
 				  figures{io, http_limits{},
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -29,6 +29,10 @@
 		/// Depths older than this are not told: the pages allow two seconds, less the way.
 		constexpr auto depths_valid = millis{1'800};
 
+		/// Without an answer of the store for so long, an entry is not ready: more than one call that failed by chance.
+		/// The balancer adds the two seconds in which it misses two answers.
+		constexpr auto unready_after = millis{300};
+
 		const stored_row* find_row(const std::vector<stored_row>& rows, const std::string& key) noexcept
 		{
 			const auto found =
@@ -96,6 +100,16 @@
 		depths_ = std::move(depths);
 	}
 
+	void job_gateway::note_store(bool answered, instant now)
+	{
+		note_store_call(contact_, answered, now);
+	}
+
+	bool job_gateway::is_ready(instant now) const noexcept
+	{
+		return configuration_ != nullptr && !is_cut_off(contact_, unready_after, now);
+	}
+
 	std::optional<std::int64_t> job_gateway::waiting(const queue_id& queue, instant now) const
 	{
 		if (now - depths_.read_at > depths_valid)
--- a/packages/entry/src/version/configuration_follower.cpp
+++ b/packages/entry/src/version/configuration_follower.cpp
@@ -3,6 +3,7 @@
 
 #include <trailjunction/core/event.hpp>
 #include <trailjunction/net/coroutines.hpp>
+#include <trailjunction/store/store_watch.hpp>
 
 namespace trailjunction
 {
@@ -37,6 +38,7 @@
 											   job_gateway& gateway)
 	{
 		const auto row = carriers.configuration_row;
+		store_watch watch;
 		bool known = false;
 		std::int64_t version = 0;
 		while (true)
@@ -50,6 +52,11 @@
 				row_range range{row.table, "", row.key, "", 1};
 				page = co_await store.read(std::move(range), steady_now() + read_time);
 			}
+			gateway.note_store(page.ok(), steady_now());
+			if (page.ok())
+				watch.note_answer();
+			else
+				watch.note_failure("follow configuration", page.status().ToString());
 			if (page.ok())
 			{
 				apply_rows(page->rows, carriers, gateway);
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -449,3 +449,21 @@
 	CHECK(ends[2] == job_call_end::done);
 	CHECK(metrics.expose().find("trailjunction_job_submit_total{outcome=\"unknown\"} 2") != std::string::npos);
 }
+
+TEST_CASE("an entry that has lost the store for more than a moment is not ready until it is answered again", "[jobs]")
+{
+	boost::asio::io_context io{1};
+	memory_store store{io};
+	process_metrics metrics;
+	job_gateway gateway{io, store, metrics};
+	const auto start = steady_now();
+	CHECK_FALSE(gateway.is_ready(start)); // there is no configuration
+	gateway.apply(job_configuration{});
+	CHECK(gateway.is_ready(start));
+	gateway.note_store(false, start);
+	CHECK(gateway.is_ready(start + millis{100}));
+	gateway.note_store(false, start + millis{900});
+	CHECK_FALSE(gateway.is_ready(start + millis{901}));
+	gateway.note_store(true, start + millis{950});
+	CHECK(gateway.is_ready(start + millis{2'000}));
+}
