Serving tasks of one image go together, ahead of packing

Change: placement of a serving task counts the tasks of other images on a worker against it and those of the same one for it.

--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -58,6 +58,11 @@
 		double most_harm{0.4};
 		/// The same for a filler whose job is late, as a share: late work is worth less on all sheets.
 		double late_share{0.3};
+		/// Cost of each serving task of another image on a worker, and gain of each of the same one, against a worker
+		/// full of serving tasks: fillers press hard on about a third of the images (docs/DECISIONS.md), so the fewer
+		/// images a worker has, the more fillers harm nobody there. Costs of 0.2 to 0.5 measure alike.
+		double other_image_cost{0.2};
+		double same_image_gain{0.1};
 		pressure_policy pressing;
 		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
 		double least_speed{0.5};
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -127,6 +127,17 @@
 			return !group.filler || has_filler_room(worker, what, rules);
 		}
 
+		/// Serving tasks are packed, so that other workers have none that fillers could slow down, and those of one
+		/// image together.
+		double serving_cost(const worker_room& worker, const task_group& group, const placement_policy& policy)
+		{
+			const auto capacity = std::max(1.0, static_cast<double>(worker.capacity.cpu_milli));
+			double out = -static_cast<double>(worker.serving_cpu_milli) / capacity;
+			for (const auto& serving : worker.serving)
+				out += serving.image == group.image ? -policy.same_image_gain : policy.other_image_cost;
+			return out;
+		}
+
 		/// The cost of a worker; the lowest is taken.
 		double cost(const worker_room& worker, const placement_wish& what, const placement_rules& rules)
 		{
@@ -141,9 +152,8 @@
 				return out - filler_speed(worker, group, rules.policy) -
 					   left_over(worker, rules.policy) / capacity / 2 +
 					   rules.policy.harm_cost * harm_by(worker, group, rules);
-			// Serving tasks are packed, so that other workers have none that fillers could slow down.
 			if (group.latency_target.count() > 0)
-				return out - static_cast<double>(worker.serving_cpu_milli) / capacity;
+				return out + serving_cost(worker, group, rules.policy);
 			// Batch tasks go where the least is claimed, so that they do not wait for each other.
 			return out + static_cast<double>(worker.claimed.cpu_milli) / capacity;
 		}
--- a/tests/job_placement.cpp
+++ b/tests/job_placement.cpp
@@ -156,6 +156,30 @@
 	CHECK(place_by(rooms).size() == 1);
 }
 
+TEST_CASE("serving tasks of one image go together, also where another worker has more of others", "[jobs]")
+{
+	auto serving = group_of(2, 2'000);
+	serving.long_running = true;
+	serving.latency_target = millis{20};
+	serving.image = "a";
+	auto one = serving;
+	one.count = 1;
+	one.image = "b";
+	job_table table;
+	add_job(table, job_of("a", {serving}));
+	add_job(table, job_of("b", {one}));
+	assign(table, {job_id{"a"}, 0, 0, 0}, worker_life{"w1"}, start);
+	assign(table, {job_id{"a"}, 0, 0, 1}, worker_life{"w1"}, start);
+	assign(table, {job_id{"b"}, 0, 0, 0}, worker_life{"w2"}, start);
+	add_job(table, job_of("c", {one}));
+	std::vector<worker_room> rooms{room_of("w1"), room_of("w2")};
+	const pressure_model pressures;
+	charge_workers(rooms, table, pressures, placement_policy{});
+	const auto placed = place_tasks(rooms, table, waiting_tasks(table, 0), pressures, placement_policy{}, {start, 0});
+	REQUIRE(placed.size() == 1);
+	CHECK(placed[0].worker == 1);
+}
+
 TEST_CASE("a filler sees the serving tasks that are placed in the same round", "[jobs]")
 {
 	auto serving = group_of(1, 4'000);
