A store that gave no answer is read before a job is handed to it

Ruled out: refusals of a busy store, which are told as such.

Change: after a call that was refused or got no answer, an entry first reads the job's rows (0.4 s at most). Where the read fails, nothing was handed over and the caller is told so at once, with when to come back. The stand-in store now keeps a read's deadline (the test fixture passed the time of the call as its deadline). Test first: failed before (unknown after 2 s, three transactions).

--- a/packages/entry/include/trailjunction/entry/job_gateway.hpp
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -87,6 +87,8 @@
 
 	private:
 		boost::asio::awaitable<job_call_result> commit_until(row_change change, job_id id, instant deadline);
+		/// Whether the store answers a read of the job's rows.
+		boost::asio::awaitable<bool> answers(job_id id, instant deadline);
 		[[nodiscard]] bool is_in_doubt(const job_id& id, instant now) const;
 		void note_doubt(const job_id& id, instant now);
 
@@ -98,6 +100,7 @@
 		std::shared_ptr<const job_configuration> configuration_;
 		queue_depths depths_;
 		store_contact contact_;
+		bool suspect_{}; ///< The latest call to the store was refused or got no answer.
 		/// Jobs whose row may still be written by an earlier call, by when that was told: they must not be called
 		/// refused.
 		absl::flat_hash_map<job_id, instant> in_doubt_;
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -15,6 +15,8 @@
 	{
 		/// For one answer of the store: some times what it takes when it is slow.
 		constexpr auto try_time = millis{700};
+		/// For one answer to a read that only finds out whether the store answers at all.
+		constexpr auto probe_time = millis{400};
 		/// Between two tries after a refusal; each one is a call that the store counts.
 		constexpr auto retry_pause = millis{60};
 		/// Refusals are retried for so long; a client that is told sooner comes back sooner.
@@ -103,6 +105,7 @@
 	void job_gateway::note_store(bool answered, instant now)
 	{
 		note_store_call(contact_, answered, now);
+		suspect_ = !answered;
 	}
 
 	bool job_gateway::is_ready(instant now) const noexcept
@@ -123,9 +126,23 @@
 		const auto began = steady_now();
 		bool may_be_done = is_in_doubt(id, began);
 		job_call_result out;
+		// A transaction that a silent store swallows may still be done later, and its client could not be told that it
+		// was not; a read that is swallowed leaves no doubt.
+		bool answered = true;
+		if (suspect_ && !may_be_done)
+			answered = co_await answers(id, deadline);
+		if (!answered)
+		{
+			out.how = job_call_end::refused;
+			out.retry_after = come_back_after;
+			out.reason = "the store does not answer";
+			log_event(event::job_refused, {{"job", id.str()}, {"reason", out.reason}});
+			co_return out;
+		}
 		while (true)
 		{
 			const auto result = co_await store_.commit(change, std::min(deadline, steady_now() + try_time));
+			suspect_ = result.how == commit_end::unknown || result.how == commit_end::refused;
 			out.reason = result.reason;
 			if (result.how == commit_end::applied || result.how == commit_end::conflict)
 			{
@@ -148,6 +165,13 @@
 		co_return out;
 	}
 
+	asio::awaitable<bool> job_gateway::answers(job_id id, instant deadline)
+	{
+		auto range = submission_of(id);
+		const auto page = co_await store_.read(std::move(range), std::min(deadline, steady_now() + probe_time));
+		co_return page.ok();
+	}
+
 	bool job_gateway::is_in_doubt(const job_id& id, instant now) const
 	{
 		const auto found = in_doubt_.find(id);
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -97,10 +97,14 @@
 		co_return out;
 	}
 
-	asio::awaitable<absl::StatusOr<row_page>> memory_store::read(row_range range, instant)
+	asio::awaitable<absl::StatusOr<row_page>> memory_store::read(row_range range, instant deadline)
 	{
+		const auto left = std::chrono::duration_cast<millis>(deadline - steady_now());
+		const bool in_time = faults.read_time <= left;
 		if (faults.read_time.count() > 0)
-			co_await pause_for(io_, faults.read_time);
+			co_await pause_for(io_, std::min(faults.read_time, left));
+		if (!in_time)
+			co_return absl::DeadlineExceededError("no answer");
 		if (faults.refuse_all || (!faults.refuse_reads.empty() && faults.refuse_reads == range.table))
 			co_return absl::UnavailableError("refused");
 		row_page out;
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -79,7 +79,7 @@
 				[this, owned, now]() mutable -> boost::asio::awaitable<void>
 				{
 					row_range range{owner_table, job_partition, "", "", 0};
-					const auto page = co_await store.read(std::move(range), now);
+					const auto page = co_await store.read(std::move(range), now + longest_wait);
 					owned.version = page->rows.front().version;
 					owned.renewal_sent = now;
 					owned.store_ms = page->store_ms;
@@ -410,44 +410,74 @@
 	CHECK(it.agent.starts.size() == 1);
 }
 
-TEST_CASE("a job that may have been taken is not called refused", "[jobs]")
+namespace
 {
-	boost::asio::io_context io{1};
-	memory_store store{io};
-	process_metrics metrics;
-	job_gateway gateway{io, store, metrics};
-	std::vector<job_call_end> ends;
-	const auto submit = [&](millis time)
+	/// Clients' calls at one entry, one after the other.
+	struct calls
 	{
-		boost::asio::co_spawn(
-			io,
-			[&, time]() -> boost::asio::awaitable<void>
-			{
-				auto queue = some_queue();
-				auto spec = one_task();
-				const auto result =
-					co_await gateway.submit(std::move(queue), job_id{first_job}, std::move(spec), steady_now() + time);
-				ends.push_back(result.how);
-			},
-			boost::asio::detached);
-		io.restart(); // it has run out of work after the call before
-		const auto wanted = ends.size() + 1;
-		const auto end = steady_now() + longest_wait;
-		while (ends.size() < wanted && steady_now() < end)
-			io.run_one_for(millis{10});
+		void submit(const std::string& id, millis time)
+		{
+			boost::asio::co_spawn(
+				io,
+				[this, id, time]() -> boost::asio::awaitable<void>
+				{
+					auto queue = some_queue();
+					auto spec = one_task();
+					const auto result =
+						co_await gateway.submit(std::move(queue), job_id{id}, std::move(spec), steady_now() + time);
+					ends.push_back(result.how);
+				},
+				boost::asio::detached);
+			io.restart(); // it has run out of work after the call before
+			const auto wanted = ends.size() + 1;
+			const auto end = steady_now() + longest_wait;
+			while (ends.size() < wanted && steady_now() < end)
+				io.run_one_for(millis{10});
+		}
+
+		boost::asio::io_context io{1};
+		memory_store store{io};
+		process_metrics metrics;
+		job_gateway gateway{io, store, metrics};
+		std::vector<job_call_end> ends;
 	};
-	store.faults.hold_commits = true;
-	submit(millis{400});
-	store.faults = {};
-	store.faults.refuse_all = true;
-	submit(millis{1'000});
-	store.faults = {};
-	submit(millis{1'000});
-	REQUIRE(ends.size() == 3);
-	CHECK(ends[0] == job_call_end::unknown);
-	CHECK(ends[1] == job_call_end::unknown);
-	CHECK(ends[2] == job_call_end::done);
-	CHECK(metrics.expose().find("trailjunction_job_submit_total{outcome=\"unknown\"} 2") != std::string::npos);
+}
+
+TEST_CASE("a job that may have been taken is not called refused", "[jobs]")
+{
+	calls it;
+	it.store.faults.hold_commits = true;
+	it.submit(first_job, millis{400});
+	it.store.faults = {};
+	it.store.faults.refuse_all = true;
+	it.submit(first_job, millis{1'000});
+	it.store.faults = {};
+	it.submit(first_job, millis{1'000});
+	REQUIRE(it.ends.size() == 3);
+	CHECK(it.ends[0] == job_call_end::unknown);
+	CHECK(it.ends[1] == job_call_end::unknown);
+	CHECK(it.ends[2] == job_call_end::done);
+	CHECK(it.metrics.expose().find("trailjunction_job_submit_total{outcome=\"unknown\"} 2") != std::string::npos);
+}
+
+TEST_CASE("a store that gave no answer is read before a job is handed to it, and silence then is a refusal", "[jobs]")
+{
+	constexpr const char* second_job = "00000000000000b2";
+	calls it;
+	it.store.faults.hold_commits = true;
+	it.store.faults.read_time = std::chrono::seconds{30};
+	it.submit(first_job, millis{400});
+	const auto asked = it.store.asked.size();
+	it.submit(second_job, millis{2'000});
+	REQUIRE(it.ends.size() == 2);
+	CHECK(it.ends[0] == job_call_end::unknown); // nobody could know
+	CHECK(it.ends[1] == job_call_end::refused);
+	CHECK(it.store.asked.size() == asked);
+	it.store.faults = {};
+	it.submit(second_job, millis{1'000});
+	it.submit(first_job, millis{1'000});
+	it.submit(first_job, millis{1'000});
+	CHECK(std::count(it.ends.begin(), it.ends.end(), job_call_end::done) == 3);
 }
 
 TEST_CASE("an entry that has lost the store for more than a moment is not ready until it is answered again", "[jobs]")
