--- a/packages/agent/src/process/job_agent_process.cpp
+++ b/packages/agent/src/process/job_agent_process.cpp
@@ -1,12 +1,14 @@
 // SPDX-License-Identifier: MIT
 #include "../connection/owner_links.hpp"
-#include "agent_row.hpp"
 #include "run_keeper.hpp"
 
 #include <trailjunction/agent/job_agent_process.hpp>
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/jobs/job_rows.hpp>
+#include <trailjunction/jobs/job_tables.hpp>
 #include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/net/process_metrics.hpp>
+#include <trailjunction/store/store_watch.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,6 +20,31 @@
 	namespace
 	{
 		constexpr auto stop_check = millis{50};
+		constexpr auto register_time = millis{1'000}; ///< For one try to write the agent's row.
+		constexpr auto register_pause = millis{500};
+
+		/// Writes where owners find this agent; the row stays when the process goes, since its successor is found
+		/// there.
+		asio::awaitable<void> register_agent(asio::io_context& io, row_store& store, const job_agent_settings& settings)
+		{
+			stored::agent row;
+			row.address = to_string(*settings.links);
+			row.data_centre = settings.data_centre;
+			row_change change;
+			change.partition = agent_partition;
+			change.put.push_back({{agents_table, settings.worker.str()}, encode_agent(row)});
+			store_watch watch;
+			while (true)
+			{
+				const auto result = co_await store.commit(change, steady_now() + register_time);
+				if (result.how == commit_end::applied)
+					break;
+				watch.note_failure("register agent", result.reason);
+				co_await pause_for(io, register_pause);
+			}
+			watch.note_answer();
+			log_event(event::process_ready, {{"worker", settings.worker.str()}});
+		}
 
 		asio::awaitable<void> stop_agent(asio::io_context& io, run_keeper& runs, millis most)
 		{
@@ -55,15 +82,12 @@
 		asio::io_context io{1};
 		process_metrics metrics;
 		owner_links* links_of_runs = nullptr;
-		agent_row* row_of_runs = nullptr;
 		run_keeper runs{io, [&](endpoint where) { return carriers.make_worker(io, where); }, settings.longest_run_lease,
 						make_pacing_policy(settings.harm_limit),
-						[&links_of_runs, &row_of_runs]
+						[&links_of_runs]
 						{
 							if (links_of_runs != nullptr)
 								links_of_runs->report_soon();
-							if (row_of_runs != nullptr)
-								row_of_runs->look_again();
 						}};
 		owner_links links{io, runs};
 		links_of_runs = &links;
@@ -84,9 +108,7 @@
 		}
 		log_event(event::process_started, {{"worker", settings.worker.str()}});
 		const auto store = carriers.make_store(io, *settings.store);
-		agent_row row{io, *store, settings, runs};
-		row_of_runs = &row;
-		asio::co_spawn(io, row.keep(), asio::detached);
+		asio::co_spawn(io, register_agent(io, *store, settings), asio::detached);
 		on_settings_change(io, source.path, [&] { reload(live, source); });
 		on_stop_signal(io,
 					   [&]
--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -79,8 +79,8 @@
 
 	asio::awaitable<void> run_keeper::probe_life(worker_heartbeat heartbeat)
 	{
-		const bool same_address = worker_ && heartbeat.address == worker_->address;
-		const std::shared_ptr<worker_port> port = same_address ? port_ : make_port_(heartbeat.address);
+		const std::shared_ptr<worker_port> port =
+			heartbeat.address == worker_->address ? port_ : make_port_(heartbeat.address);
 		const order_authority authority{heartbeat.life, heartbeat.clock_ms};
 		const listing_order nothing_new;
 		const auto result = co_await port->list(authority, nothing_new, steady_now() + worker_answer_time);
@@ -89,21 +89,12 @@
 			co_return;
 		// A worker answers to the name of its present incarnation only. Without an answer the next heartbeat asks
 		// again.
-		if (result.how != order_end::done && result.how != order_end::fenced)
-		{
+		if (result.how == order_end::done || result.how == order_end::fenced)
+			begin_life(heartbeat);
+		else
 			log_event(event::heartbeat_ignored, {{"worker", heartbeat.life.str()},
-												 {"current", worker_ ? worker_->life.str() : ""},
+												 {"current", worker_->life.str()},
 												 {"how", static_cast<int>(result.how)}});
-			co_return;
-		}
-		heartbeat.clock_ms = std::max(heartbeat.clock_ms, result.clock_ms);
-		begin_life(heartbeat);
-	}
-
-	void run_keeper::recall(worker_heartbeat stored)
-	{
-		if (!worker_ && probing_.insert(stored.life).second)
-			asio::co_spawn(io_, probe_life(std::move(stored)), asio::detached);
 	}
 
 	void run_keeper::begin_life(const worker_heartbeat& heartbeat)
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -40,16 +40,6 @@
 		void worker_seen(worker_heartbeat heartbeat) override;
 		void worker_left(const worker_life& life) override;
 
-		/// \brief Asks for the worker that an earlier process of this agent heard of, so as not to wait for its next
-		/// heartbeat; nothing comes of it where that incarnation has gone.
-		/// \param stored Its clock is not known and counts as 0.
-		void recall(worker_heartbeat stored);
-		/// \brief The worker as it was last heard of.
-		[[nodiscard]] const std::optional<worker_heartbeat>& worker() const noexcept
-		{
-			return worker_;
-		}
-
 		/// \brief How long runs go on after a confirmation, as the owner counts.
 		void set_lease(millis lease) noexcept;
 
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -107,23 +107,9 @@
 	1: list<pair_pressure> pairs,
 }
 
-/** The worker beside an agent, as the agent last heard of it in a heartbeat. */
-struct heard_worker
-{
-	1: string life,
-	2: string address,
-	3: string service_name,
-	4: i64 cpu_milli,
-	5: i64 memory_mib,
-	6: i64 accelerators,
-	7: list<string> labels,
-	8: bool draining,
-}
-
-/** Where the agent beside a worker takes links, and which worker its next process may ask for at once. */
+/** Where the agent beside a worker takes links. */
 struct agent
 {
 	1: string address,
 	2: string data_centre,
-	3: optional heard_worker heard,
 }
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -2,14 +2,8 @@
 /// \file
 /// \brief The runs of one worker against a worker that the test plays call by call.
 #include "../packages/agent/src/process/run_keeper.hpp"
-#include "../packages/agent/src/process/agent_row.hpp"
 
-#include <trailjunction/jobs/job_tables.hpp>
 #include <trailjunction/net/coroutines.hpp>
-#include <trailjunction/testkit/memory_store.hpp>
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -413,7 +407,7 @@
 	}
 	CHECK_FALSE(changed);
 	CHECK(it.runs.report(true).running.size() == 1);
-	CHECK(it.lines.tokens.back() == 6'000); // the worker's clock when it answered
+	CHECK(it.lines.tokens.back() == 5'000);
 }
 
 TEST_CASE("an incarnation that does not answer yet is believed as soon as it does", "[jobs]")
@@ -428,113 +422,3 @@
 	it.runs.worker_seen(heartbeat_of("life-2"));
 	CHECK(it.run_until([&] { return it.runs.report(true).worker == "life-2"; }));
 }
-
-namespace
-{
-	/// Processes of one agent, one after the other, over one store; heartbeats come only where a test sends them.
-	struct restarts
-	{
-		struct process
-		{
-			explicit process(restarts& all)
-				: runs{all.io, [&all](endpoint) { return std::make_unique<scripted_worker>(all.io, all.lines); },
-					   millis{5'000}, pacing_policy{},
-					   [this]
-					   {
-						   row.look_again();
-					   }},
-				  row{all.io, all.store, all.settings, runs}
-			{
-				boost::asio::co_spawn(all.io, row.keep(), boost::asio::detached);
-			}
-
-			run_keeper runs;
-			agent_row row;
-		};
-
-		restarts()
-		{
-			settings.worker = worker_id{"agent-1"};
-			settings.links = parse_endpoint("127.0.0.1:1").value();
-			lines.life = "life-1";
-			lines.on_list = []
-			{
-				return listing_result{{order_end::done, 7'000}, {}};
-			};
-		}
-
-		process& start()
-		{
-			processes.push_back(std::make_unique<process>(*this));
-			return *processes.back();
-		}
-
-		template <typename Until>
-		bool run_until(Until until)
-		{
-			const auto end = steady_now() + longest_wait;
-			while (!until() && steady_now() < end)
-				io.run_one_for(millis{10});
-			return until();
-		}
-
-		stored::heard_worker stored_worker()
-		{
-			const auto row = decode_agent(store.value(agent_partition, agents_table, "agent-1"));
-			return row.ok() ? row->heard : stored::heard_worker{};
-		}
-
-		bool run_until_stored(const std::string& life)
-		{
-			return run_until([&] { return stored_worker().life == life; });
-		}
-
-		boost::asio::io_context io{1};
-		testkit::memory_store store{io};
-		script lines;
-		job_agent_settings settings;
-		std::vector<std::unique_ptr<process>> processes;
-	};
-}
-
-TEST_CASE("an agent that restarts asks for its worker at once, under a higher token, without a heartbeat", "[jobs]")
-{
-	restarts it;
-	it.start().runs.worker_seen(heartbeat_of("life-1"));
-	REQUIRE(it.run_until_stored("life-1"));
-	auto& next = it.start();
-	REQUIRE(it.run_until([&] { return next.runs.report(true).worker == "life-1"; }));
-	CHECK(next.runs.worker()->clock_ms == 7'000);
-	CHECK(next.runs.report(true).capacity.cpu_milli == 8'000);
-}
-
-TEST_CASE("an agent that restarts does not take up an incarnation that has gone meanwhile", "[jobs]")
-{
-	restarts it;
-	it.start().runs.worker_seen(heartbeat_of("life-1"));
-	REQUIRE(it.run_until_stored("life-1"));
-	it.lines.life = "life-2";
-	auto& next = it.start();
-	const auto lists = it.lines.lists;
-	REQUIRE(it.run_until([&] { return it.lines.lists > lists + 5; }));
-	CHECK_FALSE(next.runs.worker().has_value());
-	next.runs.worker_seen(heartbeat_of("life-2"));
-	CHECK(it.run_until([&] { return next.runs.report(true).worker == "life-2"; }));
-	CHECK(it.run_until_stored("life-2"));
-}
-
-TEST_CASE("a worker that was leaving is still leaving for the agent's next process", "[jobs]")
-{
-	restarts it;
-	auto& first = it.start();
-	first.runs.worker_seen(heartbeat_of("life-1"));
-	REQUIRE(it.run_until_stored("life-1"));
-	auto leaving = heartbeat_of("life-1");
-	leaving.draining = true;
-	leaving.sequence = 1;
-	first.runs.worker_seen(leaving);
-	REQUIRE(it.run_until([&] { return it.stored_worker().draining; }));
-	auto& next = it.start();
-	REQUIRE(it.run_until([&] { return next.runs.report(true).worker == "life-1"; }));
-	CHECK(next.runs.report(true).draining);
-}
