--- a/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
@@ -30,7 +30,7 @@
 	struct pressure_policy
 	{
 		double prior{0.06};              ///< Per processor, of a pair never seen: within the fits of both calm days.
-		double prior_variance{0.03};     ///< Of a pair never seen: two thirds hardly press, the rest by 0.2 to 0.6.
+		double prior_variance{0.01};     ///< Of a pair never seen; the pressures found lie between 0 and 0.5.
 		double drift{0.001};             ///< Variance that a pair gains a second: images change how they press.
 		double most{1.0};                ///< Per processor: one sample must not ban a pair for good.
 		double first_base{-0.9};         ///< ln(strain) of a serving task alone: its median on both calm days is 0.4.
@@ -82,10 +82,6 @@
 	[[nodiscard]] double pressure_of(const pressure_model& model, const std::string& serving, const std::string& filler,
 									 const pressure_policy& policy);
 
-	/// \brief The same with its variance, which is that of a pair never seen at the most.
-	[[nodiscard]] estimate pressure_estimate(const pressure_model& model, const std::string& serving,
-											 const std::string& filler, const pressure_policy& policy);
-
 	/// \brief ln(strain) of a serving task without fillers: that of its whole group.
 	[[nodiscard]] double base_of(const pressure_model& model, const task_key& task, const pressure_policy& policy);
 
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -25,7 +25,6 @@
 	{
 		std::string image;
 		double log_strain{}; ///< See filler_pressure.hpp.
-		double variance{};   ///< Of log_strain, as far as the pressures of the fillers there are not known for sure.
 	};
 
 	/// \brief One worker as placement sees it.
@@ -41,10 +40,7 @@
 		std::int64_t filler_cpu_milli{};      ///< Processor claims of the fillers there.
 		std::int64_t serving_cpu_milli{};     ///< Processor claims of the serving tasks there.
 		std::vector<expected_strain> serving; ///< The serving tasks there.
-		/// Processors claimed by the fillers there, by image: what is not known of an image is not known of all of
-		/// them.
-		absl::flat_hash_map<std::string, double> filler_cpus;
-		double pace{1.0}; ///< The share at which its agent lets fillers work now.
+		double pace{1.0};                     ///< The share at which its agent lets fillers work now.
 	};
 
 	/// \brief What placement is told beyond the workers.
@@ -60,12 +56,7 @@
 		/// A filler waits rather than put more serving tasks than this over their targets: the point where the cost
 		/// outweighs its own work.
 		double most_harm{0.4};
-		/// No filler is added to those that press on a serving task which is then over its target more than this share
-		/// of the time: the sum of harms above is one of differences, and hardly grows where a task is over already.
-		double most_over{0.5};
-		/// On ln(strain): a filler that presses less than this on a task is not what puts it over; a tenth of a target.
-		double slight_pressure{0.1};
-		/// The share of most_harm that a filler may do whose job is late: late work is worth less on all sheets.
+		/// The same for a filler whose job is late, as a share: late work is worth less on all sheets.
 		double late_share{0.3};
 		/// Cost of each serving task of another image on a worker, and gain of each of the same one, against a worker
 		/// full of serving tasks: fillers press hard on about a third of the images (docs/DECISIONS.md), so the fewer
--- a/packages/jobs/src/filler_pressure.cpp
+++ b/packages/jobs/src/filler_pressure.cpp
@@ -88,15 +88,9 @@
 
 	double pressure_of(const pressure_model& model, const std::string& serving, const std::string& filler,
 					   const pressure_policy& policy)
-	{
-		return pressure_estimate(model, serving, filler, policy).mean;
-	}
-
-	estimate pressure_estimate(const pressure_model& model, const std::string& serving, const std::string& filler,
-							   const pressure_policy& policy)
 	{
 		const auto found = model.pairs.find(std::make_pair(serving, filler));
-		return found == model.pairs.end() ? estimate{policy.prior, policy.prior_variance, {}} : found->second;
+		return found == model.pairs.end() ? policy.prior : found->second.mean;
 	}
 
 	double base_of(const pressure_model& model, const task_key& task, const pressure_policy& policy)
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -42,26 +42,10 @@
 			const placement_policy& policy;
 		};
 
-		double cpus_of(const task_group& group) noexcept
+		double pressure_at_full_pace(const std::string& serving, const task_group& filler, const placement_rules& rules)
 		{
-			return static_cast<double>(group.claim.cpu_milli) / cpu_milli;
-		}
-
-		/// What a filler at full pace adds to ln(strain) of a serving task there.
-		struct added_strain
-		{
-			double mean{};
-			double variance{};
-		};
-
-		added_strain added_by(const worker_room& worker, const std::string& serving, const task_group& filler,
-							  const placement_rules& rules)
-		{
-			const auto pressure = pressure_estimate(rules.pressures, serving, filler.image, rules.policy.pressing);
-			const auto found = worker.filler_cpus.find(filler.image);
-			const double there = found == worker.filler_cpus.end() ? 0.0 : found->second;
-			const double with = there + cpus_of(filler);
-			return {pressure.mean * cpus_of(filler), pressure.variance * (with * with - there * there)};
+			return pressure_of(rules.pressures, serving, filler.image, rules.policy.pressing) *
+				   static_cast<double>(filler.claim.cpu_milli) / cpu_milli;
 		}
 
 		void charge(worker_room& worker, const task_group& group, const placement_rules& rules)
@@ -71,12 +55,7 @@
 			{
 				worker.filler_cpu_milli += group.claim.cpu_milli;
 				for (auto& serving : worker.serving)
-				{
-					const auto more = added_by(worker, serving.image, group, rules);
-					serving.log_strain += more.mean;
-					serving.variance += more.variance;
-				}
-				worker.filler_cpus[group.image] += cpus_of(group);
+					serving.log_strain += pressure_at_full_pace(serving.image, group, rules);
 			}
 			else if (group.latency_target.count() > 0)
 				worker.serving_cpu_milli += group.claim.cpu_milli;
@@ -87,7 +66,7 @@
 		{
 			const auto& group = job.spec.groups[key.group];
 			if (group.latency_target.count() > 0)
-				worker.serving.push_back({group.image, base_of(rules.pressures, key, rules.policy.pressing), 0.0});
+				worker.serving.push_back({group.image, base_of(rules.pressures, key, rules.policy.pressing)});
 		}
 
 		/// Processor time that the claims there are expected to leave unused, less what fillers have been given.
@@ -107,26 +86,9 @@
 		}
 
 		/// The share of time for which a serving task is expected to be over its target.
-		double share_over(double log_strain, double variance, const placement_policy& policy) noexcept
+		double share_over(double log_strain, const placement_policy& policy) noexcept
 		{
-			const double spread = std::sqrt(policy.strain_spread * policy.strain_spread + variance);
-			return std::erfc(-log_strain / (spread * std::numbers::sqrt2)) / 2;
-		}
-
-		/// How a serving task would fare with one more filler beside it.
-		struct strain_change
-		{
-			double more{};        ///< On ln(strain).
-			double over_before{}; ///< Share of time over its target.
-			double over_after{};
-		};
-
-		strain_change change_of(const worker_room& worker, const expected_strain& serving, const task_group& filler,
-								const placement_rules& rules)
-		{
-			const auto more = added_by(worker, serving.image, filler, rules);
-			return {more.mean, share_over(serving.log_strain, serving.variance, rules.policy),
-					share_over(serving.log_strain + more.mean, serving.variance + more.variance, rules.policy)};
+			return std::erfc(-log_strain / (policy.strain_spread * std::numbers::sqrt2)) / 2;
 		}
 
 		/// How many serving tasks a filler is expected to put over their targets there, as shares of time.
@@ -135,33 +97,17 @@
 			double out = 0.0;
 			for (const auto& serving : worker.serving)
 			{
-				const auto change = change_of(worker, serving, filler, rules);
-				out += std::max(0.0, change.over_after - change.over_before);
+				const auto with = serving.log_strain + pressure_at_full_pace(serving.image, filler, rules);
+				out += share_over(with, rules.policy) - share_over(serving.log_strain, rules.policy);
 			}
 			return out;
 		}
 
-		/// Whether a filler would press on a serving task there that then is over its target more often than not. Its
-		/// agent would stop that filler again, however little worse it makes what others made bad.
-		bool overloads(const worker_room& worker, const task_group& filler, const placement_rules& rules)
-		{
-			return std::any_of(worker.serving.begin(), worker.serving.end(),
-							   [&](const expected_strain& serving)
-							   {
-								   const auto change = change_of(worker, serving, filler, rules);
-								   return change.more > rules.policy.slight_pressure &&
-										  change.over_after > rules.policy.most_over;
-							   });
-		}
-
 		bool has_filler_room(const worker_room& worker, const placement_wish& what, const placement_rules& rules)
 		{
 			const auto& group = *what.group;
-			if (what.starving)
-				return true;
 			const double share = what.outlook == job_outlook::in_time ? 1.0 : rules.policy.late_share;
-			return !overloads(worker, group, rules) &&
-				   harm_by(worker, group, rules) <= share * rules.policy.most_harm &&
+			return harm_by(worker, group, rules) <= share * rules.policy.most_harm &&
 				   filler_speed(worker, group, rules.policy) >= rules.policy.least_speed;
 		}
 
@@ -249,10 +195,8 @@
 		{
 			const auto& first = wishes.front();
 			auto counts = count_group(*first.job, first.key.occurrence, first.key.group);
-			const auto placed_before = out.size();
-			for (auto what : wishes)
+			for (const auto& what : wishes)
 			{
-				what.starving = what.starving && out.size() == placed_before; // one of them is enough
 				const auto found = choose(workers, what, counts, rules);
 				if (!found)
 					return false;
