--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -64,6 +64,9 @@
 		double other_image_cost{0.2};
 		double same_image_gain{0.1};
 		pressure_policy pressing;
+		/// Where less than this share of a service's workers is claimed, no job is left without anything running for
+		/// long: users bear it from a half on, and claims change while an order is on its way.
+		double spare_below{0.6};
 		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
 		double least_speed{0.5};
 	};
--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -35,6 +35,9 @@
 		const job_task* task{};
 		job_outlook outlook{job_outlook::in_time};
 		double work_left{}; ///< Core-seconds that its occurrence of the job still needs; 0 for serving tasks.
+		/// Nothing of its occurrence runs, and nothing has happened to it for long: where there is room to spare, it
+		/// gets a place at any cost to others.
+		bool starving{};
 	};
 
 	/// \brief Puts waiting tasks in the order of their turns.
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -106,6 +106,8 @@
 		bool has_filler_room(const worker_room& worker, const placement_wish& what, const placement_rules& rules)
 		{
 			const auto& group = *what.group;
+			if (what.starving)
+				return true;
 			const double share = what.outlook == job_outlook::in_time ? 1.0 : rules.policy.late_share;
 			return harm_by(worker, group, rules) <= share * rules.policy.most_harm &&
 				   filler_speed(worker, group, rules.policy) >= rules.policy.least_speed;
@@ -195,8 +197,10 @@
 		{
 			const auto& first = wishes.front();
 			auto counts = count_group(*first.job, first.key.occurrence, first.key.group);
-			for (const auto& what : wishes)
+			const auto placed_before = out.size();
+			for (auto what : wishes)
 			{
+				what.starving = what.starving && out.size() == placed_before; // one place is enough
 				const auto found = choose(workers, what, counts, rules);
 				if (!found)
 					return false;
@@ -254,6 +258,26 @@
 				(void)place_each(workers, wishes, rules, out);
 		}
 
+		/// Whether so little of a service's workers is claimed that no job may be kept waiting.
+		bool has_room_to_spare(std::span<const worker_room> workers, const service_id& service,
+							   const placement_policy& policy)
+		{
+			resources claimed;
+			resources capacity;
+			for (const auto& worker : workers)
+			{
+				if (!worker.accepts || worker.service != service)
+					continue;
+				claimed += worker.claimed;
+				capacity += worker.capacity;
+			}
+			const auto below = [&](std::int64_t used, std::int64_t all)
+			{
+				return static_cast<double>(used) < policy.spare_below * static_cast<double>(all);
+			};
+			return below(claimed.cpu_milli, capacity.cpu_milli) && below(claimed.memory_mib, capacity.memory_mib);
+		}
+
 		bool same_group(const placement_wish& left, const placement_wish& right) noexcept
 		{
 			return left.job == right.job && left.key.occurrence == right.key.occurrence &&
@@ -282,7 +306,9 @@
 									   const placement_policy& policy, decision_time at)
 	{
 		const placement_rules rules{pressures, policy};
-		const auto wishes = order_wishes(table, std::move(waiting), at);
+		auto wishes = order_wishes(table, std::move(waiting), at);
+		for (auto& what : wishes)
+			what.starving = what.starving && has_room_to_spare(workers, what.job->queue.service, policy);
 		std::vector<placement> out;
 		for (std::size_t i = 0; i < wishes.size();)
 		{
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -44,6 +44,25 @@
 			return std::chrono::duration_cast<millis>(at.now - job.accepted);
 		}
 
+		/// A job that has waited for so long with nothing running gets a place where it harms least. Users bear three
+		/// seconds; an order takes up to one on a slow store.
+		constexpr auto starves_after = millis{2'000};
+
+		bool is_starving(const job_state& job, std::uint32_t occurrence, instant now)
+		{
+			const auto begin =
+				job.tasks.begin() + static_cast<std::ptrdiff_t>(place_of(job, {job.id, occurrence, 0, 0}));
+			const auto end = begin + static_cast<std::ptrdiff_t>(job.occurrence_size);
+			auto changed = job.accepted;
+			for (auto task = begin; task != end; ++task)
+			{
+				if (task->phase == task_stage::ordered || task->phase == task_stage::running)
+					return false;
+				changed = std::max(changed, task->since);
+			}
+			return now - changed >= starves_after;
+		}
+
 		job_outlook outlook_of(const job_state& job, const task_key& key, decision_time at)
 		{
 			const auto whole = chain_from(job.spec, 0);
@@ -80,10 +99,11 @@
 			what.group = &what.job->spec.groups[key.group];
 			what.task = find_task(table, key);
 			what.outlook = outlook_of(*what.job, key, at);
+			const bool known = !out.empty() && same_occurrence(out.back().key, key);
+			what.starving = known ? out.back().starving : is_starving(*what.job, key.occurrence, at.now);
 			if (!what.group->long_running)
-				what.work_left = !out.empty() && same_occurrence(out.back().key, key) && !out.back().group->long_running
-									 ? out.back().work_left
-									 : work_left_in(*what.job, key.occurrence);
+				what.work_left = known && !out.back().group->long_running ? out.back().work_left
+																		  : work_left_in(*what.job, key.occurrence);
 			what.key = std::move(key);
 			out.push_back(std::move(what));
 		}
--- a/tests/job_placement.cpp
+++ b/tests/job_placement.cpp
@@ -150,6 +150,7 @@
 	pressures.pairs[{"touchy", "f"}].mean = 0.1;
 	CHECK(place_by(rooms).size() == 1);
 	find_job(table, job_id{"c"})->accepted = start - std::chrono::seconds{30}; // late by now
+	find_task(table, {job_id{"c"}, 0, 0, 0})->since = start;                   // and not starving: a run has just ended
 	pressures.pairs[{"touchy", "f"}].mean = 0.2;
 	CHECK(place_by(rooms).empty());
 	find_job(table, job_id{"c"})->accepted = start;
@@ -180,6 +181,53 @@
 	CHECK(placed[0].worker == 1);
 }
 
+namespace
+{
+	/// Two serving tasks on w1, and fillers that wait.
+	struct pressed_worker
+	{
+		explicit pressed_worker(std::uint32_t fillers)
+		{
+			auto serving = group_of(2, 2'000);
+			serving.long_running = true;
+			serving.latency_target = millis{20};
+			serving.image = "s";
+			add_job(table, job_of("a", {serving}));
+			assign(table, {job_id{"a"}, 0, 0, 0}, worker_life{"w1"}, start);
+			assign(table, {job_id{"a"}, 0, 0, 1}, worker_life{"w1"}, start);
+			auto filler = group_of(fillers, 1'000);
+			filler.filler = true;
+			filler.image = "f";
+			add_job(table, job_of("b", {filler}));
+			find_job(table, job_id{"b"})->accepted = start;
+		}
+
+		std::size_t place_at(instant now)
+		{
+			std::vector<worker_room> rooms{room_of("w1")};
+			charge_workers(rooms, table, pressures, placement_policy{});
+			return place_tasks(rooms, table, waiting_tasks(table, 0), pressures, placement_policy{}, {now, 0}).size();
+		}
+
+		job_table table;
+		pressure_model pressures;
+	};
+}
+
+TEST_CASE("a filler job with nothing running for long gets one place, whatever it harms", "[jobs]")
+{
+	pressed_worker it{6};
+	it.pressures.pairs[{"s", "f"}] = {1.0, 0.001, start};
+	CHECK(it.place_at(start + millis{500}) == 0);
+	CHECK(it.place_at(start + millis{2'500}) == 1);
+	add_job(it.table, job_of("c", {group_of(1, 1'000)}));
+	assign(it.table, {job_id{"c"}, 0, 0, 0}, worker_life{"w1"}, start);
+	CHECK(it.place_at(start + millis{2'500}) == 0); // too much is claimed
+	end_run(it.table, {{job_id{"c"}, 0, 0, 0}, 1}, run_outcome::done, "", start);
+	assign(it.table, {job_id{"b"}, 0, 0, 3}, worker_life{"w1"}, start);
+	CHECK(it.place_at(start + millis{2'500}) == 0); // one runs
+}
+
 TEST_CASE("a filler sees the serving tasks that are placed in the same round", "[jobs]")
 {
 	auto serving = group_of(1, 4'000);
