--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -5,7 +5,6 @@
 #include <trailjunction/wire/job_messages.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace trailjunction
 {
@@ -29,34 +28,6 @@
 		}
 	}
 
-	namespace
-	{
-		bool same_group(const serving_strain& left, const serving_strain& right) noexcept
-		{
-			return left.task.job == right.task.job && left.task.occurrence == right.task.occurrence &&
-				   left.task.group == right.task.group;
-		}
-
-		/// The tasks of one group beside the same fillers are one measurement: their strains hardly differ.
-		std::vector<serving_strain> mean_by_group(std::vector<serving_strain> serving)
-		{
-			std::sort(serving.begin(), serving.end(),
-					  [](const serving_strain& left, const serving_strain& right) { return left.task < right.task; });
-			std::vector<serving_strain> out;
-			for (auto first = serving.begin(); first != serving.end();)
-			{
-				double sum = 0.0;
-				auto end = first;
-				for (; end != serving.end() && same_group(*first, *end); ++end)
-					sum += std::log(end->strain);
-				out.push_back(std::move(*first));
-				out.back().strain = std::exp(sum / static_cast<double>(end - first));
-				first = end;
-			}
-			return out;
-		}
-	}
-
 	agent_peer* job_term::peer_of(const worker_life& life) const noexcept
 	{
 		for (const auto& [name, peer] : peers_)
--- a/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
@@ -23,6 +23,7 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace trailjunction
 {
@@ -85,6 +86,11 @@
 	/// \brief ln(strain) of a serving task without fillers: that of its whole group.
 	[[nodiscard]] double base_of(const pressure_model& model, const task_key& task, const pressure_policy& policy);
 
+	/// \brief Makes one measurement of those of one group's tasks on one worker: beside the same fillers they hardly
+	/// differ.
+	/// \returns The geometric mean of each group's strains, under the name of its first task here.
+	[[nodiscard]] std::vector<serving_strain> mean_by_group(std::vector<serving_strain> measured);
+
 	/// \brief Corrects the model by one measurement of one serving task.
 	/// \param fillers All that ran beside it; those of one image may stand in several rows.
 	void learn_pressure(pressure_model& model, const serving_strain& measured, std::span<const filler_use> fillers,
--- a/packages/jobs/include/trailjunction/jobs/job_ids.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_ids.hpp
@@ -33,6 +33,25 @@
 		}
 	};
 
+	/// \brief Whether two tasks belong to one occurrence of one job.
+	[[nodiscard]] inline bool same_occurrence(const task_key& left, const task_key& right) noexcept
+	{
+		return left.job == right.job && left.occurrence == right.occurrence;
+	}
+
+	/// \brief Whether two tasks belong to one group of one occurrence.
+	[[nodiscard]] inline bool same_group(const task_key& left, const task_key& right) noexcept
+	{
+		return same_occurrence(left, right) && left.group == right.group;
+	}
+
+	/// \brief The first task of a task's group and occurrence, which stands for all of them.
+	[[nodiscard]] inline task_key first_of_group(task_key task) noexcept
+	{
+		task.index = 0;
+		return task;
+	}
+
 	/// \brief One run of a task.
 	struct task_run
 	{
--- a/packages/jobs/src/filler_pressure.cpp
+++ b/packages/jobs/src/filler_pressure.cpp
@@ -26,13 +26,6 @@
 			return known;
 		}
 
-		/// The first task of a group stands for all of it.
-		task_key first_of_group(task_key task) noexcept
-		{
-			task.index = 0;
-			return task;
-		}
-
 		/// \returns Whether enough time has passed since the task's measurement before this one.
 		bool note_measurement(pressure_model& model, const task_key& task, millis least_gap, instant now)
 		{
@@ -99,6 +92,24 @@
 		return found == model.bases.end() ? policy.first_base : found->second.mean;
 	}
 
+	std::vector<serving_strain> mean_by_group(std::vector<serving_strain> measured)
+	{
+		std::sort(measured.begin(), measured.end(),
+				  [](const serving_strain& left, const serving_strain& right) { return left.task < right.task; });
+		std::vector<serving_strain> out;
+		for (auto first = measured.begin(); first != measured.end();)
+		{
+			double sum = 0.0;
+			auto end = first;
+			for (; end != measured.end() && same_group(first->task, end->task); ++end)
+				sum += std::log(end->strain);
+			out.push_back(std::move(*first));
+			out.back().strain = std::exp(sum / static_cast<double>(end - first));
+			first = end;
+		}
+		return out;
+	}
+
 	void learn_pressure(pressure_model& model, const serving_strain& measured, std::span<const filler_use> fillers,
 						const pressure_policy& policy, instant now)
 	{
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -277,12 +277,6 @@
 			};
 			return below(claimed.cpu_milli, capacity.cpu_milli) && below(claimed.memory_mib, capacity.memory_mib);
 		}
-
-		bool same_group(const placement_wish& left, const placement_wish& right) noexcept
-		{
-			return left.job == right.job && left.key.occurrence == right.key.occurrence &&
-				   left.key.group == right.key.group;
-		}
 	}
 
 	void charge_workers(std::span<worker_room> workers, const job_table& table, const pressure_model& pressures,
@@ -313,7 +307,7 @@
 		for (std::size_t i = 0; i < wishes.size();)
 		{
 			std::size_t end = i + 1;
-			while (end < wishes.size() && same_group(wishes[i], wishes[end]))
+			while (end < wishes.size() && same_group(wishes[i].key, wishes[end].key))
 				++end;
 			place_group(workers, std::span{wishes}.subspan(i, end - i), rules, out);
 			i = end;
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -81,11 +81,6 @@
 			return std::make_tuple(what.job->queue.priority, !what.group->long_running,
 								   what.outlook == job_outlook::hopeless, what.work_left, what.key);
 		}
-
-		bool same_occurrence(const task_key& left, const task_key& right) noexcept
-		{
-			return left.job == right.job && left.occurrence == right.occurrence;
-		}
 	}
 
 	std::vector<placement_wish> order_wishes(const job_table& table, std::vector<task_key> waiting, decision_time at)
--- a/tests/filler_pacing.cpp
+++ b/tests/filler_pacing.cpp
@@ -40,6 +40,19 @@
 	CHECK(std::abs(base_of(model, alone, policy) - std::log(0.4)) < 0.1);
 }
 
+TEST_CASE("tasks of one group on one worker are one measurement, those of others stand for themselves", "[jobs]")
+{
+	const task_key first{job_id{"a"}, 0, 0, 0};
+	const task_key second{job_id{"a"}, 0, 0, 1};
+	const task_key other{job_id{"b"}, 0, 0, 0};
+	const auto means = mean_by_group({{second, "s", 0.9}, {other, "s", 0.5}, {first, "s", 0.4}});
+	REQUIRE(means.size() == 2);
+	CHECK(means[0].task == first);
+	CHECK(means[0].strain == Approx(0.6));
+	CHECK(means[1].task == other);
+	CHECK(means[1].strain == Approx(0.5));
+}
+
 TEST_CASE("the pressure of a pair of images is learnt, and that of other pairs is not", "[jobs]")
 {
 	pressure_model model;
