KNOWN-RED: a run of the older task path is fenced after its agent came back; its test prints the logs

Ruled out: the agent's restart (back within 45 ms, run adopted) and the jobs path. Reproduced beside 40 busy processes: 4 of 8; alone 0 of 6. The owner's log: link opened, closed, opened within 30 ms, fenced 2 s later.

--- a/tests/tasks_under_faults.cpp
+++ b/tests/tasks_under_faults.cpp
@@ -264,6 +264,7 @@
 	system.worker(index).agent.kill();
 	system.start_agent(index);
 	std::this_thread::sleep_for(millis{5'000}); // longer than every lease
+	INFO(system.logs());
 	CHECK(count(system.events(), "watcher-1", "start") == 1);
 	CHECK(system.task_field("watcher-1", "run") == "1");
 	CHECK(system.violations().empty());
