Logs: what refused a start, who stops a run and why, orders repeated or dropped, two runs of one task on a worker

Change: E410 names what settled it (agent, worker, stop), whether the order was a repeated one, and what was left of the lease; E439 to E443 tell of stops (owner's and agent's, with why), repeated and dropped orders, and of a worker that lists two runs of one task (a warning). Ruled out: a line for each order that leaves: E420 and E410 suffice, and logs cost processor time.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -30,6 +30,12 @@
 		constexpr int unresponsive_after = 2;
 
 		constexpr double pressure_milli = 1'000.0;
+
+		// What settled a refused start, for the log.
+		constexpr std::string_view by_agent = "agent"; ///< It was not sent: no lease, draining, or the agent stops.
+		constexpr std::string_view by_worker = "worker";
+		constexpr std::string_view by_stop = "stop";
+
 		/// Between two listings while ends wait to be kept: the worker then answers at once.
 		constexpr auto listing_gap = millis{50};
 		/// A figure that moved by less than this share is not worth a message.
@@ -223,6 +229,7 @@
 			now_running.emplace(kept.listed.what, std::move(kept));
 		}
 		runs_ = std::move(now_running);
+		note_overlaps();
 		absl::erase_if(paces_, [this](const auto& pace) { return !runs_.contains(pace.first); });
 		ends_.clear();
 		for (auto& end : listing.ended)
@@ -235,11 +242,29 @@
 			asio::co_spawn(io_, pace_fillers(), asio::detached);
 	}
 
+	void run_keeper::note_overlaps()
+	{
+		absl::flat_hash_map<task_key, std::uint32_t> first;
+		for (const auto& [what, run] : runs_)
+			if (const auto [other, is_first] = first.emplace(what.task, what.run); !is_first)
+				log_event(event::runs_overlap, {{"task", to_string(what.task)},
+												{"run", what.run},
+												{"beside", other->second},
+												{"worker", worker_->life.str()}});
+	}
+
 	void run_keeper::start(wire::job_start order)
 	{
 		const auto what = from_wire(order.what);
 		if (!is_current(worker_life{order.worker}))
-			return; // the owner learns of the new incarnation from the next report
+		{
+			// The owner learns of the new incarnation from the next report.
+			log_event(event::order_dropped, {{"task", to_string(what.task)},
+											 {"run", what.run},
+											 {"worker", order.worker},
+											 {"current", worker_ ? worker_->life.str() : ""}});
+			return;
+		}
 		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.movable, order.image, {}};
 		for (const auto& pressure : order.pressures)
 			purpose.pressures[pressure.image] = pressure.milli / pressure_milli;
@@ -253,7 +278,7 @@
 			return;
 		if ((worker_->draining || closing_) && !order.repeated)
 		{
-			refuse(what, start_refusal::leaving);
+			refuse(what, start_refusal::leaving, {order.repeated, by_agent});
 			return;
 		}
 		ordering_.insert(what);
@@ -271,9 +296,11 @@
 					   std::min(clock + start_window.count(), deadline_ms_)};
 		const bool leased = clock_ms_ > 0 && call.deadline_ms >= clock + least_window.count();
 		order_result result{order_end::late, 0};
+		refusal_source from{repeated, by_agent};
 		if (leased && !worker_->draining && !closing_)
 		{
 			++open_orders_;
+			from.by = by_worker;
 			result = co_await port->start(authority(), std::move(call), steady_now() + worker_answer_time);
 			--open_orders_;
 			if (!is_current(life))
@@ -293,24 +320,24 @@
 			co_await settle_start(what, life);
 			break;
 		case order_end::no_room:
-			refuse(what, start_refusal::no_room);
+			refuse(what, start_refusal::no_room, from);
 			break;
 		case order_end::superseded:
 			// An earlier order of the same run may have been carried out and have ended; its end then tells how.
 			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
-				refuse(what, start_refusal::superseded);
+				refuse(what, start_refusal::superseded, from);
 			break;
 		case order_end::unhealthy:
 		case order_end::not_sent:
-			refuse(what, start_refusal::unhealthy);
+			refuse(what, start_refusal::unhealthy, from);
 			break;
 		case order_end::invalid:
-			refuse(what, start_refusal::invalid);
+			refuse(what, start_refusal::invalid, from);
 			break;
 		case order_end::late:
 		case order_end::fenced:
 		case order_end::other_life:
-			refuse(what, start_refusal::never_started);
+			refuse(what, start_refusal::never_started, from);
 			break;
 		}
 		if (is_current(life))
@@ -352,7 +379,7 @@
 			}
 			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
 			{
-				refuse(what, start_refusal::never_started);
+				refuse(what, start_refusal::never_started, {true, by_stop});
 				break;
 			}
 		}
@@ -363,13 +390,15 @@
 	{
 		const auto what = from_wire(order.what);
 		if (is_current(worker_life{order.worker}) && !has_ended(what))
-			begin_stop(what);
+			begin_stop(what, "owner");
 	}
 
-	void run_keeper::begin_stop(const task_run& what)
+	void run_keeper::begin_stop(const task_run& what, std::string_view why)
 	{
-		if (stopping_.insert(what).second)
-			asio::co_spawn(io_, carry_out_stop(what, worker_->life), asio::detached);
+		if (!stopping_.insert(what).second)
+			return;
+		log_event(event::stop_begun, {{"task", to_string(what.task)}, {"run", what.run}, {"why", why}});
+		asio::co_spawn(io_, carry_out_stop(what, worker_->life), asio::detached);
 	}
 
 	asio::awaitable<void> run_keeper::carry_out_stop(task_run what, worker_life life)
@@ -385,7 +414,7 @@
 			if (result.how == order_end::done || result.how == order_end::superseded)
 			{
 				if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
-					refuse(what, start_refusal::never_started);
+					refuse(what, start_refusal::never_started, {true, by_stop});
 				break;
 			}
 			co_await pause_for(io_, retry_pause);
@@ -395,9 +424,14 @@
 		--open_orders_;
 	}
 
-	void run_keeper::refuse(const task_run& what, start_refusal why)
+	void run_keeper::refuse(const task_run& what, start_refusal why, const refusal_source& from)
 	{
-		log_event(event::start_refused, {{"task", to_string(what.task)}, {"run", what.run}, {"why", to_string(why)}});
+		log_event(event::start_refused, {{"task", to_string(what.task)},
+										 {"run", what.run},
+										 {"why", to_string(why)},
+										 {"by", from.by},
+										 {"repeated", from.repeated ? 1 : 0},
+										 {"lease_left_ms", deadline_ms_ - worker_now_ms(steady_now())}});
 		refusals_.push_back({what, why});
 		purposes_.erase(what);
 		on_news_();
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace trailjunction
@@ -80,6 +81,13 @@
 			overrun over; ///< Of a serving task.
 		};
 
+		/// For the log: what proved that a run does not run.
+		struct refusal_source
+		{
+			bool repeated{};     ///< The order said that an earlier one may have been carried out.
+			std::string_view by; ///< The worker's answer, the agent itself, or a stop.
+		};
+
 		struct ordered_pace
 		{
 			int wanted{100};  ///< Percent.
@@ -104,8 +112,10 @@
 		[[nodiscard]] int mean_pace() const noexcept;
 		void note_result(const order_result& result, instant answered);
 		void begin_life(const worker_heartbeat& heartbeat);
-		void begin_stop(const task_run& what);
-		void refuse(const task_run& what, start_refusal why);
+		/// \param why For the log: who wants the stop.
+		void begin_stop(const task_run& what, std::string_view why);
+		void refuse(const task_run& what, start_refusal why, const refusal_source& from);
+		void note_overlaps();
 		void started(const task_run& what);
 		[[nodiscard]] bool is_current(const worker_life& life) const noexcept;
 		[[nodiscard]] bool has_ended(const task_run& what) const noexcept;
--- a/packages/agent/src/process/run_pacing.cpp
+++ b/packages/agent/src/process/run_pacing.cpp
@@ -113,7 +113,7 @@
 											{"run", what.run},
 											{"worker", worker_->life.str()},
 											{"percent", pace.wanted}});
-			begin_stop(what);
+			begin_stop(what, "moved");
 		}
 	}
 
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -70,6 +70,11 @@
 		row_unreadable = 436,
 		filler_moved = 437,
 		heartbeat_ignored = 438,
+		stop_ordered = 439,
+		start_repeated = 440,
+		stop_begun = 441,
+		order_dropped = 442,
+		runs_overlap = 443,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -23,7 +23,7 @@
 			event::run_paused,           event::run_stopped,         event::grant_refused,    event::task_parked,
 			event::worker_quarantined,   event::config_refused,      event::settings_refused, event::worker_silent,
 			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,   event::job_refused,
-			event::job_unknown,          event::row_unreadable,
+			event::job_unknown,          event::row_unreadable,      event::runs_overlap,
 		};
 
 		constexpr std::initializer_list<event> every_event = {
@@ -54,6 +54,9 @@
 			event::job_cancelled,        event::job_ended,
 			event::job_taken_up,         event::row_unreadable,
 			event::filler_moved,         event::heartbeat_ignored,
+			event::stop_ordered,         event::start_repeated,
+			event::stop_begun,           event::order_dropped,
+			event::runs_overlap,
 		};
 	}
 
@@ -169,6 +172,16 @@
 			return "filler_moved";
 		case event::heartbeat_ignored:
 			return "heartbeat_ignored";
+		case event::stop_ordered:
+			return "stop_ordered";
+		case event::start_repeated:
+			return "start_repeated";
+		case event::stop_begun:
+			return "stop_begun";
+		case event::order_dropped:
+			return "order_dropped";
+		case event::runs_overlap:
+			return "runs_overlap";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -121,7 +121,8 @@
 			known_running, ///< One was: the agent only learns what the run is.
 		};
 		void order_start(const task_run& what, order_kind kind);
-		void order_stop(agent_peer& peer, const task_run& what);
+		/// \param why For the log.
+		void order_stop(agent_peer& peer, const task_run& what, std::string_view why);
 		[[nodiscard]] std::vector<wire::image_pressure> pressures_beside(const worker_life& worker,
 																		 const std::string& filler) const;
 		[[nodiscard]] bool is_placed_on(const worker_life& life, const task_run& what) const noexcept;
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -146,7 +146,7 @@
 			const auto run = from_wire(row);
 			if (!is_placed_on(peer.worker.life, run.what))
 			{
-				order_stop(peer, run.what);
+				order_stop(peer, run.what, "not_placed");
 				continue;
 			}
 			confirm_run(table_, run.what, now);
@@ -293,14 +293,18 @@
 				continue;
 			if (auto* peer = peer_of(task.worker); peer != nullptr)
 			{
-				order_stop(*peer, what);
+				const bool over = has_ended(find_job(table_, what.task.job)->status);
+				order_stop(*peer, what, over ? "job_over" : "gang_incomplete");
 				task.stop_ordered = true;
 			}
 		}
 	}
 
-	void job_term::order_stop(agent_peer& peer, const task_run& what)
+	void job_term::order_stop(agent_peer& peer, const task_run& what, std::string_view why)
 	{
+		log_event(
+			event::stop_ordered,
+			{{"task", to_string(what.task)}, {"run", what.run}, {"worker", peer.worker.life.str()}, {"why", why}});
 		wire::job_stop order;
 		order.what = to_wire(what);
 		order.worker = peer.worker.life.str();
@@ -339,9 +343,12 @@
 			return; // the full report of its next link brings this up again
 		if (has_ended(job->status))
 		{
-			order_stop(*peer, what);
+			order_stop(*peer, what, "job_over");
 			return;
 		}
+		if (kind == order_kind::repeated)
+			log_event(event::start_repeated,
+					  {{"task", to_string(what.task)}, {"run", what.run}, {"worker", task->worker.str()}});
 		const auto& group = job->spec.groups[what.task.group];
 		wire::job_start order;
 		order.what = to_wire(what);
