--- /dev/null
+++ b/tests/job_term_scene.hpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief A term of ownership of jobs with a store in memory and an agent that the test plays.
+#pragma once
+
+#include "../packages/entry/src/process/job_owner.hpp"
+
+#include <trailjunction/jobs.hpp>
+#include <trailjunction/testkit/agent_standin.hpp>
+#include <trailjunction/testkit/memory_store.hpp>
+#include <trailjunction/wire/job_messages.hpp>
+
+#include <absl/strings/str_format.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+namespace trailjunction::job_term_scene
+{
+	using namespace testkit;
+
+	inline constexpr const char* first_job = "00000000000000a1";
+	inline constexpr auto longest_wait = std::chrono::seconds{20}; // until a test that cannot go on gives up
+
+	inline queue_policy some_queue()
+	{
+		return {queue_id{"checks"}, service_id{"tally"}, 0, 2, 1.5, millis{250}};
+	}
+
+	inline job_spec one_task()
+	{
+		job_spec spec;
+		spec.payload = "work";
+		spec.groups.resize(1);
+		spec.groups[0].claim = {500, 256, 0};
+		spec.groups[0].estimate = millis{100};
+		return spec;
+	}
+
+	inline wire::job_report report_of(const std::string& worker)
+	{
+		wire::job_report out;
+		out.worker = worker;
+		out.service_name = "tally";
+		out.capacity.cpu_milli = 8'000;
+		out.capacity.memory_mib = 16'000;
+		out.responsive = true;
+		out.full = true;
+		out.pace_percent = 100;
+		return out;
+	}
+
+	/// A store, an agent and one term that has taken over.
+	struct scene
+	{
+		scene()
+		{
+			settings.member = member_id{"entry-1"};
+			agent.full_report = report_of("life-1");
+			stored::agent row;
+			row.address = to_string(agent.where());
+			store.put(agent_partition, agents_table, "agent-1", encode_agent(row));
+		}
+
+		void submit(const std::string& id, const job_spec& spec)
+		{
+			store.put(submission_partition(job_id{id}), submissions_table, id, encode_submission(some_queue(), spec));
+		}
+
+		/// Takes over with the next epoch and begins to work.
+		void begin()
+		{
+			owned_row owned;
+			owned.row.epoch = ++epochs;
+			owned.row.member = settings.member.str();
+			store.put(job_partition, owner_table, owner_key, encode_ownership(owned.row));
+			const auto now = steady_now();
+			boost::asio::co_spawn(
+				io,
+				[this, owned, now]() mutable -> boost::asio::awaitable<void>
+				{
+					row_range range{owner_table, job_partition, "", "", 0};
+					const auto page = co_await store.read(std::move(range), now + longest_wait);
+					owned.version = page->rows.front().version;
+					owned.renewal_sent = now;
+					owned.store_ms = page->store_ms;
+					term = std::make_shared<job_term>(io, settings, store, metrics, owned, [](queue_depths) {});
+					if ((co_await term->load()).ok())
+						co_await term->work();
+					worked = true;
+				},
+				boost::asio::detached);
+		}
+
+		template <typename Until>
+		bool run_until(Until until)
+		{
+			const auto end = steady_now() + longest_wait;
+			while (!until() && steady_now() < end)
+				io.run_one_for(millis{10});
+			return until();
+		}
+
+		/// The task of a job as the store keeps it.
+		job_state stored_job(const std::string& id)
+		{
+			auto job = decode_submission(
+				job_id{id}, store.value(submission_partition(job_id{id}), submissions_table, id), steady_now());
+			REQUIRE(job.ok());
+			const auto progress = store.value(job_partition, progress_table, id);
+			if (!progress.empty())
+				REQUIRE(decode_progress(*job, progress, steady_now()).ok());
+			return *std::move(job);
+		}
+
+		boost::asio::io_context io{1};
+		memory_store store{io};
+		agent_standin agent{io};
+		job_entry_settings settings;
+		process_metrics metrics;
+		std::shared_ptr<job_term> term;
+		std::int64_t epochs{};
+		bool worked{};
+	};
+
+	inline bool saves_progress(const row_change& change)
+	{
+		return std::any_of(change.put.begin(), change.put.end(),
+						   [](const row_value& row) { return row.name.table == progress_table; });
+	}
+}
