testkit: the worker stand-in takes what the users' page lets a worker take

Cause: it answered `old` to a start beside a live run of the same task, ended a stopped run at once and looked at no room. So a test that made an agent start one task twice on one worker would still have passed. Change: only a run that is not above one that was stopped or has ended is refused; what runs beside another run of its task is recorded. A stop takes `stop_time`, and its run is listed and holds room until then. Room is checked where `checks_room` says so. Each start is recorded with its incarnation, stop, end and when the end was noted. Faults besides: stops carried out late, 429 or 503, slow calls of each kind. Late calls go through the checks of their own moment. An end that came before the lease ran out is listed as what it was, also where nothing asked in between.

--- a/packages/testkit/src/job_cluster.cpp
+++ b/packages/testkit/src/job_cluster.cpp
@@ -91,7 +91,7 @@
 			{
 				workers_.push_back(std::make_unique<worker_standin>(thread_.io(), absl::StrCat("life-", index + 1),
 																	"tally", heartbeats));
-				workers_.back()->begin();
+				workers_.back()->begin(workers_.back()->listen());
 			});
 	}
 
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -19,6 +19,10 @@
 		constexpr auto heartbeat_every = millis{100};
 		constexpr auto heartbeat_time = millis{500};
 		constexpr auto look_again = millis{5};
+
+		constexpr std::string_view start_path = "/run-start";
+		constexpr std::string_view stop_path = "/run-stop";
+		constexpr std::string_view hold_path = "/hold";
 	}
 
 	worker_standin::worker_standin(asio::io_context& io, std::string id, std::string service, endpoint agent)
@@ -35,14 +39,26 @@
 	{
 	}
 
-	void worker_standin::begin()
+	endpoint worker_standin::listen()
+	{
+		return server_.listen(endpoint{asio::ip::address_v4::loopback(), 0}).value();
+	}
+
+	void worker_standin::begin(endpoint announced)
 	{
-		where_ = server_.listen(endpoint{asio::ip::address_v4::loopback(), 0}).value();
+		announced_ = std::move(announced);
 		asio::co_spawn(io_, send_heartbeats(), asio::detached);
 	}
 
 	void worker_standin::restart(std::string id)
 	{
+		const auto now = steady_now();
+		settle(now);
+		for (const auto& [what, run] : running_)
+		{
+			begun[run.place].ended = now;
+			begun[run.place].how = "died";
+		}
 		id_ = std::move(id);
 		running_.clear();
 		closed_.clear();
@@ -68,7 +84,7 @@
 				request.target = "/instances/" + id_;
 				request.body = json::serialize(
 					json::object{{"service", service_},
-								 {"address", to_string(where_)},
+								 {"address", to_string(announced_)},
 								 {"state", draining ? "draining" : "ready"},
 								 {"capacity", json::object{{"cpu", cpu_milli}, {"memMb", 16'000}, {"gpus", 0}}},
 								 {"labels", json::array{"a", "r1-1"}},
@@ -88,34 +104,93 @@
 		return json_response(status, json::serialize(out));
 	}
 
-	void worker_standin::finish(const std::string& task, const std::string& how)
+	void worker_standin::finish(const run_name& what, const std::string& how, instant when)
 	{
-		const auto found = running_.find(task);
-		closed_[task] = std::max(closed_[task], found->second.run);
-		ended_.push_back({++ends_, task, found->second.run, how, found->second.checkpoint});
+		const auto place = running_.at(what).place;
+		begun[place].ended = when;
+		begun[place].how = how;
+		auto& closed = closed_[what.first];
+		closed = std::max(closed, what.second);
+		ended_.push_back({++ends_, place, false});
 		if (how == "done")
-			++done[task];
-		running_.erase(found);
+			++done[what.first];
+		running_.erase(what);
 	}
 
 	void worker_standin::settle(instant now)
 	{
-		std::vector<std::pair<std::string, std::string>> over;
-		for (const auto& [task, run] : running_)
+		struct over
 		{
-			if (clock_ms() > lease_ms_)
-				over.emplace_back(task, "lapsed");
-			else if (now >= run.ends)
-				over.emplace_back(task, faults.fail_everything ? "failed" : "done");
+			instant when{};
+			run_name what;
+			std::string how;
+		};
+		const auto lapse = from_millis(lease_ms_ + 1);
+		std::vector<over> all;
+		for (const auto& [what, run] : running_)
+		{
+			over one{run.ends, what, faults.fail_everything ? "failed" : "done"};
+			if (run.stops)
+				one = {*run.stops, what, "stopped"};
+			if (lapse < one.when)
+				one = {lapse, what, "lapsed"};
+			if (one.when <= now)
+				all.push_back(std::move(one));
 		}
-		for (const auto& [task, how] : over)
-			finish(task, how);
+		std::sort(all.begin(), all.end(), [](const over& a, const over& b) { return a.when < b.when; });
+		for (const auto& one : all)
+			finish(one.what, one.how, one.when);
+		if (lapse <= now)
+			for (auto& end : ended_)
+				end.lapsed = true;
+	}
+
+	call_slowness worker_standin::slowness_of(std::string_view path) const
+	{
+		if (path == start_path)
+			return faults.starts;
+		if (path == stop_path)
+			return faults.stops;
+		return path == hold_path ? faults.holds : call_slowness{};
+	}
+
+	bool worker_standin::take_late(std::string_view path)
+	{
+		int none = 0;
+		auto& left = path == start_path ? faults.late_orders : path == stop_path ? faults.late_stops : none;
+		if (left == 0)
+			return false;
+		--left;
+		return true;
 	}
 
 	asio::awaitable<http_response> worker_standin::answer(http_request request)
 	{
 		if (faults.silent)
 			co_return http_response{0, {}, ""};
+		const auto path = path_of(request.target);
+		if (take_late(path))
+		{
+			asio::co_spawn(io_, carry_out_late(std::move(request), faults.late_by), asio::detached);
+			co_return http_response{0, {}, ""};
+		}
+		const auto slowness = slowness_of(path);
+		if (slowness.before.count() > 0)
+			co_await pause_for(io_, slowness.before);
+		auto out = co_await carry_out(std::move(request), false);
+		if (slowness.after.count() > 0)
+			co_await pause_for(io_, slowness.after);
+		co_return out;
+	}
+
+	asio::awaitable<void> worker_standin::carry_out_late(http_request request, millis by)
+	{
+		co_await pause_for(io_, by);
+		(void)co_await carry_out(std::move(request), true);
+	}
+
+	asio::awaitable<http_response> worker_standin::carry_out(http_request request, bool late)
+	{
 		settle(steady_now());
 		const auto expected = find_header(request.headers, "Expect-Instance");
 		if (!expected.empty() && expected != id_)
@@ -124,21 +199,48 @@
 		if (!parsed.ok() || !parsed->is_object())
 			co_return plain(400);
 		auto body = std::move(parsed->get_object());
+		const auto path = path_of(request.target);
+		const bool order = path == start_path || path == stop_path;
+		if (order && faults.unhealthy != 0)
+			co_return plain(faults.unhealthy);
 		const auto token = number_or(body, "fencingToken");
 		if (token < token_)
 			co_return plain(409, "fence");
 		token_ = token;
-		const auto path = path_of(request.target);
-		if (path == "/run-start")
-			co_return co_await answer_start(std::move(body));
-		if (path == "/run-stop")
+		if (path == start_path)
+			co_return answer_start(body, late);
+		if (path == stop_path)
 			co_return answer_stop(body);
-		if (path == "/hold")
+		if (path == hold_path)
 			co_return co_await answer_hold(std::move(body));
 		co_return plain(200);
 	}
 
-	http_response worker_standin::carry_out_start(const json::object& body)
+	bool worker_standin::has_room() const
+	{
+		return !checks_room || (std::ssize(running_) + 1) * run_cpu_milli <= cpu_milli;
+	}
+
+	void worker_standin::begin_run(const json::object& body, bool late)
+	{
+		const auto now = steady_now();
+		begun_run run;
+		run.task = text_or(body, "task");
+		run.run = number_or(body, "runId");
+		run.checkpoint = text_or(body, "checkpoint");
+		run.life = id_;
+		run.late = late;
+		run.began = now;
+		std::int64_t work = 0;
+		(void)absl::SimpleAtoi(text_or(body, "spec"), &work);
+		for (const auto& [other, live] : running_)
+			if (other.first == run.task)
+				doubled.emplace_back(live.place, begun.size());
+		running_[{run.task, run.run}] = {begun.size(), now + millis{work}, std::nullopt};
+		begun.push_back(std::move(run));
+	}
+
+	http_response worker_standin::answer_start(const json::object& body, bool late)
 	{
 		const auto task = text_or(body, "task");
 		const auto run = number_or(body, "runId");
@@ -146,43 +248,31 @@
 		if (clock_ms() > deadline)
 			return plain(409, "late");
 		lease_ms_ = std::max(lease_ms_, deadline);
-		const auto live = running_.find(task);
-		if (live != running_.end() && live->second.run == run)
+		if (running_.contains({task, run}))
 			return plain(200);
-		if (live != running_.end() || run <= closed_[task])
+		const auto closed = closed_.find(task);
+		if (closed != closed_.end() && run <= closed->second)
 			return plain(409, "old");
-		std::int64_t work = 0;
-		(void)absl::SimpleAtoi(text_or(body, "spec"), &work);
-		running_[task] = {run, steady_now() + millis{work}, text_or(body, "checkpoint")};
-		begun.push_back({task, run, text_or(body, "checkpoint")});
+		if (!has_room())
+			return plain(409, "room");
+		begin_run(body, late);
 		return plain(200);
 	}
 
-	asio::awaitable<http_response> worker_standin::answer_start(json::object body)
-	{
-		if (faults.late_orders == 0)
-			co_return carry_out_start(body);
-		--faults.late_orders;
-		asio::co_spawn(
-			io_,
-			[this, body, by = faults.late_by]() -> asio::awaitable<void>
-			{
-				co_await pause_for(io_, by);
-				settle(steady_now());
-				(void)carry_out_start(body);
-			},
-			asio::detached);
-		co_return http_response{0, {}, ""};
-	}
-
 	http_response worker_standin::answer_stop(const json::object& body)
 	{
 		const auto task = text_or(body, "task");
 		const auto run = number_or(body, "runId");
-		const auto live = running_.find(task);
-		if (live != running_.end() && live->second.run == run)
-			finish(task, "stopped");
-		closed_[task] = std::max(closed_[task], run);
+		const auto now = steady_now();
+		const auto live = running_.find({task, run});
+		if (live != running_.end() && !live->second.stops)
+		{
+			live->second.stops = now + stop_time;
+			begun[live->second.place].stop_asked = now;
+			settle(now);
+		}
+		auto& closed = closed_[task];
+		closed = std::max(closed, run);
 		return plain(200);
 	}
 
@@ -190,19 +280,29 @@
 	{
 		const auto kept = number_or(body, "lastSeen");
 		lease_ms_ = std::max(lease_ms_, number_or(body, "deadlineMs"));
+		const auto now = steady_now();
+		for (const auto& end : ended_)
+			if (end.number <= kept && !end.lapsed)
+				begun[end.place].noted = now;
 		std::erase_if(ended_, [&](const listed& end) { return end.number <= kept; });
-		const auto until = steady_now() + millis{number_or(body, "waitMs")};
+		const auto life = id_;
+		const auto until = now + millis{number_or(body, "waitMs")};
 		while (ended_.empty() && steady_now() < until)
 		{
 			co_await pause_for(io_, look_again);
 			settle(steady_now());
 		}
+		if (id_ != life)
+			co_return error_response(421, "another incarnation");
 		json::array running;
-		for (const auto& [task, run] : running_)
-			running.push_back(json::array{task, run.run, run.checkpoint, 50, 0});
+		for (const auto& [what, run] : running_)
+			running.push_back(json::array{what.first, what.second, begun[run.place].checkpoint, 50, 0});
 		json::array ended;
 		for (const auto& end : ended_)
-			ended.push_back(json::array{end.number, end.task, end.run, end.how, end.checkpoint});
+		{
+			const auto& run = begun[end.place];
+			ended.push_back(json::array{end.number, run.task, run.run, run.how, run.checkpoint});
+		}
 		co_return json_response(
 			200, json::serialize(json::object{{"clockMs", clock_ms()}, {"running", running}, {"finished", ended}}));
 	}
