An agent's refusal of a run is final: no later order starts it

Cause: a refusal was told and forgotten, while the owner acts on it for good; an order that came behind it started the run all the same. Conclusion: the agent's half of the fault. The owner still orders over a link before it knows what runs there; that follows.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -35,6 +35,7 @@
 		constexpr std::string_view by_agent = "agent"; ///< It was not sent: no lease, draining, or the agent stops.
 		constexpr std::string_view by_worker = "worker";
 		constexpr std::string_view by_stop = "stop";
+		constexpr std::string_view by_memory = "refused_before";
 
 		/// Between two listings while ends wait to be kept: the worker then answers at once.
 		constexpr auto listing_gap = millis{50};
@@ -126,6 +127,7 @@
 		stopping_.clear();
 		ends_.clear();
 		refusals_.clear();
+		refused_ = {};
 		started_.clear();
 		on_news_();
 	}
@@ -265,6 +267,15 @@
 											 {"current", worker_ ? worker_->life.str() : ""}});
 			return;
 		}
+		// Orders and refusals cross. The owner takes a refused run for one that is nowhere and gives its task the next
+		// run, so an order that comes behind must not start it after all.
+		if (const auto* refusal = refusal_of(refused_, what); refusal != nullptr)
+		{
+			refuse(what, refusal->why, {order.repeated, by_memory});
+			if (runs_.contains(what))
+				begin_stop(what, "refused");
+			return;
+		}
 		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.movable, order.image, {}};
 		for (const auto& pressure : order.pressures)
 			purpose.pressures[pressure.image] = pressure.milli / pressure_milli;
@@ -432,6 +443,7 @@
 										 {"by", from.by},
 										 {"repeated", from.repeated ? 1 : 0},
 										 {"lease_left_ms", deadline_ms_ - worker_now_ms(steady_now())}});
+		note_refusal(refused_, {what, why});
 		refusals_.push_back({what, why});
 		purposes_.erase(what);
 		on_news_();
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -5,6 +5,7 @@
 
 #include <trailjunction/agent/job_agent_process.hpp>
 #include <trailjunction/jobs/filler_pacing.hpp>
+#include <trailjunction/jobs/refusal_memory.hpp>
 #include <trailjunction/jobs/run_lease.hpp>
 
 #include <trailjunction/wire/job_messages.hpp>
@@ -147,7 +148,8 @@
 		absl::flat_hash_set<task_run> ordering_;
 		absl::flat_hash_set<task_run> stopping_;
 		std::vector<listed_end> ends_;
-		std::vector<refused_run> refusals_;
+		std::vector<refused_run> refusals_; ///< Not reported yet.
+		refusal_memory refused_;
 		std::vector<task_run> started_;
 		instant paces_changed_{};
 		bool fillers_stopped_{}; ///< A serving task bears no filler now; the owner is told a pace of 0 meanwhile.
--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -18,6 +18,7 @@
 #include "jobs/ownership.hpp"
 #include "jobs/placement_order.hpp"
 #include "jobs/queue_policy.hpp"
+#include "jobs/refusal_memory.hpp"
 #include "jobs/run_lease.hpp"
 #include "jobs/run_listing.hpp"
 #include "jobs/worker_trust.hpp"
--- /dev/null
+++ b/tests/refusal_memory.cpp
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief What an agent remembers of its refusals.
+#include <trailjunction/jobs/refusal_memory.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace trailjunction;
+
+namespace
+{
+	task_run run_of(std::uint32_t index, std::uint32_t run)
+	{
+		return {{job_id{"00000000000000a1"}, 0, 0, index}, run};
+	}
+}
+
+TEST_CASE("a refusal forbids its run and those before it, and no later one", "[jobs]")
+{
+	refusal_memory memory;
+	note_refusal(memory, {run_of(0, 2), start_refusal::no_room});
+	REQUIRE(refusal_of(memory, run_of(0, 2)) != nullptr);
+	CHECK(refusal_of(memory, run_of(0, 2))->why == start_refusal::no_room);
+	CHECK(refusal_of(memory, run_of(0, 1)) != nullptr);
+	CHECK(refusal_of(memory, run_of(0, 3)) == nullptr);
+	CHECK(refusal_of(memory, run_of(1, 2)) == nullptr);
+	note_refusal(memory, {run_of(0, 1), start_refusal::unhealthy}); // told late
+	CHECK(refusal_of(memory, run_of(0, 2)) != nullptr);
+	note_refusal(memory, {run_of(0, 3), start_refusal::unhealthy});
+	CHECK(refusal_of(memory, run_of(0, 3))->why == start_refusal::unhealthy);
+}
+
+TEST_CASE("of many refusals the oldest are forgotten", "[jobs]")
+{
+	refusal_memory memory;
+	for (std::uint32_t i = 0; i <= most_refusals; ++i)
+		note_refusal(memory, {run_of(i, 1), start_refusal::no_room});
+	CHECK(memory.latest.size() == most_refusals);
+	CHECK(refusal_of(memory, run_of(0, 1)) == nullptr);
+	CHECK(refusal_of(memory, run_of(1, 1)) != nullptr);
+	CHECK(refusal_of(memory, run_of(most_refusals, 1)) != nullptr);
+}
