Failing tests: orders over a link before the agent's account, and runs given to a worker without a lease

Cause: a peer counts as one that takes work as soon as its link is up, by what was known from the link before, and whether or not this owner has confirmed the worker within its lease. Ruled out: that the agent's memory of refusals makes these needless: it keeps a task from running twice, the owner still gives work to a paused agent, whose runs lapse in the next round.

--- a/tests/refused_runs.cpp
+++ b/tests/refused_runs.cpp
@@ -75,6 +75,30 @@
 	CHECK(from_wire(it.started[0]) == run);
 }
 
+TEST_CASE("an owner orders nothing over a link before the agent has told over it what runs", "[jobs]")
+{
+	// A paused agent's kernel takes a new link at once. The owner went by what it knew from the link before and ordered
+	// starts over it. The agent's full report, made when it came back, could not tell of them, so the owner took them
+	// for lost and ordered them again, while refusals of the first orders were under way.
+	job_term_scene::scene it;
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	const auto account = it.agent.full_report;
+	it.agent.full_report.worker.clear(); // no account yet
+	const auto claims = it.agent.claims;
+	it.agent.drop_link();
+	REQUIRE(it.run_until([&] { return it.agent.claims > claims; }));
+	it.submit(job_term_scene::first_job, job_term_scene::one_task());
+	// Some transactions later the owner has long taken the job up.
+	const auto asked = it.store.asked.size();
+	REQUIRE(it.run_until([&] { return it.store.asked.size() > asked + 4; }));
+	CHECK(it.agent.starts.empty());
+	it.agent.send(account);
+	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
+	CHECK_FALSE(it.agent.starts[0].repeated);
+	CHECK(it.agent.starts[0].what.run == 1);
+}
+
 TEST_CASE("a start that was under way when its link broke is ordered again after the account, once", "[jobs]")
 {
 	// The order may have been lost with the link or not; the agent's account on the next link does not list its run.
@@ -95,3 +119,25 @@
 	CHECK_FALSE(it.agent.starts[2].repeated);
 	CHECK(it.agent.starts[2].what.run == 2);
 }
+
+TEST_CASE("a task is not given to a worker whose lease is over, again and again, until it is confirmed", "[jobs]")
+{
+	// A worker that had not been confirmed for longer than its lease still counted as one that takes work: each run
+	// that was given to it lapsed in the next round, some 20 ms later, and its task went through dozens of runs that
+	// the agent could only refuse.
+	job_term_scene::scene it;
+	it.settings.longest_run_lease = millis{300};
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	const auto account = it.agent.full_report;
+	it.agent.full_report.worker.clear(); // nothing confirms it, whatever becomes of the link
+	const auto lease_ends = steady_now() + millis{600};
+	REQUIRE(it.run_until([&] { return steady_now() > lease_ends; }));
+	it.submit(job_term_scene::first_job, job_term_scene::one_task());
+	const auto asked = it.store.asked.size();
+	REQUIRE(it.run_until([&] { return it.store.asked.size() > asked + 4; }));
+	CHECK(it.agent.starts.empty());
+	it.agent.send(account);
+	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
+	CHECK(it.agent.starts[0].what.run == 1);
+}
