An owner orders nothing over a link before the agent has told over it what runs

Cause: a link counted as usable from the moment it was dialled, and a paused agent's kernel takes it at once; orders that were sent over it before the agent's full report were taken for lost, since that report could not tell of them, and ordered again. Change: agent_peer::has_accounted(), true from the first report over the present link that names a worker; placement and all orders ask it. What was ordered over an earlier link is still brought up by the account, as a repeated order.

--- a/packages/entry/src/connection/agent_peer.cpp
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -61,6 +61,15 @@
 			link_->close("cannot send");
 	}
 
+	void agent_peer::on_message(wire::envelope&& message)
+	{
+		if (!message.__isset.job_status || stopped_)
+			return;
+		// The first report that names a worker is a full one; those before come from an agent that knows of none.
+		accounted_ = accounted_ || !message.job_status.worker.empty();
+		on_report_(*this, std::move(message.job_status));
+	}
+
 	asio::awaitable<void> agent_peer::dial_forever()
 	{
 		while (!stopped_)
@@ -76,18 +85,15 @@
 				continue;
 			}
 			asio::steady_timer closed{io_, instant::max()};
+			accounted_ = false;
 			link_ = std::make_shared<link>(stream.release_socket(), limits);
-			link_->start(
-				[self = shared_from_this()](wire::envelope&& message)
-				{
-					if (message.__isset.job_status && !self->stopped_)
-						self->on_report_(*self, std::move(message.job_status));
-				},
-				[self = shared_from_this(), &closed](const std::string& reason)
-				{
-					log_event(event::link_closed, {{"agent", self->name_}, {"reason", reason}});
-					closed.cancel();
-				});
+			link_->start([self = shared_from_this()](wire::envelope&& message)
+						 { self->on_message(std::move(message)); },
+						 [self = shared_from_this(), &closed](const std::string& reason)
+						 {
+							 log_event(event::link_closed, {{"agent", self->name_}, {"reason", reason}});
+							 closed.cancel();
+						 });
 			send(to_envelope(claim_));
 			(void)co_await closed.async_wait(as_result);
 			link_.reset();
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -53,6 +53,13 @@
 		{
 			return link_ != nullptr && link_->is_open();
 		}
+		/// \brief Whether the agent has told over the present link what its worker runs.
+		/// \details A paused agent's kernel takes a link at once. An order that is sent before the account may be
+		/// missing from it though it is carried out.
+		[[nodiscard]] bool has_accounted() const noexcept
+		{
+			return is_connected() && accounted_;
+		}
 		/// \brief Sends a message, if there is a link; what is lost is settled by the next full report.
 		void send(const wire::envelope& message);
 
@@ -66,6 +73,7 @@
 
 	private:
 		boost::asio::awaitable<void> dial_forever();
+		void on_message(wire::envelope&& message);
 
 		boost::asio::io_context& io_;
 		std::string name_;
@@ -73,6 +81,7 @@
 		wire::job_claim claim_;
 		report_handler on_report_;
 		std::shared_ptr<link> link_;
+		bool accounted_{}; ///< Over the present link.
 		bool stopped_{};
 	};
 }
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -31,7 +31,7 @@
 	agent_peer* job_term::peer_of(const worker_life& life) const noexcept
 	{
 		for (const auto& [name, peer] : peers_)
-			if (peer->worker.life == life && peer->is_connected())
+			if (peer->worker.life == life && peer->has_accounted())
 				return peer.get();
 		return nullptr;
 	}
@@ -259,7 +259,7 @@
 			view.capacity = worker.capacity;
 			view.pace = worker.filler_pace;
 			view.accepts =
-				peer->is_connected() && worker.responsive && !worker.draining && now >= worker.trust.avoided_until;
+				peer->has_accounted() && worker.responsive && !worker.draining && now >= worker.trust.avoided_until;
 			out.push_back(std::move(view));
 		}
 		return out;
