Work goes only to workers whose lease this owner has renewed in time

Cause: a worker that was last confirmed longer ago than its lease was still given work. Change: run_lease.hpp: may_start(); placement asks it. The entry that gave an unconfirmed worker a lease in thought is gone. Ruled out: a pause after such a refusal, which would also have delayed starts that another worker could take.

--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -127,6 +127,8 @@
 																		 const std::string& filler) const;
 		[[nodiscard]] bool is_placed_on(const worker_life& life, const task_run& what) const noexcept;
 		[[nodiscard]] agent_peer* peer_of(const worker_life& life) const noexcept;
+		/// Whether a run that is given to the worker now finds a lease there.
+		[[nodiscard]] bool may_start_on(const worker_life& life, instant now) const;
 		[[nodiscard]] std::vector<worker_room> view_workers(instant now) const;
 
 		boost::asio::io_context& io_;
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -244,6 +244,12 @@
 			lose_worker(life, "lease over", now);
 	}
 
+	bool job_term::may_start_on(const worker_life& life, instant now) const
+	{
+		const auto confirmed = confirmed_.find(life);
+		return confirmed != confirmed_.end() && may_start(confirmed->second, run_lease_, now);
+	}
+
 	std::vector<worker_room> job_term::view_workers(instant now) const
 	{
 		std::vector<worker_room> out;
@@ -258,8 +264,8 @@
 			view.labels = worker.labels;
 			view.capacity = worker.capacity;
 			view.pace = worker.filler_pace;
-			view.accepts =
-				peer->has_accounted() && worker.responsive && !worker.draining && now >= worker.trust.avoided_until;
+			view.accepts = peer->has_accounted() && may_start_on(worker.life, now) && worker.responsive &&
+						   !worker.draining && now >= worker.trust.avoided_until;
 			out.push_back(std::move(view));
 		}
 		return out;
@@ -277,8 +283,6 @@
 		{
 			const auto& life = workers[one.worker].life;
 			const auto what = assign(table_, one.task, life, now);
-			// A worker that was never confirmed has no lease yet; its runs count from here.
-			confirmed_.try_emplace(life, now);
 			undurable_starts_.insert(what);
 			log_event(event::run_ordered, {{"task", to_string(what.task)}, {"run", what.run}, {"worker", life.str()}});
 		}
--- a/packages/jobs/include/trailjunction/jobs/run_lease.hpp
+++ b/packages/jobs/include/trailjunction/jobs/run_lease.hpp
@@ -22,6 +22,10 @@
 	/// \brief When nothing of a worker can run any more, if nothing is confirmed after \p last_confirmed.
 	[[nodiscard]] instant lease_over(instant last_confirmed, const run_lease_times& times) noexcept;
 
+	/// \brief Whether a worker still has a lease under which a run may start, if it was last confirmed at
+	/// \p last_confirmed. Without one its agent refuses every start.
+	[[nodiscard]] bool may_start(instant last_confirmed, const run_lease_times& times, instant now) noexcept;
+
 	/// \brief The time up to which a worker may run, on the worker's own clock.
 	/// \param worker_clock_ms What the worker's clock showed in an answer that had arrived by \p read_at.
 	/// \param stamp When the confirmed report was sent, on the agent's clock.
--- a/packages/jobs/src/run_lease.cpp
+++ b/packages/jobs/src/run_lease.cpp
@@ -9,6 +9,11 @@
 		return last_confirmed + std::chrono::ceil<millis>(slowed) + times.margin;
 	}
 
+	bool may_start(instant last_confirmed, const run_lease_times& times, instant now) noexcept
+	{
+		return now < last_confirmed + times.lease;
+	}
+
 	std::int64_t worker_deadline_ms(std::int64_t worker_clock_ms, instant read_at, instant stamp, millis lease) noexcept
 	{
 		// The answer was read after the worker looked at its clock, so the sum lies before the true time of the stamp.
