run_keeper: carrying out orders in a file of its own

Change: run_orders.cpp has what an owner's orders become (start, settle, stop, refuse), moved as it was; the pause between tries, which both parts use, stands in the header as worker_retry_pause.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -20,23 +20,9 @@
 		/// How long a worker may hold a listing back. Shorter than half of the time between two reports is of no use,
 		/// longer ones would delay the extension of the lease.
 		constexpr auto listing_wait = millis{400};
-		/// A start that the worker carries out later than this is refused by it, so an order that got lost cannot
-		/// surprise anybody for longer.
-		constexpr auto start_window = millis{1'500};
-		/// A start with less time than this left would be refused as late anyway.
-		constexpr auto least_window = millis{100};
-		constexpr auto retry_pause = millis{100};
 		/// Failed listings in a row after which the worker counts as not answering.
 		constexpr int unresponsive_after = 2;
 
-		constexpr double pressure_milli = 1'000.0;
-
-		// What settled a refused start, for the log.
-		constexpr std::string_view by_agent = "agent"; ///< It was not sent: no lease, draining, or the agent stops.
-		constexpr std::string_view by_worker = "worker";
-		constexpr std::string_view by_stop = "stop";
-		constexpr std::string_view by_memory = "refused_before";
-
 		/// Between two listings while ends wait to be kept: the worker then answers at once.
 		constexpr auto listing_gap = millis{50};
 		/// A figure that moved by less than this share is not worth a message.
@@ -182,7 +168,7 @@
 		{
 			if (!worker_)
 			{
-				co_await pause_for(io_, retry_pause);
+				co_await pause_for(io_, worker_retry_pause);
 				continue;
 			}
 			const auto port = port_;
@@ -206,7 +192,7 @@
 				log_event(event::worker_silent, {{"worker", life.str()}, {"how", static_cast<int>(result.how)}});
 				on_news_();
 			}
-			co_await pause_for(io_, retry_pause);
+			co_await pause_for(io_, worker_retry_pause);
 		}
 	}
 
@@ -255,206 +241,6 @@
 												{"worker", worker_->life.str()}});
 	}
 
-	void run_keeper::start(wire::job_start order)
-	{
-		const auto what = from_wire(order.what);
-		if (!is_current(worker_life{order.worker}))
-		{
-			// The owner learns of the new incarnation from the next report.
-			log_event(event::order_dropped, {{"task", to_string(what.task)},
-											 {"run", what.run},
-											 {"worker", order.worker},
-											 {"current", worker_ ? worker_->life.str() : ""}});
-			return;
-		}
-		// Orders and refusals cross. The owner takes a refused run for one that is nowhere and gives its task the next
-		// run, so an order that comes behind must not start it after all.
-		if (const auto* refusal = refusal_of(refused_, what); refusal != nullptr)
-		{
-			refuse(what, refusal->why, {order.repeated, by_memory});
-			if (runs_.contains(what))
-				begin_stop(what, "refused");
-			return;
-		}
-		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.movable, order.image, {}};
-		for (const auto& pressure : order.pressures)
-			purpose.pressures[pressure.image] = pressure.milli / pressure_milli;
-		purposes_[what] = std::move(purpose);
-		if (runs_.contains(what))
-		{
-			started(what);
-			return;
-		}
-		if (has_ended(what) || order.known_running || ordering_.contains(what))
-			return;
-		if ((worker_->draining || closing_) && !order.repeated)
-		{
-			refuse(what, start_refusal::leaving, {order.repeated, by_agent});
-			return;
-		}
-		ordering_.insert(what);
-		asio::co_spawn(io_, carry_out_start(std::move(order)), asio::detached);
-	}
-
-	asio::awaitable<void> run_keeper::carry_out_start(wire::job_start order)
-	{
-		const auto what = from_wire(order.what);
-		const auto life = worker_->life;
-		const auto port = port_;
-		const bool repeated = order.repeated;
-		const auto clock = worker_now_ms(steady_now());
-		run_start call{what, std::move(order.payload), std::move(order.checkpoint),
-					   std::min(clock + start_window.count(), deadline_ms_)};
-		const bool leased = clock_ms_ > 0 && call.deadline_ms >= clock + least_window.count();
-		order_result result{order_end::late, 0};
-		refusal_source from{repeated, by_agent};
-		if (leased && !worker_->draining && !closing_)
-		{
-			++open_orders_;
-			from.by = by_worker;
-			result = co_await port->start(authority(), std::move(call), steady_now() + worker_answer_time);
-			--open_orders_;
-			if (!is_current(life))
-				co_return;
-			note_result(result, steady_now());
-		}
-		// An earlier order may have been carried out and its run may even have ended, so a refusal of this one says
-		// nothing.
-		if (repeated && result.how != order_end::done)
-			result.how = order_end::unknown;
-		switch (result.how)
-		{
-		case order_end::done:
-			started(what);
-			break;
-		case order_end::unknown:
-			co_await settle_start(what, life);
-			break;
-		case order_end::no_room:
-			refuse(what, start_refusal::no_room, from);
-			break;
-		case order_end::superseded:
-			// An earlier order of the same run may have been carried out and have ended; its end then tells how.
-			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
-				refuse(what, start_refusal::superseded, from);
-			break;
-		case order_end::unhealthy:
-		case order_end::not_sent:
-			refuse(what, start_refusal::unhealthy, from);
-			break;
-		case order_end::invalid:
-			refuse(what, start_refusal::invalid, from);
-			break;
-		case order_end::late:
-		case order_end::fenced:
-		case order_end::other_life:
-			refuse(what, start_refusal::never_started, from);
-			break;
-		}
-		if (is_current(life))
-			ordering_.erase(what);
-	}
-
-	asio::awaitable<bool> run_keeper::wait_for_listing(const worker_life& life)
-	{
-		// The listing that is under way may have been made before; the one after it was not.
-		const auto wanted = listings_ + 2;
-		while (is_current(life) && listings_ < wanted)
-			co_await pause_for(io_, retry_pause);
-		co_return is_current(life);
-	}
-
-	asio::awaitable<void> run_keeper::settle_start(task_run what, worker_life life)
-	{
-		++open_orders_;
-		log_event(event::start_unanswered, {{"task", to_string(what.task)}, {"run", what.run}});
-		while (is_current(life))
-		{
-			if (runs_.contains(what))
-			{
-				started(what);
-				break;
-			}
-			if (has_ended(what))
-				break;
-			// A run that was stopped can never start there any more, so the answer to a stop settles the start.
-			const auto port = port_;
-			const auto result = co_await port->stop(authority(), what, steady_now() + worker_answer_time);
-			if (!is_current(life))
-				break;
-			note_result(result, steady_now());
-			if (result.how != order_end::done && result.how != order_end::superseded)
-			{
-				co_await pause_for(io_, retry_pause);
-				continue;
-			}
-			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
-			{
-				refuse(what, start_refusal::never_started, {true, by_stop});
-				break;
-			}
-		}
-		--open_orders_;
-	}
-
-	void run_keeper::stop(const wire::job_stop& order)
-	{
-		const auto what = from_wire(order.what);
-		if (is_current(worker_life{order.worker}) && !has_ended(what))
-			begin_stop(what, "owner");
-	}
-
-	void run_keeper::begin_stop(const task_run& what, std::string_view why)
-	{
-		if (!stopping_.insert(what).second)
-			return;
-		log_event(event::stop_begun, {{"task", to_string(what.task)}, {"run", what.run}, {"why", why}});
-		asio::co_spawn(io_, carry_out_stop(what, worker_->life), asio::detached);
-	}
-
-	asio::awaitable<void> run_keeper::carry_out_stop(task_run what, worker_life life)
-	{
-		++open_orders_;
-		while (is_current(life))
-		{
-			const auto port = port_;
-			const auto result = co_await port->stop(authority(), what, steady_now() + worker_answer_time);
-			if (!is_current(life))
-				break;
-			note_result(result, steady_now());
-			if (result.how == order_end::done || result.how == order_end::superseded)
-			{
-				if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
-					refuse(what, start_refusal::never_started, {true, by_stop});
-				break;
-			}
-			co_await pause_for(io_, retry_pause);
-		}
-		if (is_current(life))
-			stopping_.erase(what);
-		--open_orders_;
-	}
-
-	void run_keeper::refuse(const task_run& what, start_refusal why, const refusal_source& from)
-	{
-		log_event(event::start_refused, {{"task", to_string(what.task)},
-										 {"run", what.run},
-										 {"why", to_string(why)},
-										 {"by", from.by},
-										 {"repeated", from.repeated ? 1 : 0},
-										 {"lease_left_ms", deadline_ms_ - worker_now_ms(steady_now())}});
-		note_refusal(refused_, {what, why});
-		refusals_.push_back({what, why});
-		purposes_.erase(what);
-		on_news_();
-	}
-
-	void run_keeper::started(const task_run& what)
-	{
-		started_.push_back(what);
-		on_news_();
-	}
-
 	void run_keeper::confirm(const wire::job_confirm& answer)
 	{
 		if (!is_current(worker_life{answer.worker}))
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -26,6 +26,8 @@
 {
 	/// \brief For an answer on the same instance; above the slowest seen on a calm day by far.
 	inline constexpr auto worker_answer_time = millis{400};
+	/// \brief Between two tries of a call that failed, so that a worker that fails at once is not asked in a loop.
+	inline constexpr auto worker_retry_pause = millis{100};
 
 	/// \brief Carries out an owner's orders on the worker and tells what came of them.
 	/// \details Keeps nothing that the worker does not list again: an agent that restarts learns everything from the
