Failing test: a claim over a link that its owner gave up displaces the one in use

Cause: an agent that was paused finds several links of one owner in its accept queue, and obeys the claim that it reads last.

--- /dev/null
+++ b/tests/owner_links.cpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Several links to one agent.
+#include "../packages/agent/src/connection/owner_links.hpp"
+#include "run_keeper_scene.hpp"
+
+#include <trailjunction/testkit/address_picker.hpp>
+#include <trailjunction/wire/job_messages.hpp>
+
+using namespace trailjunction;
+
+namespace
+{
+	/// An owner's end of a link.
+	struct owner_end
+	{
+		owner_end(boost::asio::io_context& io, const endpoint& where)
+		{
+			boost::asio::ip::tcp::socket socket{io};
+			socket.connect(where);
+			link_here = std::make_shared<trailjunction::link>(std::move(socket), link_limits{});
+			link_here->start([this](wire::envelope&& message) { reports += message.__isset.job_status ? 1 : 0; },
+							 [this](const std::string&) { closed = true; });
+		}
+
+		void claim(std::int64_t epoch)
+		{
+			wire::job_claim out;
+			out.epoch = epoch;
+			out.member = "entry-1";
+			out.run_lease_ms = 5'000;
+			(void)link_here->send(to_envelope(out));
+		}
+
+		std::shared_ptr<trailjunction::link> link_here;
+		int reports{};
+		bool closed{};
+	};
+}
+
+TEST_CASE("a claim over an earlier link does not displace the same owner's later link", "[jobs]")
+{
+	// While an agent was paused its owner gave a silent link up and dialled again. Both links waited to be accepted,
+	// and the claim of the one that was given up was read last, so the agent dropped the one that was in use.
+	run_keeper_scene::scene it;
+	owner_links links{it.io, it.runs};
+	testkit::address_picker addresses;
+	const auto where = addresses.pick();
+	REQUIRE(links.listen(where).ok());
+	owner_end earlier{it.io, where};
+	owner_end later{it.io, where};
+	later.claim(1);
+	REQUIRE(it.run_until([&] { return later.reports > 0; }));
+	earlier.claim(1);
+	REQUIRE(it.run_until([&] { return earlier.closed || later.closed; }));
+	CHECK(earlier.closed);
+	CHECK_FALSE(later.closed);
+	const auto reports = later.reports;
+	CHECK(it.run_until([&] { return later.reports > reports; }));
+}
+
+TEST_CASE("a claim with a higher epoch is obeyed over whatever link it comes", "[jobs]")
+{
+	run_keeper_scene::scene it;
+	owner_links links{it.io, it.runs};
+	testkit::address_picker addresses;
+	const auto where = addresses.pick();
+	REQUIRE(links.listen(where).ok());
+	owner_end earlier{it.io, where};
+	owner_end later{it.io, where};
+	later.claim(1);
+	REQUIRE(it.run_until([&] { return later.reports > 0; }));
+	earlier.claim(2);
+	REQUIRE(it.run_until([&] { return earlier.reports > 0 && later.closed; }));
+	CHECK_FALSE(earlier.closed);
+}
