Of several links of one owner an agent obeys the one that was accepted last

Cause: claims of one epoch displaced each other in the order in which they were read. Change: links are numbered as they are accepted; a claim of the epoch in force over an earlier link closes that link. Ruled out: a number in the claim: an agent of an earlier version would not read it, and the accept queue already has the order.

--- a/packages/agent/src/connection/owner_links.cpp
+++ b/packages/agent/src/connection/owner_links.cpp
@@ -52,7 +52,8 @@
 	{
 		const auto one = std::make_shared<link>(std::move(socket), limits);
 		// The link holds these handlers until it has closed, and then lets go of them.
-		one->start([this, one](wire::envelope&& message) { on_message(one, std::move(message)); },
+		one->start([this, one, number = ++accepted_](wire::envelope&& message)
+				   { on_message(one, number, std::move(message)); },
 				   [this, one](const std::string& reason)
 				   {
 					   if (owner_ != one)
@@ -62,10 +63,10 @@
 				   });
 	}
 
-	void owner_links::on_message(const std::shared_ptr<link>& from, wire::envelope&& message)
+	void owner_links::on_message(const std::shared_ptr<link>& from, std::uint64_t number, wire::envelope&& message)
 	{
 		if (message.__isset.claim)
-			on_claim(from, message.claim);
+			on_claim(from, number, message.claim);
 		if (from != owner_)
 			return; // an owner that was superseded has nothing to say
 		if (message.__isset.confirm)
@@ -76,10 +77,12 @@
 			runs_.stop(message.job_halt);
 	}
 
-	void owner_links::on_claim(const std::shared_ptr<link>& from, const wire::job_claim& claim)
+	void owner_links::on_claim(const std::shared_ptr<link>& from, std::uint64_t number, const wire::job_claim& claim)
 	{
 		const epoch claimed{static_cast<std::uint64_t>(claim.epoch)};
-		if (claimed < highest_)
+		// An owner dials again only after it has given the link before up; both may wait here to be read.
+		const bool given_up = claimed == highest_ && number < owner_number_;
+		if (claimed < highest_ || given_up)
 		{
 			log_event(event::grant_refused,
 					  {{"member", claim.member}, {"epoch", claim.epoch}, {"seen", highest_.value}});
@@ -88,6 +91,7 @@
 		}
 		const auto before = owner_;
 		owner_ = from;
+		owner_number_ = number;
 		highest_ = claimed;
 		if (before && before != from)
 			before->close("another link claims");
--- a/packages/agent/src/connection/owner_links.hpp
+++ b/packages/agent/src/connection/owner_links.hpp
@@ -32,14 +32,17 @@
 		boost::asio::awaitable<void> accept_forever();
 		boost::asio::awaitable<void> report_forever();
 		void take(boost::asio::ip::tcp::socket socket);
-		void on_message(const std::shared_ptr<link>& from, wire::envelope&& message);
-		void on_claim(const std::shared_ptr<link>& from, const wire::job_claim& claim);
+		/// \param number Of the link, counted in the order in which they were accepted.
+		void on_message(const std::shared_ptr<link>& from, std::uint64_t number, wire::envelope&& message);
+		void on_claim(const std::shared_ptr<link>& from, std::uint64_t number, const wire::job_claim& claim);
 		void send_report(bool full);
 
 		boost::asio::io_context& io_;
 		run_keeper& runs_;
 		boost::asio::ip::tcp::acceptor acceptor_;
 		std::shared_ptr<link> owner_;
+		std::uint64_t accepted_{};     ///< Links so far.
+		std::uint64_t owner_number_{}; ///< Of the link over which the highest epoch was claimed last.
 		epoch highest_;
 		bool report_posted_{};
 	};
