Owner: stops are ordered again while their run is there

Cause: a stop was ordered once for each link. Where it was lost on the way, or was answered before a start that came late, the owner took the run for stopped and the agent extended its lease with all the others, without an end.

Change: an order to stop is repeated after a second for as long as the run counts as placed. Agents that are still carrying the first one out ignore it, so a run that ends in time costs no more messages than before.

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -309,7 +309,7 @@
 		for (const auto& id : done.saved)
 			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
 				log_event(event::job_ended, {{"job", id.str()}, {"status", to_string(job->status)}});
-		stop_needless();
+		stop_needless(now);
 		queue_depths depths;
 		for (const auto& depth : owned_.row.depths)
 			depths.waiting[queue_id{depth.name}] = depth.waiting;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -112,7 +112,7 @@
 		void lose_earlier_lives(const agent_peer& peer, instant now);
 		void lose_lapsed(instant now);
 		void place_waiting(instant now);
-		void stop_needless();
+		void stop_needless(instant now);
 		/// What is known of earlier orders of a run.
 		enum class order_kind
 		{
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -13,6 +13,9 @@
 		/// Without new work for a worker that had no room or refused a start: its picture here is out of date.
 		constexpr auto no_room_pause = millis{300};
 		constexpr auto unhealthy_pause = millis{1'000};
+		/// Between two orders to stop one run: twice the time between two reports, the first of which tells that it is
+		/// gone where nothing is wrong.
+		constexpr auto stop_again_after = millis{1'000};
 
 		constexpr double full_pace = 100.0;
 
@@ -288,18 +291,19 @@
 		}
 	}
 
-	void job_term::stop_needless()
+	void job_term::stop_needless(instant now)
 	{
 		for (const auto& what : needless_runs(table_))
 		{
 			auto& task = *find_task(table_, what.task);
-			if (task.stop_ordered)
+			// More than once: an order may be lost, or be answered before a start that comes late.
+			if (task.stop_ordered != instant{} && now - task.stop_ordered < stop_again_after)
 				continue;
 			if (auto* peer = peer_of(task.worker); peer != nullptr)
 			{
 				const bool over = has_ended(find_job(table_, what.task.job)->status);
 				order_stop(*peer, what, over ? "job_over" : "gang_incomplete");
-				task.stop_ordered = true;
+				task.stop_ordered = now;
 			}
 		}
 	}
--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -39,7 +39,7 @@
 		worker_life failed_on;      ///< Where the latest failure was; of this process only.
 		std::uint32_t failed_run{}; ///< The latest run whose failure is counted; of this process only.
 		std::int64_t figure{};      ///< The worker's last measure; see job_run in wire.thrift.
-		bool stop_ordered{};        ///< Its worker was told to stop the latest run.
+		instant stop_ordered{};     ///< When its worker was last told to stop the latest run; of this process only.
 	};
 
 	/// \brief How a job stands.
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -28,7 +28,7 @@
 					table.placed.erase(found);
 			}
 			task.worker = worker_life{};
-			task.stop_ordered = false;
+			task.stop_ordered = instant{};
 			task.figure = 0;
 		}
 
@@ -194,7 +194,7 @@
 		task.phase = task_stage::ordered;
 		task.worker = worker;
 		task.since = now;
-		task.stop_ordered = false;
+		task.stop_ordered = instant{};
 		task.run = next_run(job, key, task);
 		if (job.status == job_status::queued)
 			job.status = job_status::running;
