Owner: orders for a worker go to the agent that has found it last

Cause: where two agents had told of one worker, orders went over whichever link came first. The link to one that was gone counts as open until its silence is noticed, and again after each new connection that nobody reads. Orders sent there are lost, while the other agent keeps the runs' leases up.

Change: peer_of() first takes the agent that told of the worker last, which is known already.

--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -33,8 +33,16 @@
 
 	agent_peer* job_term::peer_of(const worker_life& life) const noexcept
 	{
+		const auto reaches = [&](const agent_peer& peer)
+		{
+			return peer.worker.life == life && peer.has_accounted();
+		};
+		// The link to an agent that is gone may stay open while another agent has found the worker.
+		if (const auto beside = agent_beside_.find(life); beside != agent_beside_.end())
+			if (const auto latest = peers_.find(beside->second); latest != peers_.end() && reaches(*latest->second))
+				return latest->second.get();
 		for (const auto& [name, peer] : peers_)
-			if (peer->worker.life == life && peer->has_accounted())
+			if (reaches(*peer))
 				return peer.get();
 		return nullptr;
 	}
