--- a/tests/refused_runs.cpp
+++ b/tests/refused_runs.cpp
@@ -141,3 +141,27 @@
 	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
 	CHECK(it.agent.starts[0].what.run == 1);
 }
+
+TEST_CASE("a run that the worker lists is not told as refused, though its order was refused before", "[jobs]")
+{
+	// The worker had said that it does nothing now, and runs the task all the same. Told as refused again, the run
+	// would have a successor while it takes its time to stop.
+	run_keeper_scene::scene it;
+	it.lines.on_start = []
+	{
+		return order_result{order_end::unhealthy, 1'000};
+	};
+	it.order_start();
+	REQUIRE(it.run_until_told());
+	REQUIRE(it.refused.size() == 1);
+	it.lines.on_list = []
+	{
+		return listing_result{{order_end::done, 1'000}, {{{run_keeper_scene::some_run, "", 10, 0}}, {}}};
+	};
+	const auto lists = it.lines.lists;
+	REQUIRE(it.run_until([&] { return it.lines.lists > lists + 2; }));
+	it.order_start(true);
+	REQUIRE(it.run_until([&] { return it.lines.stops > 0; }));
+	CHECK(it.lines.stopped == run_keeper_scene::some_run);
+	CHECK(it.runs.report(false).refused.empty());
+}
