Memory of refusals: by the latest refusal, and behind what the worker lists

Change: the memory forgets by the latest refusal of a task; an order below the refused run is answered as superseded; a run that the worker lists is stopped and its end tells, one that has ended is not refused at all.

--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -118,6 +118,8 @@
 		/// \param why For the log: who wants the stop.
 		void begin_stop(const task_run& what, std::string_view why);
 		void refuse(const task_run& what, start_refusal why, const refusal_source& from);
+		/// Answers an order of a run that was refused before.
+		void answer_refused(const task_run& what, start_refusal why, bool repeated);
 		void note_overlaps();
 		void started(const task_run& what);
 		[[nodiscard]] bool is_current(const worker_life& life) const noexcept;
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -45,13 +45,9 @@
 											 {"current", worker_ ? worker_->life.str() : ""}});
 			return;
 		}
-		// Orders and refusals cross. The owner takes a refused run for one that is nowhere and gives its task the next
-		// run, so an order that comes behind must not start it after all.
-		if (const auto* refusal = refusal_of(refused_, what); refusal != nullptr)
+		if (const auto why = refusal_of(refused_, what))
 		{
-			refuse(what, refusal->why, {order.repeated, by_memory});
-			if (runs_.contains(what))
-				begin_stop(what, "refused");
+			answer_refused(what, *why, order.repeated);
 			return;
 		}
 		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.movable, order.image, {}};
@@ -74,6 +70,16 @@
 		asio::co_spawn(io_, carry_out_start(std::move(order)), asio::detached);
 	}
 
+	void run_keeper::answer_refused(const task_run& what, start_refusal why, bool repeated)
+	{
+		// Orders and refusals cross. The owner takes a refused run for one that is nowhere and gives its task the next
+		// run, so an order that comes behind must not start it after all.
+		if (runs_.contains(what))
+			begin_stop(what, "refused"); // its end tells
+		else if (!has_ended(what))
+			refuse(what, why, {repeated, by_memory});
+	}
+
 	asio::awaitable<void> run_keeper::carry_out_start(wire::job_start order)
 	{
 		const auto what = from_wire(order.what);
--- a/packages/jobs/include/trailjunction/jobs/refusal_memory.hpp
+++ b/packages/jobs/include/trailjunction/jobs/refusal_memory.hpp
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 
 namespace trailjunction
 {
@@ -17,16 +18,16 @@
 	struct refusal_memory
 	{
 		absl::flat_hash_map<task_key, refused_run> latest;
-		std::deque<task_key> order; ///< Of latest, the oldest first.
+		std::deque<task_run> order; ///< All refusals that were kept, the oldest first; superseded ones too.
 	};
 
 	/// \brief Refusals that are kept. An order may come behind the refusal of its run for as long as messages are under
-	/// way, some seconds; a worker that refused 100 starts a second would still be remembered for 40 s, in 1 MB.
+	/// way, some seconds; of a worker that refuses 100 starts a second those of 40 s are remembered, in 1 MB.
 	inline constexpr std::size_t most_refusals = 4'096;
 
 	/// \brief Keeps a refusal; the oldest goes where there are too many.
 	void note_refusal(refusal_memory& memory, const refused_run& refusal);
 
-	/// \brief The refusal that forbids a run: of itself, or of a later run of its task; nullptr where there is none.
-	[[nodiscard]] const refused_run* refusal_of(const refusal_memory& memory, const task_run& what) noexcept;
+	/// \brief Why a run must not start: it was refused, or a later run of its task was; nothing where it may.
+	[[nodiscard]] std::optional<start_refusal> refusal_of(const refusal_memory& memory, const task_run& what) noexcept;
 }
--- a/tests/refusal_memory.cpp
+++ b/tests/refusal_memory.cpp
@@ -19,15 +19,14 @@
 {
 	refusal_memory memory;
 	note_refusal(memory, {run_of(0, 2), start_refusal::no_room});
-	REQUIRE(refusal_of(memory, run_of(0, 2)) != nullptr);
-	CHECK(refusal_of(memory, run_of(0, 2))->why == start_refusal::no_room);
-	CHECK(refusal_of(memory, run_of(0, 1)) != nullptr);
-	CHECK(refusal_of(memory, run_of(0, 3)) == nullptr);
-	CHECK(refusal_of(memory, run_of(1, 2)) == nullptr);
+	CHECK(refusal_of(memory, run_of(0, 2)) == start_refusal::no_room);
+	CHECK(refusal_of(memory, run_of(0, 1)) == start_refusal::superseded);
+	CHECK(refusal_of(memory, run_of(0, 3)) == std::nullopt);
+	CHECK(refusal_of(memory, run_of(1, 2)) == std::nullopt);
 	note_refusal(memory, {run_of(0, 1), start_refusal::unhealthy}); // told late
-	CHECK(refusal_of(memory, run_of(0, 2)) != nullptr);
+	CHECK(refusal_of(memory, run_of(0, 2)) == start_refusal::no_room);
 	note_refusal(memory, {run_of(0, 3), start_refusal::unhealthy});
-	CHECK(refusal_of(memory, run_of(0, 3))->why == start_refusal::unhealthy);
+	CHECK(refusal_of(memory, run_of(0, 3)) == start_refusal::unhealthy);
 }
 
 TEST_CASE("a task that was refused again just now is not the next to be forgotten", "[jobs]")
@@ -39,8 +38,8 @@
 		note_refusal(memory, {run_of(i, 1), start_refusal::no_room});
 	note_refusal(memory, {run_of(0, 2), start_refusal::no_room});
 	note_refusal(memory, {run_of(most_refusals, 1), start_refusal::no_room});
-	CHECK(refusal_of(memory, run_of(0, 2)) != nullptr);
-	CHECK(refusal_of(memory, run_of(1, 1)) == nullptr);
+	CHECK(refusal_of(memory, run_of(0, 2)) != std::nullopt);
+	CHECK(refusal_of(memory, run_of(1, 1)) == std::nullopt);
 	CHECK(memory.latest.size() == most_refusals);
 }
 
@@ -50,7 +49,7 @@
 	for (std::uint32_t i = 0; i <= most_refusals; ++i)
 		note_refusal(memory, {run_of(i, 1), start_refusal::no_room});
 	CHECK(memory.latest.size() == most_refusals);
-	CHECK(refusal_of(memory, run_of(0, 1)) == nullptr);
-	CHECK(refusal_of(memory, run_of(1, 1)) != nullptr);
-	CHECK(refusal_of(memory, run_of(most_refusals, 1)) != nullptr);
+	CHECK(refusal_of(memory, run_of(0, 1)) == std::nullopt);
+	CHECK(refusal_of(memory, run_of(1, 1)) != std::nullopt);
+	CHECK(refusal_of(memory, run_of(most_refusals, 1)) != std::nullopt);
 }
