Testkit: processes of a test inherit nothing of it

Cause: posix_spawn passes on every descriptor that is not closed, and the sockets of the test's proxies are not. A process that was started while a connection of a proxy was open kept that connection open after the proxy had closed it. In "an agent that is restarted finds its runs, and they go on" the new agent so held the owner's link to its own earlier life, without a byte and without an end, and the owner rightly fenced the run when the worker had been out of sight for 2 s.

Ruled out: the directory forgets a link (it had one link to that agent until the fence, which was never closed); a link that opens, closes and opens again (those are the links for requests at the start of the entry, 1.5 s before the agent was killed); the agent (it was back within 50 ms, adopted the run and was ready 115 ms after the kill).

Change: a process of a test gets the three standard streams and nothing else.

--- a/packages/testkit/src/child_process.cpp
+++ b/packages/testkit/src/child_process.cpp
@@ -7,6 +7,7 @@
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
+#include <unistd.h>
 #include <utility>
 
 extern char** environ; // NOLINT: declared by POSIX
@@ -25,6 +26,8 @@
 		posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
 										 owner_reads_and_writes);
 		posix_spawn_file_actions_adddup2(&actions, 1, 2);
+		// A child that held the test's sockets would keep connections open that the test has closed.
+		posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
 		const int error = posix_spawn(&id_, words.front().c_str(), &actions, nullptr, arguments.data(), environ);
 		posix_spawn_file_actions_destroy(&actions);
 		if (error != 0)
