Entry: a silent link to an agent is dialled anew before its worker counts as out of sight

Cause: a link was given up after a silence of 3 s, looked at every 3 s, and its worker after 2 s without a heartbeat. A link that is dead without a close could so never be replaced in time, and the runs of a working agent were fenced.

Change: the directory closes a link that has brought no heartbeat for half of lost_after (2 heartbeats at the least), so that the connection is dialled anew while the worker still counts as in sight. An agent greets each link with a heartbeat. A new link gets the same time; when the worker is out of sight the link's own limit holds as before, so a worker that is away is not dialled more often. The links of the users' platform are others and are not changed.

--- a/packages/entry/src/process/worker_directory.cpp
+++ b/packages/entry/src/process/worker_directory.cpp
@@ -138,7 +138,12 @@
 	{
 		worker.connection = std::make_shared<agent_connection>(io_, worker.place.control, settings_.member, life_);
 		const auto name = worker.place.worker;
-		worker.connection->start({[this, name](const std::shared_ptr<link>& open) { send_config(open, name); },
+		worker.connection->start({[this, name](const std::shared_ptr<link>& open)
+								  {
+									  if (auto* known = find(name))
+										  known->linked = steady_now();
+									  send_config(open, name);
+								  },
 								  [this, name](const std::shared_ptr<link>& from, wire::envelope&& message)
 								  { take(name, from, std::move(message)); },
 								  [](const std::shared_ptr<link>&) {
@@ -203,6 +208,21 @@
 		}
 	}
 
+	/// A link may be dead without a close. Half of the time that a worker has before it counts as out of sight is left
+	/// to a new link, but no link is given up for one late heartbeat. If the new one brings none either, its own limit
+	/// ends it.
+	void worker_directory::redial_silent(instant at)
+	{
+		const auto patience = std::max(settings_.times.lost_after / 2, 2 * settings_.times.heartbeat);
+		for (const auto& [name, worker] : workers_)
+		{
+			const bool silent = at - worker.heard > patience && at - worker.linked > patience;
+			const bool lost = at - worker.heard > settings_.times.lost_after;
+			if (silent && !lost && worker.connection && worker.connection->current())
+				worker.connection->current()->close("no heartbeat");
+		}
+	}
+
 	void worker_directory::refresh(const known_worker& worker, const resources& unreported)
 	{
 		const auto* view = fleet_.find(worker.place.worker);
@@ -278,6 +298,7 @@
 	{
 		while (true)
 		{
+			redial_silent(steady_now());
 			note_silence(steady_now());
 			directory lines;
 			lines.version = config_.version;
--- a/packages/entry/src/process/worker_directory.hpp
+++ b/packages/entry/src/process/worker_directory.hpp
@@ -35,6 +35,7 @@
 		incarnation life;        ///< Of its agent, from the last heartbeat; 0: never heard.
 		std::int64_t stamp_ms{}; ///< Of the last heartbeat, by the agent's clock.
 		instant heard{};         ///< When that came.
+		instant linked{};        ///< When the present link to its agent was opened.
 		bool ready{};
 		bool leaving_by_list{};
 		bool leaving_by_agent{};
@@ -100,6 +101,7 @@
 		void take_beat(known_worker& worker, const wire::heartbeat& beat);
 		void learn_samples(known_worker& worker, const wire::heartbeat& beat);
 		void note_silence(instant now);
+		void redial_silent(instant now);
 		void send_config(const std::shared_ptr<link>& to, const worker_id& worker);
 		[[nodiscard]] double headroom_of(const service_id& service) const;
 		[[nodiscard]] double batch_harm(const known_worker& worker) const;
--- a/tests/tasks_under_faults.cpp
+++ b/tests/tasks_under_faults.cpp
@@ -270,6 +270,26 @@
 	CHECK(system.violations().empty());
 }
 
+// The links to an agent were dead without a close, so its entries waited for news on them until they had given up its
+// worker, and its run was fenced and moved.
+TEST_CASE("links that fall silent while their agent works cost its run nothing", "[process][tasks]")
+{
+	auto options = options_here();
+	options.times = R"("lost_after_ms": 2800)"; // less than the silence after which a link is given up
+	cluster system{options};
+	REQUIRE(system.wait_ready());
+	REQUIRE(submit(system, 0, "watcher-1", "kind watcher command forever"));
+	REQUIRE(wait_checkpoint(system, "watcher-1"));
+	const auto first = system.task_field("watcher-1", "worker");
+	system.thread().run([&] { system.worker(first).control_proxy->silence_all(); });
+	std::this_thread::sleep_for(millis{5'000}); // longer than every lease
+	INFO(system.logs());
+	CHECK(count(system.events(), "watcher-1", "start") == 1);
+	CHECK(system.task_field("watcher-1", "run") == "1");
+	CHECK(system.logs().find("run_fenced") == std::string::npos);
+	CHECK(system.violations().empty());
+}
+
 TEST_CASE("a planned stop of an agent moves its runs with their checkpoints", "[process][tasks]")
 {
 	cluster system{options_here()};
