Tests: a link that breaks after an agent's restart has its adopted run fenced

Two causes that only together do harm, found by reading the path for state of one link or life that another one changes:

- An agent remembers who confirmed a run by the link.
On the owner's next link it takes the owner for a stranger and leaves the run out of its reports for two heartbeats.
- The owner reads a report without the run as "lost" if the run was given to an earlier life of the agent.
It never learns that the later life has adopted the run and had it confirmed.

So a link that breaks and is opened again within two heartbeats, any time after a restart of the agent, has the owner fence a run that goes on; the next full report confirms it again. A planned hand-over of the shard does the same, since the agent keeps the run from the new owner's link too.

--- a/tests/decide.cpp
+++ b/tests/decide.cpp
@@ -267,6 +267,37 @@
 	CHECK_FALSE(apply(shard, record_of(record_kind::cancelled, "a")).ok());
 }
 
+// A restarted agent had adopted a run, and its owner had confirmed it. The owner still took the run for one of the
+// agent's earlier life, so the first heartbeat that did not report it had it fenced at once.
+TEST_CASE("a run that is seen in a later life of its agent belongs to that life", "[decide]")
+{
+	shard_state shard;
+	REQUIRE(apply(shard, submission(spec_of("a"))).ok());
+	REQUIRE(apply(shard, record_of(record_kind::started, "a", 1)).ok());
+	const auto& task = shard.tasks.at(task_id{"a"});
+	const incarnation later{8};
+	CHECK(decide_missing(task, later, start, millis{1'000}, start) == missing_run::fence); // not seen yet
+	run_sighting seen;
+	seen.task = task_id{"a"};
+	seen.run = {1};
+	seen.checkpoint = checkpoint_id{"c-1"};
+	const auto first = decide_sighting(&task, seen, worker_id{"w1"}, later);
+	CHECK(first.what == run_answer::confirm);
+	REQUIRE(first.record);
+	REQUIRE(apply(shard, *first.record).ok());
+	CHECK(decide_missing(task, later, start, millis{1'000}, start) == missing_run::wait);
+	CHECK(task.checkpoint == seen.checkpoint);
+	CHECK_FALSE(decide_sighting(&task, seen, worker_id{"w1"}, later).record); // nothing new
+
+	const incarnation last{9};
+	seen.checkpoint = {}; // an agent that has just come may know of none
+	const auto second = decide_sighting(&task, seen, worker_id{"w1"}, last);
+	REQUIRE(second.record);
+	REQUIRE(apply(shard, *second.record).ok());
+	CHECK(task.worker_life == last);
+	CHECK(task.checkpoint == checkpoint_id{"c-1"});
+}
+
 TEST_CASE("a shard that is replayed or restored is the shard that was written", "[decide]")
 {
 	shard_state shard;
