Tasks: a run's owner is a process, and its life the one that found it last

Cause: an agent remembered the owner of a run by the link on which it was confirmed, so the owner's next link was a stranger's for two heartbeats and was not told of the run. The owner took the missing report for a lost run where the run had been given to an earlier life of the agent, though a later one had adopted it.

Change: the agent remembers the process that confirmed the run, and tells a link whose other side has not said its name yet of all runs. The owner writes the agent's life down with the first sighting in it, in a record of a checkpoint; a record without a life, as entries write where the life is not known, leaves it as it is. Older entries read the same record as a checkpoint. A start that is repeated to the life that was seen with the run finds the run's number there.

--- a/packages/agent/src/process/control_duty.cpp
+++ b/packages/agent/src/process/control_duty.cpp
@@ -183,7 +183,7 @@
 			greeting.hi.process = settings_.worker.str();
 			greeting.hi.incarnation = static_cast<std::int64_t>(table_.life.value);
 			(void)connection->send(greeting);
-			send_heartbeat(connection); // at once: an entry that has just come routes and confirms the sooner
+			send_heartbeat(peers_.back()); // at once: an entry that has just come routes and confirms the sooner
 		}
 	}
 
@@ -213,16 +213,24 @@
 		}
 	}
 
-	bool control_duty::reports_to(const std::shared_ptr<link>& to, shard_id shard, instant now) const
+	std::string control_duty::process_behind(const std::shared_ptr<link>& connection) const
+	{
+		const auto found = std::find_if(peers_.begin(), peers_.end(),
+										[&connection](const peer& one) { return one.connection == connection; });
+		return found == peers_.end() ? "" : found->process;
+	}
+
+	bool control_duty::reports_to(const peer& to, shard_id shard, instant now) const
 	{
 		const auto found = owners_.find(shard);
-		if (found == owners_.end() || found->second.connection.lock() == to)
+		// Whoever has not said yet who it is may be the owner on a new link, which takes a missing run for a lost one.
+		if (found == owners_.end() || to.process.empty() || found->second.process == to.process)
 			return true;
 		// The owner has gone silent: whoever has taken over must hear of the run.
 		return now - found->second.confirmed > 2 * settings_.times.heartbeat;
 	}
 
-	wire::heartbeat control_duty::make_heartbeat(const std::shared_ptr<link>& to, instant now)
+	wire::heartbeat control_duty::make_heartbeat(const peer& to, instant now)
 	{
 		wire::heartbeat beat;
 		beat.stamp_ms = to_millis(now);
@@ -291,14 +299,14 @@
 		return kinds;
 	}
 
-	void control_duty::send_heartbeat(const std::shared_ptr<link>& to)
+	void control_duty::send_heartbeat(const peer& to)
 	{
 		wire::envelope message;
 		message.__isset.beat = true;
 		message.beat = make_heartbeat(to, steady_now());
-		const auto before = to->pending_bytes();
-		(void)to->send(message);
-		bytes_sent_.Increment(static_cast<double>(to->pending_bytes() - before));
+		const auto before = to.connection->pending_bytes();
+		(void)to.connection->send(message);
+		bytes_sent_.Increment(static_cast<double>(to.connection->pending_bytes() - before));
 	}
 
 	asio::awaitable<void> control_duty::send_heartbeats()
@@ -308,7 +316,7 @@
 			co_await pause_for(io_, settings_.times.heartbeat);
 			runs_gauge_.Set(static_cast<double>(active_runs()));
 			for (const auto& one : peers_)
-				send_heartbeat(one.connection);
+				send_heartbeat(one);
 			samples_.clear();
 			forget_old_numbers(steady_now());
 		}
@@ -376,7 +384,7 @@
 			const auto grant = grant_of(confirmed, message);
 			const auto end = apply_grant(table_, grant, settings_.times, at);
 			if (end == grant_end::renewed || end == grant_end::resumed)
-				owners_[grant.shard] = {from, at};
+				owners_[grant.shard] = {process_behind(from), at};
 			else if (end != grant_end::no_run)
 				log_event(event::grant_refused,
 						  {{"task", confirmed.task}, {"run", confirmed.run}, {"why", static_cast<int>(end)}});
--- a/packages/agent/src/process/control_duty.hpp
+++ b/packages/agent/src/process/control_duty.hpp
@@ -64,7 +64,7 @@
 		/// Who confirmed the runs of a shard last, and when.
 		struct shard_owner
 		{
-			std::weak_ptr<link> connection;
+			std::string process; ///< Not its link: it may lose that and come back on another one.
 			instant confirmed{};
 		};
 		/// What ran on the worker at one time, for attributing late measurements.
@@ -83,7 +83,7 @@
 		boost::asio::awaitable<void> accept_links();
 		boost::asio::awaitable<void> renew_leases();
 		boost::asio::awaitable<void> send_heartbeats();
-		void send_heartbeat(const std::shared_ptr<link>& to);
+		void send_heartbeat(const peer& to);
 		boost::asio::awaitable<void> watch_leases();
 		boost::asio::awaitable<void> take_checkpoints();
 
@@ -92,6 +92,7 @@
 		void take_order(const wire::order_run& message);
 		void take_grant(const std::shared_ptr<link>& from, const wire::grant& message);
 		void take_config(const wire::config& message);
+		[[nodiscard]] std::string process_behind(const std::shared_ptr<link>& connection) const;
 		void take_summary(const request_summary& summary);
 		void take_status(const worker_status& status, instant asked);
 		void take_platform_run(const platform_run& seen);
@@ -108,9 +109,9 @@
 		void forget_old_numbers(instant now);
 
 		[[nodiscard]] agent_run* find_run(const task_id& task, run_number run);
-		[[nodiscard]] wire::heartbeat make_heartbeat(const std::shared_ptr<link>& to, instant now);
+		[[nodiscard]] wire::heartbeat make_heartbeat(const peer& to, instant now);
 		[[nodiscard]] std::vector<wire::kind_amount> count_kinds() const;
-		[[nodiscard]] bool reports_to(const std::shared_ptr<link>& to, shard_id shard, instant now) const;
+		[[nodiscard]] bool reports_to(const peer& to, shard_id shard, instant now) const;
 		void update_leaving();
 		void push_rules();
 		boost::asio::awaitable<http_response> answer(http_request request);
--- a/packages/decide/include/trailjunction/decide/process/shard_state.hpp
+++ b/packages/decide/include/trailjunction/decide/process/shard_state.hpp
@@ -49,7 +49,7 @@
 		task_phase phase{task_phase::waiting};
 		run_number run;                   ///< The last run that was started; 0: none.
 		worker_id worker;                 ///< Of that run.
-		incarnation worker_life;          ///< The life of the agent that the run was given to.
+		incarnation worker_life;          ///< The life of the agent that the run was given to, or that found it last.
 		checkpoint_id checkpoint;         ///< Where the next run resumes.
 		std::vector<worker_id> failed_on; ///< Distinct workers on which runs failed.
 		int failures{};
--- a/packages/decide/src/process/shard_state.cpp
+++ b/packages/decide/src/process/shard_state.cpp
@@ -134,6 +134,8 @@
 				if (!is_current(task, record))
 					return refuse(record, "is not the run that holds the task");
 				next.checkpoint = record.checkpoint;
+				if (record.worker_life.value != 0)
+					next.worker_life = record.worker_life;
 				break;
 			case record_kind::fenced:
 				if (task.phase != task_phase::running || task.run != record.run)
--- a/packages/decide/src/process/sighting.cpp
+++ b/packages/decide/src/process/sighting.cpp
@@ -37,9 +37,13 @@
 		if (task->phase == task_phase::fenced)
 			return {run_answer::write, record_about(record_kind::confirmed, sighting, worker, worker_life)};
 		const bool newer = !sighting.checkpoint.empty() && sighting.checkpoint != task->checkpoint;
-		if (newer)
-			return {run_answer::confirm, record_about(record_kind::checkpointed, sighting, worker, worker_life)};
-		return {run_answer::confirm, std::nullopt};
+		// A later life of the agent that has found the run holds it from now on, as the life did that started it.
+		if (!newer && task->worker_life == worker_life)
+			return {run_answer::confirm, std::nullopt};
+		auto record = record_about(record_kind::checkpointed, sighting, worker, worker_life);
+		if (!newer)
+			record.checkpoint = task->checkpoint;
+		return {run_answer::confirm, std::move(record)};
 	}
 
 	missing_run decide_missing(const task_state& task, incarnation worker_life, instant sent, millis resend_after,
--- a/packages/entry/src/process/task_owner.cpp
+++ b/packages/entry/src/process/task_owner.cpp
@@ -267,7 +267,7 @@
 		{
 		case run_answer::confirm:
 			grant.runs.push_back(confirmed(sighting, keeper));
-			if (decision.record)
+			if (decision.record && decision.record->checkpoint != task->checkpoint)
 				notes_[sighting.task].checkpoint_at = steady_now();
 			notes_[sighting.task].throttled = sighting.throttled;
 			order_if_wanted(worker, keeper, *task);
