--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -317,6 +317,12 @@
 		order[e * 2 + known_worker].stamp = now;
 		order[e * 2 + known_worker].life = life[known_worker]
 	   }
+	/* sighting: the run is on its worker in this life of the agent; written when the slot allows it */
+	:: atomic {
+		HOLDS && !known_fenced && row_seq == my_seq && run_here[known_worker] == known_run &&
+		known_life != life[known_worker] ->
+		row_seq++; my_seq = row_seq; row_life = life[known_worker]; known_life = row_life
+	   }
 	/* fence: durable first; the wait counts from then */
 	:: atomic {
 		HOLDS && !known_fenced && row_seq == my_seq ->
