Test: a run that was paused when its agent was restarted stands still

Found by reading the older path. A restarted agent adopts each run that the platform lists as one that moves, also where the platform says that it is throttled (a pause is a share of 0). The owner confirms it, which resumes only runs that the agent knows to be paused. So the lease is renewed and the run never moves again.

--- a/tests/tasks_under_faults.cpp
+++ b/tests/tasks_under_faults.cpp
@@ -290,6 +290,35 @@
 	CHECK(system.violations().empty());
 }
 
+// An agent was restarted while a run of its was paused. It took the run for one that moves, so the confirmation of the
+// owner resumed nothing, and the run stood still for as long as its lease was renewed.
+TEST_CASE("a run that was paused when its agent was restarted goes on once it is confirmed", "[process][tasks]")
+{
+	auto options = options_here();
+	options.times = R"("lost_after_ms": 8000)"; // so that the break is shorter than the patience of the owner
+	cluster system{options};
+	REQUIRE(system.wait_ready());
+	REQUIRE(submit(system, 0, "watcher-1", "kind watcher command forever"));
+	REQUIRE(wait_checkpoint(system, "watcher-1"));
+	const auto first = system.task_field("watcher-1", "worker");
+	const int index = first.back() - '1';
+	system.thread().run([&] { system.worker(index).control_proxy->faults().hold = true; });
+	REQUIRE(cluster::wait_until([&] { return count(system.events(), "watcher-1", "pause") == 1; }, long_wait));
+	system.worker(index).agent.kill();
+	system.start_agent(index);
+	system.thread().run(
+		[&]
+		{
+			system.worker(index).control_proxy->faults().hold = false;
+			system.worker(index).control_proxy->cut_all();
+		});
+	INFO(system.logs());
+	CHECK(cluster::wait_until([&] { return count(system.events(), "watcher-1", "resume") == 1; }, millis{10'000}));
+	CHECK(system.task_field("watcher-1", "run") == "1");
+	CHECK(count(system.events(), "watcher-1", "start") == 1);
+	CHECK(system.violations().empty());
+}
+
 TEST_CASE("a planned stop of an agent moves its runs with their checkpoints", "[process][tasks]")
 {
 	cluster system{options_here()};
