--- a/packages/agent/src/process/control_runs.cpp
+++ b/packages/agent/src/process/control_runs.cpp
@@ -82,7 +82,9 @@
 			found.kind = seen.kind;
 			found.claim = seen.claim;
 			found.replica = seen.replica;
-			found.state = agent_run_state::running;
+			// How much of its speed is left is not known: as for a paused run, the first confirmation restores it.
+			const bool slowed = seen.state == platform_run_state::throttled;
+			found.state = slowed ? agent_run_state::paused : agent_run_state::running;
 			found.unconfirmed = !seen.replica;
 			found.lease_end = steady_now() + settings_.times.platform_lease;
 			table_.last_runs[seen.task] = std::max(table_.last_runs[seen.task], seen.run);
