Failing tests: starts of runs that are not placed, replaced instances, workers confirmed after their lease

The owner lets a run that is not placed go on until a listing shows it; takes the worker of an instance that is being replaced by one of the same name for restarted, though it may still run; and leaves waiting work to its next round where a worker comes back within its lease.

--- a/tests/refused_runs.cpp
+++ b/tests/refused_runs.cpp
@@ -165,3 +165,62 @@
 	CHECK(it.lines.stopped == run_keeper_scene::some_run);
 	CHECK(it.runs.report(false).refused.empty());
 }
+
+TEST_CASE("a run that was started and is not placed there is stopped as soon as its start is told", "[jobs]")
+{
+	// The owner waited for the run to show in a listing, half a second later, and let it run until then.
+	job_term_scene::scene it;
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	auto report = it.agent.full_report;
+	report.full = false;
+	report.started.push_back(to_wire(run_keeper_scene::some_run));
+	it.agent.send(report);
+	REQUIRE(it.run_until([&] { return !it.agent.stops.empty(); }));
+	CHECK(from_wire(it.agent.stops[0].what) == run_keeper_scene::some_run);
+}
+
+TEST_CASE("another worker beside an agent at another address proves nothing about the one at the old address", "[jobs]")
+{
+	// An instance was replaced by one that took its name over. The new one came first, told of its own worker, and the
+	// owner took the worker of the old one, which was still at work, for restarted.
+	job_term_scene::scene it;
+	it.settings.contact = millis{600'000}; // no lease ends here
+	it.settings.longest_run_lease = millis{600'000};
+	it.begin();
+	it.submit(job_term_scene::first_job, job_term_scene::one_task());
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 1; }));
+	testkit::agent_standin next{it.io};
+	next.full_report = job_term_scene::report_of("life-2");
+	stored::agent row;
+	row.address = to_string(next.where());
+	it.store.put(agent_partition, agents_table, "agent-1", encode_agent(row));
+	REQUIRE(it.run_until([&] { return next.confirms.size() == 1; }));
+	const auto asked = it.store.asked.size();
+	it.submit("00000000000000b2", job_term_scene::one_task());
+	REQUIRE(it.run_until([&] { return it.store.asked.size() > asked + 2 && !next.starts.empty(); }));
+	for (const auto& start : next.starts)
+		CHECK(start.what.task.job == "00000000000000b2");
+	CHECK(it.stored_job(job_term_scene::first_job).tasks[0].worker == worker_life{"life-1"});
+}
+
+TEST_CASE("a worker that is confirmed again after its lease gets waiting work at once", "[jobs]")
+{
+	// The work waited for the owner's next round.
+	job_term_scene::scene it;
+	it.settings.contact = millis{600'000}; // the next round comes after minutes
+	it.settings.longest_run_lease = millis{2'000};
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	auto report = it.agent.full_report;
+	report.full = false;
+	it.agent.full_report.worker.clear();
+	const auto lease_ends = steady_now() + millis{2'200};
+	REQUIRE(it.run_until([&] { return steady_now() > lease_ends; }));
+	const auto asked = it.store.asked.size();
+	it.submit(job_term_scene::first_job, job_term_scene::one_task());
+	REQUIRE(it.run_until([&] { return it.store.asked.size() > asked; }));
+	it.agent.send(report);
+	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
+	CHECK(it.agent.starts[0].what.run == 1);
+}
