Owner: a run that was started and is not placed there is stopped as its start is told

Cause: the owner passed over such a start and ordered the stop once a listing showed the run, half a second later. Change: note_running orders the stop at once. Conclusion: should a run ever live beside its successor, both overlap for as short a time as can be.

--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -150,8 +150,13 @@
 	void job_term::note_running(agent_peer& peer, const wire::job_report& report, instant now)
 	{
 		for (const auto& row : report.started)
-			if (const auto what = from_wire(row); is_placed_on(peer.worker.life, what))
+		{
+			const auto what = from_wire(row);
+			if (is_placed_on(peer.worker.life, what))
 				confirm_run(table_, what, now);
+			else
+				order_stop(peer, what, "not_placed");
+		}
 		for (const auto& row : report.running)
 		{
 			const auto run = from_wire(row);
