Owner: a worker whose lease begins anew gets waiting work at once

Cause: a confirmation woke nobody, so work waited for the next report with news or for the next renewal of the row. Change: the confirmation that gives a worker a lease wakes the owner. Conclusion: after an outage work waits for the worker's next report and no longer.

--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -218,7 +218,10 @@
 		answer.stamp_ms = report.stamp_ms;
 		answer.ends_kept = peer.worker.ends_kept;
 		peer.send(to_envelope(std::move(answer)));
+		const bool had_no_lease = !may_start_on(peer.worker.life, now);
 		confirmed_[peer.worker.life] = now;
+		if (had_no_lease)
+			wake(); // work may wait for this worker
 	}
 
 	void job_term::lose_worker(const worker_life& life, std::string_view why, instant now)
