Owner: another worker at another address does not end the runs of the one before

Cause: an incarnation that another one followed beside an agent of the same name counted as gone at once. Where an instance is replaced and the new one comes first, the one before is at work until its lease is over, so its tasks had two runs. Change: the owner keeps the address from which a worker was told (stored too, optional), and takes an earlier incarnation for gone at once only if the next one is told from the same address. Otherwise its lease decides. A row without an address counts as another address.

--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -63,6 +63,11 @@
 		/// \brief Sends a message, if there is a link; what is lost is settled by the next full report.
 		void send(const wire::envelope& message);
 
+		/// \brief Where the agent takes links; all reports come from there.
+		[[nodiscard]] const endpoint& where() const noexcept
+		{
+			return where_;
+		}
 		[[nodiscard]] const std::string& name() const noexcept
 		{
 			return name_;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -178,7 +178,10 @@
 				break; // the next transaction has room
 			if (peer->worker.life.empty() || peer->worker.life == peer->stored_life)
 				continue;
-			out.change.put.push_back({{workers_table, name}, encode_worker(peer->worker.life)});
+			stored::worker row;
+			row.life = peer->worker.life.str();
+			row.address = to_string(peer->where());
+			out.change.put.push_back({{workers_table, name}, encode_worker(row)});
 			peer->stored_life = peer->worker.life;
 			++out.workers;
 		}
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -64,6 +64,11 @@
 			worker_life life;
 			std::int64_t through{};
 		};
+		struct agent_seat
+		{
+			std::string agent;
+			std::string address; ///< Where it took links when it told of the worker.
+		};
 		struct batch
 		{
 			row_change change;
@@ -148,7 +153,7 @@
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
 		/// The agent beside each worker that was ever heard of in this term or just before it.
-		absl::flat_hash_map<worker_life, std::string> agent_beside_;
+		absl::flat_hash_map<worker_life, agent_seat> agent_beside_;
 		instant began_{};
 		instant committed_{};
 		/// Jobs that ended long ago and whose submissions the store has no more; their progress goes next.
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -151,11 +151,11 @@
 	{
 		for (const auto& row : rows)
 		{
-			auto life = decode_worker(row.value);
-			if (life.ok())
-				agent_beside_[*std::move(life)] = row.name.key;
+			const auto worker = decode_worker(row.value);
+			if (worker.ok())
+				agent_beside_[worker_life{worker->life}] = {row.name.key, worker->address};
 			else
-				log_event(event::row_unreadable, {{"worker", row.name.key}, {"reason", life.status().ToString()}});
+				log_event(event::row_unreadable, {{"worker", row.name.key}, {"reason", worker.status().ToString()}});
 		}
 	}
 
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -39,7 +39,8 @@
 		};
 		// The link to an agent that is gone may stay open while another agent has found the worker.
 		if (const auto beside = agent_beside_.find(life); beside != agent_beside_.end())
-			if (const auto latest = peers_.find(beside->second); latest != peers_.end() && reaches(*latest->second))
+			if (const auto latest = peers_.find(beside->second.agent);
+				latest != peers_.end() && reaches(*latest->second))
 				return latest->second.get();
 		for (const auto& [name, peer] : peers_)
 			if (reaches(*peer))
@@ -78,7 +79,7 @@
 		{
 			worker = {};
 			worker.life = life;
-			agent_beside_[life] = peer.name();
+			agent_beside_[life] = {peer.name(), to_string(peer.where())};
 			lose_earlier_lives(peer, steady_now());
 			wake();
 		}
@@ -238,10 +239,11 @@
 	void job_term::lose_earlier_lives(const agent_peer& peer, instant now)
 	{
 		// Agents tell of an incarnation only once it has answered them, and there is one worker beside an agent. So
-		// those that were there before have ended, and all that ran in them.
+		// those that were there before have ended, and all that ran in them. An agent of the same name at another
+		// address is on another instance; the worker on the one before may be at work until its lease is over.
 		std::vector<worker_life> gone;
-		for (const auto& [life, agent] : agent_beside_)
-			if (agent == peer.name() && life != peer.worker.life)
+		for (const auto& [life, seat] : agent_beside_)
+			if (seat.agent == peer.name() && life != peer.worker.life && seat.address == to_string(peer.where()))
 				gone.push_back(life);
 		for (const auto& life : gone)
 		{
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -50,6 +50,6 @@
 	[[nodiscard]] absl::StatusOr<pressure_model> decode_pressures(std::string_view row, instant now);
 
 	/// \brief The row of the worker beside one agent.
-	[[nodiscard]] std::string encode_worker(const worker_life& life);
-	[[nodiscard]] absl::StatusOr<worker_life> decode_worker(std::string_view row);
+	[[nodiscard]] std::string encode_worker(const stored::worker& worker);
+	[[nodiscard]] absl::StatusOr<stored::worker> decode_worker(std::string_view row);
 }
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -90,6 +90,7 @@
 struct worker
 {
 	1: string life,
+	2: string address,          // where its agent took links then
 }
 
 /** How much a filler image slows a serving image down; see filler_pressure.hpp. */
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -269,18 +269,13 @@
 		return out;
 	}
 
-	std::string encode_worker(const worker_life& life)
+	std::string encode_worker(const stored::worker& worker)
 	{
-		stored::worker row;
-		row.life = life.str();
-		return encode(row);
+		return encode(worker);
 	}
 
-	absl::StatusOr<worker_life> decode_worker(std::string_view text)
+	absl::StatusOr<stored::worker> decode_worker(std::string_view text)
 	{
-		const auto row = decode<stored::worker>(text);
-		if (!row.ok())
-			return row.status();
-		return worker_life{row->life};
+		return decode<stored::worker>(text);
 	}
 }
