Agent: a planned stop lets the lease of its runs run down to half before the agent goes

Cause: an agent that was stopped left within 50 ms, its worker went on under a whole lease (6 s), and nobody could stop the runs of a job that was cancelled then. A removed agent has no successor. Change: from the stop on the agent extends no lease and says so (lease_ends, a new field); it stays, carries stops out and has ends kept, until nothing runs, half of the lease is over, or stop_within_ms is; the owner counts no further lease. A successor has half of a lease to come.

--- a/packages/agent/src/process/job_agent_process.cpp
+++ b/packages/agent/src/process/job_agent_process.cpp
@@ -52,7 +52,7 @@
 			runs.close_to_starts();
 			do
 				co_await pause_for(io, stop_check);
-			while (runs.open_orders() > 0 && steady_now() < until);
+			while ((runs.open_orders() > 0 || !runs.may_leave(steady_now())) && steady_now() < until);
 			io.stop();
 		}
 	}
--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -132,6 +132,11 @@
 		lease_ = std::min(lease, longest_lease_);
 	}
 
+	bool run_keeper::may_leave(instant now) const noexcept
+	{
+		return runs_.empty() || clock_ms_ == 0 || deadline_ms_ - worker_now_ms(now) <= lease_.count() / 2;
+	}
+
 	bool run_keeper::is_current(const worker_life& life) const noexcept
 	{
 		return worker_ && worker_->life == life;
@@ -245,7 +250,7 @@
 	{
 		if (!is_current(worker_life{answer.worker}))
 			return;
-		if (clock_ms_ > 0)
+		if (clock_ms_ > 0 && !closing_)
 			deadline_ms_ = std::max(deadline_ms_,
 									worker_deadline_ms(clock_ms_, clock_read_, from_millis(answer.stamp_ms), lease_));
 		ends_kept_ = std::max(ends_kept_, answer.ends_kept);
@@ -272,6 +277,7 @@
 		out.remaining_ms = worker_->remaining.count();
 		out.pace_percent = mean_pace();
 		out.responsive = failed_listings_ < unresponsive_after;
+		out.lease_ends = closing_;
 		for (auto& [what, run] : runs_)
 		{
 			if (!out.full && !run.changed)
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -56,11 +56,16 @@
 		/// report in which it is will be full instead.
 		[[nodiscard]] wire::job_report report(bool full);
 
-		/// \brief Refuses further starts: the agent is about to stop.
+		/// \brief Refuses further starts and extends no lease: the agent is about to stop.
 		void close_to_starts() noexcept
 		{
 			closing_ = true;
 		}
+		/// \brief Whether the agent may go: nothing runs, or half of the lease is over.
+		/// \details Nobody can stop a run whose agent is gone, until its lease ends or the agent is back. Half of a
+		/// lease is time enough for the latter, and for the owner's wish to stop a run no longer than it has to be
+		/// patient anyway.
+		[[nodiscard]] bool may_leave(instant now) const noexcept;
 		/// \brief Orders whose outcome is not known yet.
 		[[nodiscard]] std::size_t open_orders() const noexcept
 		{
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -219,6 +219,8 @@
 		answer.stamp_ms = report.stamp_ms;
 		answer.ends_kept = peer.worker.ends_kept;
 		peer.send(to_envelope(std::move(answer)));
+		if (report.lease_ends)
+			return; // the agent takes note of the ends alone
 		const bool had_no_lease = !may_start_on(peer.worker.life, now);
 		confirmed_[peer.worker.life] = now;
 		if (had_no_lease)
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -319,6 +319,7 @@
 	12: list<task_run> started, // runs that the worker has confirmed
 	13: bool responsive,        // the worker answers its agent
 	14: i32 pace_percent,       // of the fillers
+	15: bool lease_ends,        // the agent is about to go: it extends the lease of its worker's runs no more
 }
 
 /** What a frame holds: exactly one member. */
