--- /dev/null
+++ b/tests/worker_client.cpp
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief What an agent makes of its worker's answers.
+#include <trailjunction/net/http_server.hpp>
+#include <trailjunction/platform/worker_client.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+using namespace trailjunction;
+
+namespace
+{
+	constexpr auto longest_wait = std::chrono::seconds{20}; // until a test that cannot go on gives up
+
+	/// What a listing says whose answer has this body.
+	listing_result listing_of(const std::string& body)
+	{
+		boost::asio::io_context io{1};
+		http_server server{io, http_limits{},
+						   [&](http_request) -> boost::asio::awaitable<http_response>
+						   {
+							   co_return json_response(200, body);
+						   }};
+		const auto where = server.listen(endpoint{boost::asio::ip::address_v4::loopback(), 0}).value();
+		platform::worker_client client{io, where};
+		listing_result out;
+		bool answered = false;
+		boost::asio::co_spawn(
+			io,
+			[&]() -> boost::asio::awaitable<void>
+			{
+				order_authority authority{worker_life{"life-1"}, 1};
+				const listing_order order;
+				out = co_await client.list(std::move(authority), order, steady_now() + longest_wait);
+				answered = true;
+			},
+			boost::asio::detached);
+		while (!answered)
+			io.run_one();
+		return out;
+	}
+}
+
+TEST_CASE("an answer that is no listing does not say that nothing runs", "[jobs]")
+{
+	// An answer that could not be read counted as an empty listing, which proves that a run that was ordered never
+	// began.
+	CHECK(listing_of("no listing").how == order_end::unknown);
+	CHECK(listing_of("{}").how == order_end::unknown);
+	CHECK(listing_of(R"({"clockMs":12,"running":[],"finished":[]})").how == order_end::done);
+	const auto listed = listing_of(R"({"clockMs":12,"running":[["00000000000000a1.0.0.0",2,"",10]]})");
+	CHECK(listed.how == order_end::done);
+	CHECK(listed.listing.running.size() == 1);
+}
