testkit: a job that got no answer was told as accepted

Cause: job_cluster::submit() and cancel() returned the status of the response, which is 200 before any answer came, and not 0 as their comment says. Change: both return 0 unless the whole answer came.

--- a/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
@@ -41,6 +41,7 @@
 		[[nodiscard]] int submit(int entry, const std::string& id, int tasks, millis work);
 		/// \brief The state that an entry tells; empty where it tells none.
 		[[nodiscard]] std::string state(int entry, const std::string& id);
+		/// \returns The HTTP status; 0 without an answer.
 		[[nodiscard]] int cancel(int entry, const std::string& id);
 		[[nodiscard]] http_result call(int entry, const std::string& method, const std::string& path,
 									   const std::string& body);
--- a/packages/testkit/src/job_cluster.cpp
+++ b/packages/testkit/src/job_cluster.cpp
@@ -35,6 +35,11 @@
 "pathPrefix":"/merges/","timeoutMs":3000,"targetLatencyMs":250,"priority":0,"service":"tally","maxAttempts":2,
 "stretch":1.5}],"services":[{"name":"tally"}],"limits":{"maxBodyBytes":262144}})";
 
+		int status_of(const http_result& result)
+		{
+			return result.reached == delivery::answered ? result.response.status : 0;
+		}
+
 		void write_file(const std::string& path, const json::object& value)
 		{
 			std::ofstream{path} << json::serialize(value);
@@ -137,7 +142,7 @@
 			{"spec", absl::StrCat(work.count())},
 			{"phases",
 			 json::array{json::object{{"count", tasks}, {"cpu", 500}, {"memMb", 256}, {"estimateMs", work.count()}}}}});
-		return call(entry, "POST", id, body).response.status;
+		return status_of(call(entry, "POST", id, body));
 	}
 
 	std::string job_cluster::state(int entry, const std::string& id)
@@ -149,7 +154,7 @@
 
 	int job_cluster::cancel(int entry, const std::string& id)
 	{
-		return call(entry, "DELETE", id, "").response.status;
+		return status_of(call(entry, "DELETE", id, ""));
 	}
 
 	bool job_cluster::wait_until(const std::function<bool()>& holds, millis most)
