testkit: real processes with a proxy on each connection, and what workers were told

Cause: a test with real processes could not cut, delay or silence a connection between entries, agents, workers and the store, and could not print what calls a worker got. Change: job_cluster_options::proxies puts a fault_proxy on the calls of agents to workers, links of owners to agents, and the store's connections of both. Agents write their true address to the store, so the stand-in's row is rewritten to the proxy's. Workers keep each call to start or stop with its answer; lines_with() gives the lines of all logs that name something, by time.

--- a/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
@@ -6,13 +6,16 @@
 
 #include "address_picker.hpp"
 #include "child_process.hpp"
+#include "fault_proxy.hpp"
 #include "rows_standin.hpp"
 #include "standin_thread.hpp"
 #include "worker_standin.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace trailjunction::testkit
@@ -24,6 +27,16 @@
 		int entries{2};
 		int workers{2};
 		millis contact{3'000};
+		bool proxies{}; ///< Whether connections pass through a fault_proxy, see #cable.
+	};
+
+	/// \brief Connections that pass through a proxy.
+	enum class cable
+	{
+		worker_calls, ///< Of an agent to its worker.
+		agent_links,  ///< Of owners to an agent.
+		agent_store,  ///< Of an agent to the store.
+		entry_store,  ///< Of an entry to the store.
 	};
 
 	/// \brief Starts everything and takes it down again.
@@ -77,10 +90,22 @@
 		{
 			return thread_.run([&] { return work(platform_->store); });
 		}
+		/// \brief Safe access to the proxy of an agent or an entry. Only with job_cluster_options::proxies.
+		template <typename Work>
+		auto with_proxy(cable kind, int index, Work work)
+		{
+			return thread_.run([&] { return work(*proxies_.at({kind, index})); });
+		}
+		/// \brief Every start that a worker carried out, in the order of workers.
+		[[nodiscard]] std::vector<worker_standin::begun_run> all_begun();
+		/// \brief Every call to start or stop a run that reached a worker, in the order of workers.
+		[[nodiscard]] std::vector<worker_standin::order> all_orders();
 		/// \brief How often a task began, over all workers.
 		[[nodiscard]] int times_begun(const std::string& task);
 		/// \brief The ends of all logs, for the message of a failed test.
 		[[nodiscard]] std::string logs() const;
+		/// \brief The lines of all logs that have \p word in them, in the order of their times.
+		[[nodiscard]] std::vector<std::string> lines_with(const std::string& word) const;
 
 	private:
 		struct program
@@ -94,6 +119,10 @@
 
 		void make_worker(int index);
 		void make_entry(int index);
+		/// Makes a proxy, where they are wanted. \returns Where to connect to instead of \p target.
+		[[nodiscard]] endpoint through_proxy(cable kind, int index, endpoint target);
+		/// Agents write to the store where they take links; owners are to read of the proxies instead.
+		boost::asio::awaitable<void> lead_links_through_proxies();
 
 		job_cluster_options options_;
 		std::string folder_;
@@ -101,6 +130,8 @@
 		standin_thread thread_;
 		std::unique_ptr<rows_standin> platform_;
 		endpoint store_;
+		std::map<std::pair<cable, int>, std::unique_ptr<fault_proxy>> proxies_;
+		std::map<std::string, std::string> link_rows_; ///< By agent: its row with the proxy's address.
 		std::vector<std::unique_ptr<worker_standin>> workers_;
 		std::vector<program> agents_;
 		std::vector<program> entries_;
--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -74,6 +74,15 @@
 			std::optional<instant> noted;
 		};
 
+		/// \brief One call to start or to stop a run.
+		struct order
+		{
+			instant when{}; ///< It was carried out or refused.
+			std::string task;
+			std::int64_t run{};
+			std::string what; ///< The call and its answer.
+		};
+
 		/// \brief How much longer its runs may go on without a word.
 		[[nodiscard]] millis lease_left() const
 		{
@@ -87,6 +96,7 @@
 		std::int64_t run_cpu_milli{500}; ///< What each of its runs takes.
 		millis stop_time{};              ///< From a stop to the end of its run, which holds its room until then.
 		std::vector<begun_run> begun;    ///< In order, over all incarnations.
+		std::vector<order> orders;       ///< In order, over all incarnations.
 		/// Runs of one task that were there at one time: the places in #begun of the one that was and of the one that
 		/// came.
 		std::vector<std::pair<std::size_t, std::size_t>> doubled;
@@ -111,6 +121,7 @@
 		boost::asio::awaitable<http_response> answer(http_request request);
 		boost::asio::awaitable<void> carry_out_late(http_request request, millis by);
 		boost::asio::awaitable<http_response> carry_out(http_request request, bool late);
+		[[nodiscard]] http_response answer_order(std::string_view path, const boost::json::object& body, bool late);
 		boost::asio::awaitable<http_response> answer_hold(boost::json::object body);
 		[[nodiscard]] http_response answer_stop(const boost::json::object& body);
 		[[nodiscard]] http_response answer_start(const boost::json::object& body, bool late);
--- a/packages/testkit/src/job_cluster.cpp
+++ b/packages/testkit/src/job_cluster.cpp
@@ -3,6 +3,7 @@
 #include <trailjunction/core/random.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_tables.hpp>
+#include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/testkit/job_cluster.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -26,6 +27,7 @@
 		constexpr auto ready_time = millis{20'000};
 		constexpr auto call_time = millis{5'000};
 		constexpr auto check_pause = millis{10};
+		constexpr auto row_check_pause = millis{2};
 		constexpr std::size_t log_shown = 6'000;
 		constexpr const char* host = "jobs.example";
 		constexpr const char* prefix = "/merges/";
@@ -61,6 +63,7 @@
 			make_worker(i);
 		for (int i = 0; i < options_.entries; ++i)
 			make_entry(i);
+		thread_.run([this] { asio::co_spawn(thread_.io(), lead_links_through_proxies(), asio::detached); });
 		for (auto* programs : {&agents_, &entries_})
 			for (auto& one : *programs)
 				one.process = std::make_unique<child_process>(one.words, one.log);
@@ -77,6 +80,31 @@
 			std::filesystem::remove_all(folder_, ignored);
 	}
 
+	endpoint job_cluster::through_proxy(cable kind, int index, endpoint target)
+	{
+		if (!options_.proxies)
+			return target;
+		return thread_.run(
+			[&]
+			{
+				auto& proxy = proxies_[{kind, index}];
+				proxy = std::make_unique<fault_proxy>(thread_.io(), target);
+				return proxy->listen();
+			});
+	}
+
+	asio::awaitable<void> job_cluster::lead_links_through_proxies()
+	{
+		while (true)
+		{
+			for (const auto& [agent, row] : link_rows_)
+				if (const auto now = platform_->store.value(agent_partition, agents_table, agent);
+					!now.empty() && now != row)
+					platform_->store.put(agent_partition, agents_table, agent, row);
+			co_await pause_for(thread_.io(), row_check_pause);
+		}
+	}
+
 	void job_cluster::make_worker(int index)
 	{
 		program agent;
@@ -84,20 +112,31 @@
 		const auto heartbeats = addresses_.pick();
 		agent.settings = absl::StrCat(folder_, "/", name, ".json");
 		agent.log = absl::StrCat(folder_, "/", name, ".log");
-		json::object settings{{"mode", "jobs"}, {"worker", name}, {"data_centre", "dc1"}, {"store", to_string(store_)}};
+		const auto links = addresses_.pick();
+		stored::agent row;
+		row.address = to_string(through_proxy(cable::agent_links, index, links));
+		row.data_centre = "dc1";
+		if (options_.proxies)
+			thread_.run([&] { link_rows_[name] = encode_agent(row); });
+		json::object settings{{"mode", "jobs"},
+							  {"worker", name},
+							  {"data_centre", "dc1"},
+							  {"store", to_string(through_proxy(cable::agent_store, index, store_))}};
 		settings["listen"] = {{"heartbeats", to_string(heartbeats)},
-							  {"links", to_string(addresses_.pick())},
+							  {"links", to_string(links)},
 							  {"metrics", to_string(addresses_.pick())}};
 		write_file(agent.settings, settings);
 		agent.words = {options_.programs + "/packages/agent/trailjunction-agent", "--settings", agent.settings};
 		agents_.push_back(std::move(agent));
-		thread_.run(
+		const auto where = thread_.run(
 			[&]
 			{
 				workers_.push_back(std::make_unique<worker_standin>(thread_.io(), absl::StrCat("life-", index + 1),
 																	"tally", heartbeats));
-				workers_.back()->begin(workers_.back()->listen());
+				return workers_.back()->listen();
 			});
+		const auto announced = through_proxy(cable::worker_calls, index, where);
+		thread_.run([&] { workers_.back()->begin(announced); });
 	}
 
 	void job_cluster::make_entry(int index)
@@ -110,7 +149,7 @@
 		json::object settings{{"mode", "jobs"},
 							  {"member", name},
 							  {"data_centre", "dc1"},
-							  {"store", to_string(store_)},
+							  {"store", to_string(through_proxy(cable::entry_store, index, store_))},
 							  {"contact_ms", options_.contact.count()}};
 		settings["listen"] = {{"callers", to_string(entry.callers)},
 							  {"readiness", to_string(addresses_.pick())},
@@ -209,19 +248,40 @@
 		return -1;
 	}
 
-	int job_cluster::times_begun(const std::string& task)
+	std::vector<worker_standin::begun_run> job_cluster::all_begun()
 	{
 		return thread_.run(
-			[&]
+			[this]
+			{
+				std::vector<worker_standin::begun_run> out;
+				for (const auto& worker : workers_)
+				{
+					worker->settle(steady_now());
+					out.insert(out.end(), worker->begun.begin(), worker->begun.end());
+				}
+				return out;
+			});
+	}
+
+	std::vector<worker_standin::order> job_cluster::all_orders()
+	{
+		return thread_.run(
+			[this]
 			{
-				std::ptrdiff_t count = 0;
+				std::vector<worker_standin::order> out;
 				for (const auto& worker : workers_)
-					count += std::count_if(worker->begun.begin(), worker->begun.end(),
-										   [&](const worker_standin::begun_run& run) { return run.task == task; });
-				return static_cast<int>(count);
+					out.insert(out.end(), worker->orders.begin(), worker->orders.end());
+				return out;
 			});
 	}
 
+	int job_cluster::times_begun(const std::string& task)
+	{
+		const auto all = all_begun();
+		return static_cast<int>(std::count_if(all.begin(), all.end(),
+											  [&](const worker_standin::begun_run& run) { return run.task == task; }));
+	}
+
 	std::string job_cluster::logs() const
 	{
 		std::string out;
@@ -235,4 +295,20 @@
 			}
 		return out;
 	}
+
+	std::vector<std::string> job_cluster::lines_with(const std::string& word) const
+	{
+		std::vector<std::string> out;
+		for (const auto* programs : {&agents_, &entries_})
+			for (const auto& one : *programs)
+			{
+				const auto name = std::filesystem::path{one.log}.stem().string();
+				std::ifstream file{one.log};
+				for (std::string line; std::getline(file, line);)
+					if (line.find(word) != std::string::npos)
+						out.push_back(absl::StrCat(line, " ", name));
+			}
+		std::sort(out.begin(), out.end()); // each begins with its time
+		return out;
+	}
 }
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -4,6 +4,7 @@
 #include <trailjunction/testkit/worker_standin.hpp>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -200,22 +201,33 @@
 			co_return plain(400);
 		auto body = std::move(parsed->get_object());
 		const auto path = path_of(request.target);
-		const bool order = path == start_path || path == stop_path;
-		if (order && faults.unhealthy != 0)
-			co_return plain(faults.unhealthy);
+		if (path == start_path || path == stop_path)
+		{
+			auto out = answer_order(path, body, late);
+			orders.push_back({steady_now(), text_or(body, "task"), number_or(body, "runId"),
+							  absl::StrCat(std::string{path}, late ? " late: " : ": ", out.status, " ", out.body)});
+			co_return out;
+		}
 		const auto token = number_or(body, "fencingToken");
 		if (token < token_)
 			co_return plain(409, "fence");
 		token_ = token;
-		if (path == start_path)
-			co_return answer_start(body, late);
-		if (path == stop_path)
-			co_return answer_stop(body);
 		if (path == hold_path)
 			co_return co_await answer_hold(std::move(body));
 		co_return plain(200);
 	}
 
+	http_response worker_standin::answer_order(std::string_view path, const json::object& body, bool late)
+	{
+		if (faults.unhealthy != 0)
+			return plain(faults.unhealthy);
+		const auto token = number_or(body, "fencingToken");
+		if (token < token_)
+			return plain(409, "fence");
+		token_ = token;
+		return path == start_path ? answer_start(body, late) : answer_stop(body);
+	}
+
 	bool worker_standin::has_room() const
 	{
 		return !checks_room || (std::ssize(running_) + 1) * run_cpu_milli <= cpu_milli;
