tests: a storm with real processes, and an order that comes again after its refusal

Cause: with real processes one worker had two runs of a task at once, both from its agent, the first one stopped; the users' simulator does not pause a process whose kernel goes on to accept connections and to buffer orders, and no test of ours did while jobs came in. Change: tests/job_storm.cpp: jobs handed in, some cancelled, while faults drawn from a seed come and go: pauses, deaths, cut, silenced, slow connections, workers that are slow, late, unhealthy or restart, the store. Checked: no two runs of a task at once, none after a noted `done`, ends of all accepted jobs and of cancelled work.

--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -32,6 +32,7 @@
 		int late_orders{};      ///< So many next starts get no answer, and are carried out later.
 		int late_stops{};       ///< So many next stops likewise.
 		millis late_by{};       ///< How much later.
+		int no_room{};          ///< So many next starts find no room, whatever there is.
 		bool fail_everything{}; ///< Each run ends `failed` at its end.
 		bool silent{};          ///< Answers nothing and sends no heartbeat.
 		int unhealthy{}; ///< Answers starts and stops with this status (429 or 503) and does nothing; 0: does them.
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -265,8 +265,11 @@
 		const auto closed = closed_.find(task);
 		if (closed != closed_.end() && run <= closed->second)
 			return plain(409, "old");
-		if (!has_room())
+		if (faults.no_room > 0 || !has_room())
+		{
+			faults.no_room = std::max(0, faults.no_room - 1);
 			return plain(409, "room");
+		}
 		begin_run(body, late);
 		return plain(200);
 	}
--- /dev/null
+++ b/tests/job_storm.cpp
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Jobs through the real programs in a storm: no task runs twice, and each accepted job ends.
+#include "job_storm.hpp"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <future>
+#include <thread>
+
+using namespace trailjunction;
+using namespace trailjunction::testkit;
+
+namespace
+{
+	constexpr int clients = 3;
+	constexpr auto look_again = millis{10};
+	/// For a worker whose runs each take 500: six at once.
+	constexpr std::int64_t small_worker_milli = 3'000;
+	constexpr auto long_stop = millis{600};
+
+	storm_options options_of(std::uint64_t seed)
+	{
+		storm_options out;
+		out.seed = seed;
+		out.entries = 2 + static_cast<int>(seed % 2);
+		out.workers = 3 + static_cast<int>(seed / 2 % 2);
+		return out;
+	}
+
+	job_cluster_options cluster_of(const storm_options& options)
+	{
+		job_cluster_options out;
+		out.programs = TRAILJUNCTION_PROGRAMS;
+		out.entries = options.entries;
+		out.workers = options.workers;
+		out.proxies = true;
+		return out;
+	}
+
+	/// Workers that check their room, or do not, with quick or slow stops.
+	void set_up_workers(job_cluster& system, const storm_options& options)
+	{
+		storm_dice dice{options.seed};
+		const bool checks_room = !dice.one_in(4);
+		const bool slow_stops = dice.one_in(2);
+		for (int i = 0; i < options.workers; ++i)
+			system.with_worker(i,
+							   [=](worker_standin& worker)
+							   {
+								   worker.cpu_milli = small_worker_milli;
+								   worker.checks_room = checks_room;
+								   worker.stop_time = slow_stops ? long_stop : millis{50};
+							   });
+	}
+
+	/// Acts out a storm. \returns What broke in it.
+	std::optional<storm_finding> play(job_cluster& system, const storm_options& options,
+									  std::vector<std::string>& events)
+	{
+		std::optional<storm_finding> found;
+		const auto begin = steady_now();
+		auto last_look = begin;
+		constexpr auto look_every = millis{100};
+		for (const auto& event : draw_storm(options))
+		{
+			while (!found && steady_now() < begin + event.at)
+			{
+				std::this_thread::sleep_for(look_again);
+				if (steady_now() - last_look < look_every)
+					continue;
+				last_look = steady_now();
+				found = find_double_run(system.all_begun());
+			}
+			if (found)
+				return found;
+			events.push_back(absl::StrCat(log_time(steady_now()), " ", event.what));
+			event.act(system);
+		}
+		return found;
+	}
+
+	/// \returns What broke in the storm of a seed; empty where nothing did.
+	std::string storm(const storm_options& options)
+	{
+		job_cluster system{cluster_of(options)};
+		set_up_workers(system, options);
+		if (!system.wait_ready())
+			return "not ready:\n" + system.logs();
+		std::atomic<bool> over{};
+		std::vector<std::future<std::vector<storm_job>>> handed_in;
+		for (int i = 0; i < clients; ++i)
+			handed_in.push_back(std::async(std::launch::async, [&, i]
+										   { return hand_in_jobs(system, options, i, [&] { return over.load(); }); }));
+		std::vector<std::string> events;
+		auto found = play(system, options, events);
+		auto seen = found ? describe(system, *found, events) : std::string{};
+		events.push_back(absl::StrCat(log_time(steady_now()), " all is well again"));
+		end_storm(system, options);
+		over = true;
+		std::vector<storm_job> jobs;
+		for (auto& some : handed_in)
+			for (auto& job : some.get())
+				jobs.push_back(std::move(job));
+		if (found)
+			return seen;
+		found = find_unfinished(system, jobs);
+		if (!found)
+			found = find_double_run(system.all_begun());
+		return found ? describe(system, *found, events) : std::string{};
+	}
+
+	/// The seeds of a text like `3-20`, or of one like `7`.
+	std::pair<std::uint64_t, std::uint64_t> seeds_of(const char* text)
+	{
+		const std::string range{text == nullptr ? "1-10" : text};
+		const auto dash = range.find('-');
+		std::uint64_t first = 0;
+		std::uint64_t last = 0;
+		REQUIRE(absl::SimpleAtoi(range.substr(0, dash), &first));
+		REQUIRE(absl::SimpleAtoi(dash == std::string::npos ? range : range.substr(dash + 1), &last));
+		return {first, last};
+	}
+}
+
+TEST_CASE("no task runs twice in storms of many seeds, and each accepted job ends", "[.storm]")
+{
+	const auto [first, last] = seeds_of(std::getenv("TRAILJUNCTION_STORM_SEEDS"));
+	for (auto seed = first; seed <= last; ++seed)
+	{
+		INFO("seed " << seed);
+		const auto found = storm(options_of(seed));
+		INFO(found);
+		CHECK(found.empty());
+	}
+}
+
+TEST_CASE("no task runs twice in a short storm, and each accepted job ends", "[process]")
+{
+	auto options = options_of(1);
+	options.lasts = millis{8'000};
+	const auto found = storm(options);
+	INFO(found);
+	CHECK(found.empty());
+}
