--- a/tests/job_storm.cpp
+++ b/tests/job_storm.cpp
@@ -1,6 +1,20 @@
 // SPDX-License-Identifier: MIT
 /// \file
 /// \brief Jobs through the real programs in a storm: no task runs twice, and each accepted job ends.
+///
+/// By hand, one process for each range of seeds; several may run at once:
+///
+///     TRAILJUNCTION_STORM_SEEDS=1-50 build/tests/trailjunction-tests "[.storm]"
+///
+/// A seed draws the faults and their times, the jobs and the workers, so it names a plan; how the programs meet it
+/// differs from run to run. Each seed takes some 25 s. Besides:
+///
+/// - TRAILJUNCTION_STORM_MS: how long faults begin, 20000 without it. A shorter plan is the beginning of a longer one
+///   of the same seed, with shorter long jobs.
+/// - TRAILJUNCTION_STORM_PROGRAMS: a build folder whose programs are put to the test, such as that of an older state.
+/// - TRAILJUNCTION_KEEP_LOGS: the logs of the programs stay in the folder for temporary files.
+///
+/// A failure prints the events of the storm, the calls to workers and the lines of the logs on the task, in order.
 #include "job_storm.hpp"
 
 #include <absl/strings/numbers.h>
@@ -20,9 +34,15 @@
 {
 	constexpr int clients = 3;
 	constexpr auto look_again = millis{10};
-	/// For a worker whose runs each take 500: six at once.
+	/// Its runs take 500 each: six or ten at once.
 	constexpr std::int64_t small_worker_milli = 3'000;
-	constexpr auto long_stop = millis{600};
+	constexpr std::int64_t large_worker_milli = 5'000;
+	constexpr auto quick_stop = millis{50};
+	constexpr int shortest_long_stop = 200;
+	constexpr int longest_long_stop = 900;
+	/// Longer than agents wait for the answer to a start.
+	constexpr int shortest_slow_start = 420;
+	constexpr int longest_slow_start = 800;
 
 	storm_options options_of(std::uint64_t seed)
 	{
@@ -30,13 +50,26 @@
 		out.seed = seed;
 		out.entries = 2 + static_cast<int>(seed % 2);
 		out.workers = 3 + static_cast<int>(seed / 2 % 2);
+		if (const char* text = std::getenv("TRAILJUNCTION_STORM_MS"); text != nullptr)
+		{
+			std::int64_t lasts = 0;
+			REQUIRE(absl::SimpleAtoi(text, &lasts));
+			out.lasts = millis{lasts};
+		}
+		constexpr std::uint64_t workers_of_one_kind = 4;
+		if (seed % workers_of_one_kind != 1)
+			return out;
+		storm_dice dice{seed};
+		for (int i = 0; i < out.workers; ++i)
+			out.slow_starts.push_back(
+				{dice.one_in(2) ? dice.time(shortest_slow_start, longest_slow_start) : millis{0}, {}});
 		return out;
 	}
 
 	job_cluster_options cluster_of(const storm_options& options)
 	{
 		job_cluster_options out;
-		out.programs = TRAILJUNCTION_PROGRAMS;
+		out.programs = storm_programs();
 		out.entries = options.entries;
 		out.workers = options.workers;
 		out.proxies = true;
@@ -49,14 +82,20 @@
 		storm_dice dice{options.seed};
 		const bool checks_room = !dice.one_in(4);
 		const bool slow_stops = dice.one_in(2);
+		const auto cpu_milli = dice.one_in(2) ? small_worker_milli : large_worker_milli;
 		for (int i = 0; i < options.workers; ++i)
+		{
+			const auto stop_time = slow_stops ? dice.time(shortest_long_stop, longest_long_stop) : quick_stop;
 			system.with_worker(i,
-							   [=](worker_standin& worker)
+							   [&](worker_standin& worker)
 							   {
-								   worker.cpu_milli = small_worker_milli;
+								   worker.cpu_milli = cpu_milli;
 								   worker.checks_room = checks_room;
-								   worker.stop_time = slow_stops ? long_stop : millis{50};
+								   worker.stop_time = stop_time;
+								   if (!options.slow_starts.empty())
+									   worker.faults.starts = options.slow_starts[static_cast<std::size_t>(i)];
 							   });
+		}
 	}
 
 	/// Acts out a storm. \returns What broke in it.
@@ -89,9 +128,9 @@
 	std::string storm(const storm_options& options)
 	{
 		job_cluster system{cluster_of(options)};
-		set_up_workers(system, options);
 		if (!system.wait_ready())
 			return "not ready:\n" + system.logs();
+		set_up_workers(system, options);
 		std::atomic<bool> over{};
 		std::vector<std::future<std::vector<storm_job>>> handed_in;
 		for (int i = 0; i < clients; ++i)
@@ -128,6 +167,12 @@
 	}
 }
 
+std::string testkit::storm_programs()
+{
+	const char* programs = std::getenv("TRAILJUNCTION_STORM_PROGRAMS");
+	return programs == nullptr ? TRAILJUNCTION_PROGRAMS : programs;
+}
+
 TEST_CASE("no task runs twice in storms of many seeds, and each accepted job ends", "[.storm]")
 {
 	const auto [first, last] = seeds_of(std::getenv("TRAILJUNCTION_STORM_SEEDS"));
--- a/tests/job_storm.hpp
+++ b/tests/job_storm.hpp
@@ -21,8 +21,13 @@
 		int entries{2};
 		int workers{3};
 		millis lasts{20'000}; ///< Faults begin for so long.
+		/// How slow each worker is with starts all the time; empty where none is.
+		std::vector<call_slowness> slow_starts;
 	};
 
+	/// \brief The build folder of the programs: TRAILJUNCTION_STORM_PROGRAMS, or the one of the tests.
+	[[nodiscard]] std::string storm_programs();
+
 	/// \brief Draws that are the same for the same seed.
 	class storm_dice
 	{
--- a/tests/job_storm_checks.cpp
+++ b/tests/job_storm_checks.cpp
@@ -21,15 +21,18 @@
 		/// Far more than the work that is left over at the end of any storm.
 		constexpr auto calm_time = millis{90'000};
 
-		storm_job draw_job(storm_dice& dice, int client, int number)
+		storm_job draw_job(storm_dice& dice, const storm_options& options, int client, int number)
 		{
 			storm_job out;
 			out.id = absl::StrFormat("%08x%08x", client + 1, number);
 			out.tasks = dice.between(1, 5);
-			out.work = dice.time(300, 2'000);
+			out.work = dice.time(200, 1'500);
 			out.to_cancel = dice.one_in(8);
 			if (dice.one_in(10))
-				out.work = dice.time(4'000, 8'000);
+			{
+				const auto fifth = static_cast<int>(options.lasts.count() / 5);
+				out.work = dice.time(fifth, 2 * fifth);
+			}
 			if (dice.one_in(15))
 			{
 				out.work = millis{600'000};
@@ -93,7 +96,7 @@
 		std::vector<storm_job> jobs;
 		while (!over())
 		{
-			jobs.push_back(draw_job(dice, client, static_cast<int>(jobs.size())));
+			jobs.push_back(draw_job(dice, options, client, static_cast<int>(jobs.size())));
 			while (!try_to_hand_in(system, any_entry(), jobs.back()) && !over())
 				std::this_thread::sleep_for(retry_pause);
 			std::this_thread::sleep_for(dice.time(100, 900));
--- a/tests/job_storm_faults.cpp
+++ b/tests/job_storm_faults.cpp
@@ -15,6 +15,9 @@
 		constexpr auto first_fault = millis{1'000};
 		constexpr int shortest_pause = 500;
 		constexpr int longest_pause = 9'000;
+		/// An owner closes a link without a word for 1.5 s, and dials again 0.2 s later.
+		constexpr int shortest_redialled_pause = 1'600;
+		constexpr int longest_redialled_pause = 5'000;
 
 		/// Draws faults into a plan.
 		struct storm_plan
@@ -62,6 +65,13 @@
 			}
 		};
 
+		/// What a worker does without a fault of its own.
+		call_slowness usual_starts(const storm_options& options, int worker)
+		{
+			return options.slow_starts.empty() ? call_slowness{}
+											   : options.slow_starts[static_cast<std::size_t>(worker)];
+		}
+
 		/// The owner where there is one: most of what matters happens there.
 		int owner_or(job_cluster& system, int other)
 		{
@@ -84,6 +94,49 @@
 							   { faults.unhealthy = on ? status : 0; });
 		}
 
+		/// A worker does not take starts well just when its agent goes on.
+		void harm_first_starts(storm_plan& plan, millis goes_on, int worker)
+		{
+			const auto at = goes_on - millis{50};
+			const auto lasts = plan.dice.time(70, 350);
+			const call_slowness slow{plan.dice.time(20, 300), {}};
+			const int many = plan.dice.between(1, 4);
+			const int status = plan.dice.one_in(2) ? 429 : 503;
+			switch (plan.dice.between(0, 3))
+			{
+			case 0:
+				return plan.on_worker(at, lasts, worker, "without room",
+									  [=](worker_faults& faults, bool on) { faults.no_room = on ? many : 0; });
+			case 1:
+				return plan.on_worker(at, lasts, worker, absl::StrCat("answers ", status),
+									  [=](worker_faults& faults, bool on) { faults.unhealthy = on ? status : 0; });
+			case 2:
+				return plan.on_worker(at, lasts, worker, "slow with first starts",
+									  [=, usual = usual_starts(plan.options, worker)](worker_faults& faults, bool on)
+									  { faults.starts = on ? slow : usual; });
+			default:
+				return; // its agent's old picture of the clock may be enough
+			}
+		}
+
+		/// An agent is paused for longer than its owner waits for a word. Its kernel keeps the orders of the old link
+		/// and takes the next one. When it goes on, orders, refusals, its account and repeated orders cross each other,
+		/// the more so where the link takes its time.
+		void pause_until_redialled(storm_plan& plan, millis at)
+		{
+			const int one = plan.any_worker();
+			const auto goes_on = at + plan.dice.time(shortest_redialled_pause, longest_redialled_pause);
+			plan.on_cable(at, cable::agent_links, one, "delayed",
+						  [delay = plan.dice.time(0, 150)](fault_proxy& proxy) { proxy.faults().delay = delay; });
+			plan.add(at, absl::StrCat("agent ", one + 1, " paused"),
+					 [one](job_cluster& system) { system.agent(one).signal(SIGSTOP); });
+			plan.add(goes_on, absl::StrCat("agent ", one + 1, " goes on"),
+					 [one](job_cluster& system) { system.agent(one).signal(SIGCONT); });
+			harm_first_starts(plan, goes_on, one);
+			plan.on_cable(goes_on + plan.dice.time(300, 800), cable::agent_links, one, "well",
+						  [](fault_proxy& proxy) { proxy.faults() = {}; });
+		}
+
 		void pause_entry(storm_plan& plan, millis at)
 		{
 			const auto one = std::make_shared<int>(plan.any_entry());
@@ -157,8 +210,8 @@
 			{
 			case 0:
 				return plan.on_worker(at, lasts, one, "slow with starts",
-									  [=](worker_faults& faults, bool on)
-									  { faults.starts = on ? slow : call_slowness{}; });
+									  [=, usual = usual_starts(plan.options, one)](worker_faults& faults, bool on)
+									  { faults.starts = on ? slow : usual; });
 			case 1:
 				return plan.on_worker(at, lasts, one, "slow with stops",
 									  [=](worker_faults& faults, bool on)
@@ -235,23 +288,28 @@
 
 		void draw_fault(storm_plan& plan, millis at)
 		{
-			switch (plan.dice.between(0, 11))
+			switch (plan.dice.between(0, 15))
 			{
 			case 0:
 			case 1:
 			case 2:
-				return pause_agent(plan, at);
 			case 3:
-				return pause_entry(plan, at);
 			case 4:
-				return plan.dice.one_in(2) ? restart_agent(plan, at) : restart_entry(plan, at);
+				return pause_until_redialled(plan, at);
 			case 5:
 			case 6:
-				return harm_cable(plan, at);
+				return pause_agent(plan, at);
 			case 7:
-				return harm_store(plan, at);
+				return pause_entry(plan, at);
 			case 8:
+				return plan.dice.one_in(2) ? restart_agent(plan, at) : restart_entry(plan, at);
 			case 9:
+			case 10:
+				return harm_cable(plan, at);
+			case 11:
+				return harm_store(plan, at);
+			case 12:
+			case 13:
 				return link_anew(plan, at);
 			default:
 				return harm_worker(plan, at);
