--- a/packages/entry/src/connection/agent_peer.cpp
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -66,7 +66,7 @@
 		if (!message.__isset.job_status || stopped_)
 			return;
 		// The first report that names a worker is a full one; those before come from an agent that knows of none.
-		accounted_ = accounted_ || !message.job_status.worker.empty();
+		reported_ = reported_ || !message.job_status.worker.empty();
 		on_report_(*this, std::move(message.job_status));
 	}
 
@@ -85,7 +85,7 @@
 				continue;
 			}
 			asio::steady_timer closed{io_, instant::max()};
-			accounted_ = false;
+			reported_ = false;
 			link_ = std::make_shared<link>(stream.release_socket(), limits);
 			link_->start([self = shared_from_this()](wire::envelope&& message)
 						 { self->on_message(std::move(message)); },
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -54,11 +54,11 @@
 			return link_ != nullptr && link_->is_open();
 		}
 		/// \brief Whether the agent has told over the present link what its worker runs.
-		/// \details A paused agent's kernel takes a link at once. An order that is sent before the account may be
-		/// missing from it though it is carried out.
-		[[nodiscard]] bool has_accounted() const noexcept
+		/// \details A paused agent's kernel takes a link at once. A report that is made when the agent goes on does not
+		/// list what was ordered over the link before, so such an order would be taken for lost and repeated.
+		[[nodiscard]] bool has_reported() const noexcept
 		{
-			return is_connected() && accounted_;
+			return is_connected() && reported_;
 		}
 		/// \brief Sends a message, if there is a link; what is lost is settled by the next full report.
 		void send(const wire::envelope& message);
@@ -86,7 +86,7 @@
 		wire::job_claim claim_;
 		report_handler on_report_;
 		std::shared_ptr<link> link_;
-		bool accounted_{}; ///< Over the present link.
+		bool reported_{}; ///< Over the present link.
 		bool stopped_{};
 	};
 }
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -35,7 +35,7 @@
 	{
 		const auto reaches = [&](const agent_peer& peer)
 		{
-			return peer.worker.life == life && peer.has_accounted();
+			return peer.worker.life == life && peer.has_reported();
 		};
 		// The link to an agent that is gone may stay open while another agent has found the worker.
 		if (const auto beside = agent_beside_.find(life); beside != agent_beside_.end())
@@ -287,7 +287,7 @@
 			view.labels = worker.labels;
 			view.capacity = worker.capacity;
 			view.pace = worker.filler_pace;
-			view.accepts = peer->has_accounted() && may_start_on(worker.life, now) && worker.responsive &&
+			view.accepts = peer->has_reported() && may_start_on(worker.life, now) && worker.responsive &&
 						   !worker.draining && now >= worker.trust.avoided_until;
 			out.push_back(std::move(view));
 		}
--- /dev/null
+++ b/tests/cancelled_runs_scene.hpp
@@ -0,0 +1,367 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief An owner, its agents and a worker whose answers the test picks, on loops of the test's own.
+#pragma once
+
+#include "../packages/agent/src/connection/owner_links.hpp"
+#include "../packages/agent/src/process/run_keeper.hpp"
+#include "job_term_scene.hpp"
+
+#include <trailjunction/net/coroutines.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace trailjunction::cancelled_runs_scene
+{
+	using namespace testkit;
+	using job_term_scene::longest_wait;
+	using job_term_scene::one_task;
+	using job_term_scene::some_queue;
+
+	inline constexpr const char* some_job = "00000000000000a1";
+
+	/// A worker as the platform's pages describe it, with orders that are carried out when the test says so.
+	class played_worker
+	{
+	public:
+		explicit played_worker(std::string name) : life{std::move(name)} {}
+
+		[[nodiscard]] std::int64_t clock_ms() const
+		{
+			return std::chrono::duration_cast<millis>(steady_now() - began_).count() + 1'000;
+		}
+		[[nodiscard]] bool is_running(const task_run& what)
+		{
+			settle();
+			return running_.contains(what);
+		}
+		[[nodiscard]] std::size_t runs()
+		{
+			settle();
+			return running_.size();
+		}
+		/// How the run ended; nothing while it has not, or was never there.
+		[[nodiscard]] std::optional<run_outcome> end_of(const task_run& what)
+		{
+			settle();
+			const auto found = ended_.find(what);
+			return found == ended_.end() ? std::nullopt : std::optional{found->second};
+		}
+		/// Whether starts of the run are taken for old ones.
+		[[nodiscard]] bool is_closed(const task_run& what) const
+		{
+			const auto found = closed_.find(what.task);
+			return found != closed_.end() && what.run <= found->second;
+		}
+		[[nodiscard]] millis lease_left() const
+		{
+			return millis{lease_ms_ - clock_ms()};
+		}
+
+		order_result start(const order_authority& authority, const run_start& order)
+		{
+			settle();
+			if (const auto refusal = check(authority))
+				return answer(*refusal);
+			lease_ms_ = std::max(lease_ms_, order.deadline_ms);
+			if (running_.contains(order.what))
+				return answer(order_end::done);
+			if (is_closed(order.what))
+				return answer(order_end::superseded);
+			if (order.deadline_ms < clock_ms())
+				return answer(order_end::late);
+			running_.emplace(order.what, authority.fencing_token);
+			return answer(order_end::done);
+		}
+		order_result stop(const order_authority& authority, const task_run& what)
+		{
+			settle();
+			if (const auto refusal = check(authority))
+				return answer(*refusal);
+			if (running_.contains(what))
+				end(what, run_outcome::stopped);
+			close(what);
+			return answer(order_end::done);
+		}
+		listing_result list(const order_authority& authority, const listing_order& order)
+		{
+			settle();
+			if (const auto refusal = check(authority))
+				return {answer(*refusal), {}};
+			lease_ms_ = std::max(lease_ms_, std::min(order.deadline_ms, clock_ms() + longest_lease.count()));
+			std::erase_if(unseen_, [&](const listed_end& one) { return one.number <= order.ends_kept; });
+			listing_result out{answer(order_end::done), {}};
+			for (const auto& [what, token] : running_)
+				out.listing.running.push_back({what, "", 10, 0});
+			out.listing.ended = unseen_;
+			return out;
+		}
+		/// Loses all knowledge of what was stopped or has ended and of tokens, which the pages do not allow.
+		void forget()
+		{
+			closed_.clear();
+			token_ = 0;
+		}
+		/// Carries out the starts that got no answer. Their time counts from now, as for late orders whose deadline
+		/// does not protect anybody.
+		void carry_out_late()
+		{
+			for (auto& [authority, order, asked_ms] : std::exchange(late_starts, {}))
+			{
+				order.deadline_ms += clock_ms() - asked_ms;
+				(void)start(authority, order);
+			}
+		}
+
+		struct late_start
+		{
+			order_authority authority;
+			run_start order;
+			std::int64_t asked_ms{};
+		};
+
+		worker_life life;
+		bool starts_unanswered{}; ///< Starts wait for carry_out_late().
+		bool stops_unanswered{};  ///< Stops are lost.
+		std::vector<late_start> late_starts;
+		int stops_lost{};
+		static constexpr auto longest_lease = millis{6'000};
+
+	private:
+		order_result answer(order_end how) const
+		{
+			return {how, clock_ms()};
+		}
+		std::optional<order_end> check(const order_authority& authority)
+		{
+			if (authority.life != life)
+				return order_end::other_life;
+			if (authority.fencing_token < token_)
+				return order_end::fenced;
+			token_ = authority.fencing_token;
+			return std::nullopt;
+		}
+		void close(const task_run& what)
+		{
+			auto& highest = closed_[what.task];
+			highest = std::max(highest, what.run);
+		}
+		void end(task_run what, run_outcome how)
+		{
+			running_.erase(what);
+			close(what);
+			ended_[what] = how;
+			unseen_.push_back({++ends_, what, how, ""});
+		}
+		void settle()
+		{
+			if (clock_ms() <= lease_ms_)
+				return;
+			while (!running_.empty())
+				end(running_.begin()->first, run_outcome::lapsed);
+		}
+
+		instant began_{steady_now()};
+		absl::flat_hash_map<task_run, std::int64_t> running_; ///< With the token that started each.
+		absl::flat_hash_map<task_key, std::uint32_t> closed_; ///< The highest run that was stopped or has ended.
+		absl::flat_hash_map<task_run, run_outcome> ended_;
+		std::vector<listed_end> unseen_;
+		std::int64_t token_{};
+		std::int64_t lease_ms_{};
+		std::int64_t ends_{};
+	};
+
+	class port_to_played final : public worker_port
+	{
+	public:
+		port_to_played(boost::asio::io_context& io, played_worker& worker) : io_{io}, worker_{worker} {}
+
+		boost::asio::awaitable<order_result> start(order_authority authority, run_start order,
+												   instant deadline) override
+		{
+			if (!worker_.starts_unanswered)
+				co_return worker_.start(authority, order);
+			worker_.late_starts.push_back({authority, std::move(order), worker_.clock_ms()});
+			co_await wait_in_vain(deadline);
+			co_return order_result{order_end::unknown, 0};
+		}
+		boost::asio::awaitable<order_result> stop(order_authority authority, task_run what, instant deadline) override
+		{
+			if (!worker_.stops_unanswered)
+				co_return worker_.stop(authority, what);
+			++worker_.stops_lost;
+			co_await wait_in_vain(deadline);
+			co_return order_result{order_end::unknown, 0};
+		}
+		boost::asio::awaitable<listing_result> list(order_authority authority, listing_order order, instant) override
+		{
+			co_await pause_for(io_, millis{20});
+			co_return worker_.list(authority, order);
+		}
+		boost::asio::awaitable<order_result> pace(order_authority, task_run, int, instant) override
+		{
+			co_return order_result{order_end::done, worker_.clock_ms()};
+		}
+
+	private:
+		boost::asio::awaitable<void> wait_in_vain(instant deadline)
+		{
+			co_await pause_for(io_, std::chrono::duration_cast<millis>(deadline - steady_now()));
+		}
+
+		boost::asio::io_context& io_;
+		played_worker& worker_;
+	};
+
+	/// One process beside the worker, on a loop of its own: what is not run any more is silent, as a machine that is
+	/// gone.
+	class played_agent
+	{
+	public:
+		played_agent(played_worker& worker, const endpoint& where)
+			: runs_{io_, [this, &worker](endpoint) { return std::make_unique<port_to_played>(io_, worker); },
+					played_worker::longest_lease, pacing_policy{},
+					[this]
+					{
+						if (links_)
+							links_->report_soon();
+					}}
+		{
+			links_ = std::make_unique<owner_links>(io_, runs_);
+			REQUIRE(links_->listen(where).ok());
+			worker_heartbeat heartbeat;
+			heartbeat.life = worker.life;
+			heartbeat.service = service_id{"tally"};
+			heartbeat.capacity = {8'000, 16'000, 0};
+			heartbeat.clock_ms = worker.clock_ms();
+			runs_.worker_seen(std::move(heartbeat));
+		}
+		void run()
+		{
+			io_.poll();
+		}
+		[[nodiscard]] std::size_t open_orders() const noexcept
+		{
+			return runs_.open_orders();
+		}
+
+	private:
+		boost::asio::io_context io_{1};
+		std::unique_ptr<owner_links> links_;
+		run_keeper runs_;
+	};
+
+	/// Tasks of which a worker has room for one.
+	inline job_spec tasks_of_a_whole_worker(std::size_t count)
+	{
+		auto spec = one_task();
+		spec.groups[0].count = static_cast<std::uint32_t>(count);
+		spec.groups[0].claim.cpu_milli = 5'000;
+		return spec;
+	}
+
+	/// A port that nobody has now.
+	inline endpoint free_address()
+	{
+		boost::asio::io_context io{1};
+		boost::asio::ip::tcp::acceptor picked{io, endpoint{boost::asio::ip::address_v4::loopback(), 0}};
+		return picked.local_endpoint();
+	}
+
+	/// A store, an owner, an agent and its worker.
+	struct scene : job_term_scene::owner_scene
+	{
+		scene()
+		{
+			settings.member = member_id{"entry-1"};
+			add_agent("agent-1", worker);
+		}
+
+		void add_agent(const std::string& name, played_worker& beside)
+		{
+			if (!addresses.contains(name))
+				addresses[name] = free_address();
+			agents[name] = std::make_unique<played_agent>(beside, addresses[name]);
+			stored::agent row;
+			row.address = to_string(addresses[name]);
+			store.put(agent_partition, agents_table, name, encode_agent(row));
+		}
+
+		void submit(const job_spec& spec = one_task())
+		{
+			store.put(submission_partition(job_id{some_job}), submissions_table, some_job,
+					  encode_submission(some_queue(), spec));
+		}
+
+		void cancel()
+		{
+			store.put(submission_partition(job_id{some_job}), submissions_table, cancellation_key(job_id{some_job}),
+					  "c");
+		}
+
+		template <typename Until>
+		bool run_until(Until until)
+		{
+			const auto end = steady_now() + longest_wait;
+			while (!until() && steady_now() < end)
+			{
+				io.run_one_for(millis{2});
+				for (const auto& [name, agent] : agents)
+					if (agent && !removed.contains(name))
+						agent->run();
+			}
+			return until();
+		}
+		void run_for(millis time)
+		{
+			const auto end = steady_now() + time;
+			(void)run_until([&] { return steady_now() >= end; });
+		}
+
+		/// The job's only task as the store keeps it; nothing once the job is forgotten.
+		std::optional<job_task> stored_task()
+		{
+			const auto row = store.value(submission_partition(job_id{some_job}), submissions_table, some_job);
+			if (row.empty())
+				return std::nullopt;
+			auto job = decode_submission(job_id{some_job}, row, steady_now());
+			REQUIRE(job.ok());
+			const auto progress = store.value(job_partition, progress_table, some_job);
+			if (!progress.empty())
+				REQUIRE(decode_progress(*job, progress, steady_now()).ok());
+			return job->tasks[0];
+		}
+		[[nodiscard]] bool is_off_worker()
+		{
+			const auto task = stored_task();
+			return !task || task->worker.empty();
+		}
+
+		/// A start that got no answer, of a job that is cancelled next.
+		void leave_start_unanswered()
+		{
+			worker.starts_unanswered = true;
+			worker.stops_unanswered = true;
+			begin();
+			run_for(millis{300}); // the worker has its first lease
+			submit();
+			REQUIRE(run_until([&] { return !worker.late_starts.empty(); }));
+		}
+		void begin_run()
+		{
+			begin();
+			run_for(millis{300});
+			submit();
+			REQUIRE(run_until([&] { return worker.is_running(some_run); }));
+		}
+
+		const task_run some_run{{job_id{some_job}, 0, 0, 0}, 1};
+		played_worker worker{"life-1"};
+		std::map<std::string, endpoint> addresses;
+		std::map<std::string, std::unique_ptr<played_agent>> agents;
+		std::set<std::string> removed; ///< Agents that do nothing any more; their links stay open and silent.
+	};
+}
--- a/tests/job_term_scene.hpp
+++ b/tests/job_term_scene.hpp
@@ -50,23 +50,9 @@
 		return out;
 	}
 
-	/// A store, an agent and one term that has taken over.
-	struct scene
+	/// A store and an owner of jobs.
+	struct owner_scene
 	{
-		scene()
-		{
-			settings.member = member_id{"entry-1"};
-			agent.full_report = report_of("life-1");
-			stored::agent row;
-			row.address = to_string(agent.where());
-			store.put(agent_partition, agents_table, "agent-1", encode_agent(row));
-		}
-
-		void submit(const std::string& id, const job_spec& spec)
-		{
-			store.put(submission_partition(job_id{id}), submissions_table, id, encode_submission(some_queue(), spec));
-		}
-
 		/// Takes over with the next epoch and begins to work.
 		void begin()
 		{
@@ -92,6 +78,32 @@
 				boost::asio::detached);
 		}
 
+		boost::asio::io_context io{1};
+		memory_store store{io};
+		job_entry_settings settings;
+		process_metrics metrics;
+		std::shared_ptr<job_term> term;
+		std::int64_t epochs{};
+		bool worked{}; ///< The term is over.
+	};
+
+	/// An owner with one agent that the test plays.
+	struct scene : owner_scene
+	{
+		scene()
+		{
+			settings.member = member_id{"entry-1"};
+			agent.full_report = report_of("life-1");
+			stored::agent row;
+			row.address = to_string(agent.where());
+			store.put(agent_partition, agents_table, "agent-1", encode_agent(row));
+		}
+
+		void submit(const std::string& id, const job_spec& spec)
+		{
+			store.put(submission_partition(job_id{id}), submissions_table, id, encode_submission(some_queue(), spec));
+		}
+
 		template <typename Until>
 		bool run_until(Until until)
 		{
@@ -113,14 +125,7 @@
 			return *std::move(job);
 		}
 
-		boost::asio::io_context io{1};
-		memory_store store{io};
 		agent_standin agent{io};
-		job_entry_settings settings;
-		process_metrics metrics;
-		std::shared_ptr<job_term> term;
-		std::int64_t epochs{};
-		bool worked{};
 	};
 
 	inline bool saves_progress(const row_change& change)
--- a/tests/refused_runs.cpp
+++ b/tests/refused_runs.cpp
@@ -8,10 +8,10 @@
 
 namespace
 {
-	wire::job_refusal refusal_of(const wire::job_start& order)
+	wire::job_refusal refusal_of(const wire::task_run& what)
 	{
 		wire::job_refusal out;
-		out.what = order.what;
+		out.what = what;
 		out.why = wire::start_refusal::refused_never_started;
 		return out;
 	}
@@ -113,7 +113,7 @@
 	CHECK(it.agent.starts[1].what.run == 1);
 	auto refused = it.agent.full_report;
 	refused.full = false;
-	refused.refused.push_back(refusal_of(it.agent.starts[1]));
+	refused.refused.push_back(refusal_of(it.agent.starts[1].what));
 	it.agent.send(refused);
 	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 3; }));
 	CHECK_FALSE(it.agent.starts[2].repeated);
@@ -224,3 +224,31 @@
 	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
 	CHECK(it.agent.starts[0].what.run == 1);
 }
+
+TEST_CASE("a stop of a gang's last member that was lost with its link is ordered again", "[jobs]")
+{
+	// A gang had lost a member and the other one was to stop. The order went down with its link and was not given
+	// again, so that member waited for its gang until its worker ended it.
+	job_term_scene::scene it;
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	auto spec = job_term_scene::one_task();
+	spec.groups[0].count = 2;
+	spec.groups[0].gang = true;
+	it.submit(job_term_scene::first_job, spec);
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 2; }));
+	const auto left = it.agent.starts[1].what;
+	auto report = it.agent.full_report;
+	report.full = false;
+	report.refused.push_back(refusal_of(it.agent.starts[0].what));
+	report.started.push_back(left);
+	it.agent.send(report);
+	REQUIRE(it.run_until([&] { return it.agent.stops.size() == 1; }));
+	wire::job_run listed;
+	listed.what = left;
+	it.agent.full_report.running.push_back(listed);
+	it.agent.drop_link();
+	REQUIRE(it.run_until([&] { return it.agent.stops.size() > 1; }));
+	for (const auto& stop : it.agent.stops)
+		CHECK(from_wire(stop.what) == from_wire(left));
+}
