Read as a newcomer: a full report is not an account, and why an agent stays for half of a lease

Cause: comments and tests called the agent's full report its account, the glossary's word for a client's; one comment could not be understood.

--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -62,9 +62,8 @@
 			closing_ = true;
 		}
 		/// \brief Whether the agent may go: nothing runs, or half of the lease is over.
-		/// \details Nobody can stop a run whose agent is gone, until its lease ends or the agent is back. Half of a
-		/// lease is time enough for the latter, and for the owner's wish to stop a run no longer than it has to be
-		/// patient anyway.
+		/// \details Nobody can stop a run whose agent is gone until its lease ends. Half of a lease leaves a successor
+		/// time to come, and ends what nobody can stop so much the sooner.
 		[[nodiscard]] bool may_leave(instant now) const noexcept;
 		/// \brief Orders whose outcome is not known yet.
 		[[nodiscard]] std::size_t open_orders() const noexcept
--- a/tests/job_storm.cpp
+++ b/tests/job_storm.cpp
@@ -195,7 +195,7 @@
 TEST_CASE("no task runs twice in a short storm, where refusals cross with repeated orders on slow links", "[process]")
 {
 	// An agent was paused just before orders went out to it, and its link was slow. It refused one as late and told so,
-	// while its owner, which had read its account, ordered the same run again.
+	// while its owner, which had read its full report, ordered the same run again.
 	const auto found = short_storm(6);
 	INFO(found);
 	CHECK(found.empty());
@@ -213,7 +213,7 @@
 TEST_CASE("no task runs twice in a short storm, where owners and agents are paused in turn", "[process]")
 {
 	// An owner came back from a pause and dialled an agent that was paused by then. It ordered a run over that link;
-	// the agent refused that order and carried out the second one, after its account.
+	// the agent refused that order and carried out the second one, after its full report.
 	const auto found = short_storm(33);
 	INFO(found);
 	CHECK(found.empty());
--- a/tests/job_storm_faults.cpp
+++ b/tests/job_storm_faults.cpp
@@ -120,8 +120,8 @@
 		}
 
 		/// An agent is paused for longer than its owner waits for a word. Its kernel keeps the orders of the old link
-		/// and takes the next one. When it goes on, orders, refusals, its account and repeated orders cross each other,
-		/// the more so where the link takes its time.
+		/// and takes the next one. When it goes on, orders, refusals, its full report and repeated orders cross each
+		/// other, the more so where the link takes its time.
 		void pause_until_redialled(storm_plan& plan, millis at)
 		{
 			const int one = plan.any_worker();
--- a/tests/refused_runs.cpp
+++ b/tests/refused_runs.cpp
@@ -83,8 +83,8 @@
 	job_term_scene::scene it;
 	it.begin();
 	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
-	const auto account = it.agent.full_report;
-	it.agent.full_report.worker.clear(); // no account yet
+	const auto full = it.agent.full_report;
+	it.agent.full_report.worker.clear(); // no full report yet
 	const auto claims = it.agent.claims;
 	it.agent.drop_link();
 	REQUIRE(it.run_until([&] { return it.agent.claims > claims; }));
@@ -93,15 +93,16 @@
 	const auto asked = it.store.asked.size();
 	REQUIRE(it.run_until([&] { return it.store.asked.size() > asked + 4; }));
 	CHECK(it.agent.starts.empty());
-	it.agent.send(account);
+	it.agent.send(full);
 	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
 	CHECK_FALSE(it.agent.starts[0].repeated);
 	CHECK(it.agent.starts[0].what.run == 1);
 }
 
-TEST_CASE("a start that was under way when its link broke is ordered again after the account, once", "[jobs]")
+TEST_CASE("a start that was under way when its link broke is ordered again after the full report, once", "[jobs]")
 {
-	// The order may have been lost with the link or not; the agent's account on the next link does not list its run.
+	// The order may have been lost with the link or not; the agent's full report on the next link does not list its
+	// run.
 	job_term_scene::scene it;
 	it.begin();
 	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
@@ -129,7 +130,7 @@
 	it.settings.longest_run_lease = millis{300};
 	it.begin();
 	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
-	const auto account = it.agent.full_report;
+	const auto full = it.agent.full_report;
 	it.agent.full_report.worker.clear(); // nothing confirms it, whatever becomes of the link
 	const auto lease_ends = steady_now() + millis{600};
 	REQUIRE(it.run_until([&] { return steady_now() > lease_ends; }));
@@ -137,7 +138,7 @@
 	const auto asked = it.store.asked.size();
 	REQUIRE(it.run_until([&] { return it.store.asked.size() > asked + 4; }));
 	CHECK(it.agent.starts.empty());
-	it.agent.send(account);
+	it.agent.send(full);
 	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
 	CHECK(it.agent.starts[0].what.run == 1);
 }
--- a/tests/repeated_orders.cpp
+++ b/tests/repeated_orders.cpp
@@ -15,7 +15,7 @@
 
 namespace
 {
-	/// Long enough for an owner that orders at once; one that first waits for the agent's account orders nothing.
+	/// Long enough for an owner that orders at once; one that first waits for the agent's full report orders nothing.
 	constexpr auto time_to_order = millis{2'000};
 	constexpr auto longest_wait = millis{20'000};
 	constexpr auto one_way = millis{100};
@@ -57,13 +57,13 @@
 		(void)job_cluster::wait_until([&] { return !system.lines_with(task).empty(); }, time_to_order);
 		next();
 		std::this_thread::sleep_for(2 * one_way);
-		// The refusal comes behind the account, and nothing is refused after it. What is stopped stays for a while.
-		constexpr call_slowness behind_account{millis{50}, {}};
+		// The refusal comes behind the full report, and nothing is refused after it. What is stopped stays for a while.
+		constexpr call_slowness behind_report{millis{50}, {}};
 		constexpr int until_told = 1'000;
 		system.with_worker(0,
 						   [&](worker_standin& worker)
 						   {
-							   worker.faults.starts = behind_account;
+							   worker.faults.starts = behind_report;
 							   worker.faults.no_room = until_told;
 							   worker.stop_time = millis{900};
 						   });
@@ -119,8 +119,9 @@
 	// An agent was paused just before its owner ordered a task. The owner heard nothing more, closed the link and
 	// dialled again; the kernel kept the order for the agent and took the next connection. Going on, the agent read the
 	// order out of the closed link, which its worker refused, and the claim out of the open one, which it answered with
-	// its account. The account did not list the run, so the owner ordered it once more; then it read the refusal and
-	// began the task's next run, while the agent carried out the order that came again: two runs of one task at once.
+	// its full report. The full report did not list the run, so the owner ordered it once more; then it read the
+	// refusal and began the task's next run, while the agent carried out the order that came again: two runs of one
+	// task at once.
 	job_cluster system{options_here()};
 	REQUIRE(system.wait_ready());
 	const auto found =
@@ -136,7 +137,7 @@
 TEST_CASE("an order of an owner that has left is not carried out after its refusal", "[process]")
 {
 	// As above, but the owner was ended while the agent was paused. The next owner knew the run from the store and
-	// ordered it again for the account, so the first order came from the one and the second from the other.
+	// ordered it again for the full report, so the first order came from the one and the second from the other.
 	job_cluster system{options_here()};
 	REQUIRE(system.wait_ready());
 	const auto found = order_before_a_redial(
