Log: one line a job and outcome for many runs

Cause: the log's bound of 200 lines a second and kind left out most of 900 run_ordered and run_ended a second at 240 workers, so that no job's story was whole. Tests: run_log.cpp, a case of day_report.cpp.

--- a/packages/entry/src/client/day_report.cpp
+++ b/packages/entry/src/client/day_report.cpp
@@ -64,6 +64,12 @@
 			return status == "cancelled" ? &second.cancelled : &second.failed;
 		}
 
+		/// How many of its kind a line tells of: those about runs tell of many.
+		int count_in(const json::object& line)
+		{
+			return static_cast<int>(std::max<std::int64_t>(1, number_or(line, "count")));
+		}
+
 		/// Whether a log may have been cut short or mixed with other text is no matter here: only whole lines count.
 		std::string_view object_in(std::string_view text)
 		{
@@ -284,7 +290,7 @@
 				continue;
 			report_second none;
 			if (counter_of(line, event, none) != nullptr)
-				++*counter_of(line, event, out.seconds[time_ms / ms_a_second]);
+				*counter_of(line, event, out.seconds[time_ms / ms_a_second]) += count_in(line);
 			else if (const auto kind = kind_of(event))
 				out.process[process].push_back({time_ms, *kind, json::serialize(line)});
 		}
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -150,6 +150,7 @@
 				break;
 		}
 		over_ = true;
+		ended_log_.write();
 		for (const auto& [name, peer] : peers_)
 			peer->stop();
 	}
@@ -235,6 +236,7 @@
 	job_term::batch job_term::make_batch(instant now)
 	{
 		const busy_scope scope{meter_, owner_duty::saving};
+		ended_log_.write();
 		batch out;
 		add_owner_row(out, knows_latest(depths_age, now));
 		std::size_t bytes = 0;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -5,6 +5,7 @@
 
 #include "../connection/agent_peer.hpp"
 #include "owner_meter.hpp"
+#include "run_log.hpp"
 
 #include <trailjunction/entry/job_entry_settings.hpp>
 #include <trailjunction/entry/job_gateway.hpp>
@@ -176,6 +177,8 @@
 		/// Between two transactions; longer after a round that took long, so that rounds leave time for reports.
 		millis gap_{};
 		owner_meter meter_;
+		run_log ordered_log_{event::run_ordered};
+		run_log ended_log_{event::run_ended};
 		std::size_t waiting_{}; ///< Tasks that the latest round found waiting.
 		/// Jobs that ended long ago and whose submissions the store has no more; their progress goes next.
 		std::vector<job_id> removed_submissions_;
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -125,10 +125,7 @@
 			++meter_.load.ended;
 			metrics_.counter("job_runs_ended", "Runs by how they ended.", "how", std::string{to_string(end.how)})
 				.Increment();
-			log_event(event::run_ended, {{"task", to_string(end.what.task)},
-										 {"run", end.what.run},
-										 {"how", to_string(end.how)},
-										 {"worker", report.worker}});
+			ended_log_.note(end.what, peer.worker.life, to_string(end.how));
 			const bool judged = end.how == run_outcome::done || end.how == run_outcome::failed;
 			if (judged && note_end(peer.worker.trust, end.what.task.job, end.how == run_outcome::failed, trust, now))
 				log_event(event::worker_avoided, {{"worker", report.worker}});
@@ -345,8 +342,9 @@
 			const auto& life = rooms_[one.worker].life;
 			const auto what = assign(table_, one.task, life, now);
 			undurable_starts_.insert(what);
-			log_event(event::run_ordered, {{"task", to_string(what.task)}, {"run", what.run}, {"worker", life.str()}});
+			ordered_log_.note(what, life);
 		}
+		ordered_log_.write();
 	}
 
 	void job_term::stop_needless(instant now)
--- a/tests/day_report.cpp
+++ b/tests/day_report.cpp
@@ -41,6 +41,16 @@
 	CHECK(day.seconds[6].failed == 1);
 }
 
+TEST_CASE("a line about many runs counts as many", "[report]")
+{
+	const auto day = day_of("entry-1", R"({"time_ms":5100,"name":"run_ordered","job":"a","count":3,"runs":"0/0/0:1@w"}
+{"time_ms":5200,"name":"run_ended","job":"a","how":"done","count":2,"runs":"0/0/0:1@w 0/0/1:1@w"}
+{"time_ms":5300,"name":"run_ended","job":"a","how":"failed","count":1,"runs":"0/0/2:1@w"})");
+	CHECK(day.seconds.at(5).ordered == 3);
+	CHECK(day.seconds.at(5).done == 2);
+	CHECK(day.seconds.at(5).broken_off == 1);
+}
+
 TEST_CASE("a report marks owners, configurations and workers on the line of their process", "[report]")
 {
 	const auto day = day_of("entry<1>", R"(   3.2 entry {"time_ms":5000,"name":"shard_taken","epoch":3,"from":"<b>"}
--- /dev/null
+++ b/tests/run_log.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Log lines about many runs at once.
+#include "../packages/entry/src/process/run_log.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <climits>
+
+using namespace trailjunction;
+
+namespace
+{
+	task_run run_of(const std::string& job, std::uint32_t index)
+	{
+		return {{job_id{job}, 0, 1, index}, 2};
+	}
+
+	const worker_life worker{"i-7f3a91c2"};
+}
+
+TEST_CASE("runs of one job and outcome stand on one line, others on their own", "[log]")
+{
+	run_log log{event::run_ended};
+	log.note(run_of("a", 0), worker, "done");
+	log.note(run_of("b", 0), worker, "done");
+	log.note(run_of("a", 1), worker, "failed");
+	log.note(run_of("a", 2), worker, "done");
+	REQUIRE(log.noted().size() == 3);
+	CHECK(log.noted()[0].count == 2);
+	CHECK(log.noted()[0].runs == "0/1/0:2@i-7f3a91c2 0/1/2:2@i-7f3a91c2");
+	log.write();
+	CHECK(log.noted().empty());
+}
+
+TEST_CASE("no run of a wide job is left out, and each line stays short enough to be written whole", "[log]")
+{
+	constexpr std::uint32_t wide = 1'000;
+	run_log log{event::run_ordered};
+	for (std::uint32_t i = 0; i < wide; ++i)
+		log.note(run_of("00000000000000a1", i), worker);
+	std::size_t runs = 0;
+	for (const auto& line : log.noted())
+	{
+		runs += line.count;
+		CHECK(line.runs.size() < PIPE_BUF - 200);
+	}
+	CHECK(runs == wide);
+}
