Owner: a member that cannot keep up gives the jobs to others; fewer dials of a superseded one; ends told four times a second

Cause: an owner that is slowed by others (a slow instance, a small one) stays owner while all its work is late. Tests: busy_owner.cpp (last case), ownership_rank.cpp (last two).

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -77,6 +77,7 @@
 		runs_overlap = 443,
 		owner_load = 444,
 		owner_behind = 445,
+		owner_handed_on = 446,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -23,7 +23,8 @@
 			event::run_paused,           event::run_stopped,         event::grant_refused,    event::task_parked,
 			event::worker_quarantined,   event::config_refused,      event::settings_refused, event::worker_silent,
 			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,   event::job_refused,
-			event::job_unknown,          event::row_unreadable,      event::runs_overlap,    event::owner_behind,
+			event::job_unknown,          event::row_unreadable,      event::runs_overlap,     event::owner_behind,
+			event::owner_handed_on,
 		};
 
 		constexpr std::initializer_list<event> every_event = {
@@ -57,7 +58,7 @@
 			event::stop_ordered,         event::start_repeated,
 			event::stop_begun,           event::order_dropped,
 			event::runs_overlap,         event::owner_load,
-			event::owner_behind,
+			event::owner_behind,         event::owner_handed_on,
 		};
 	}
 
@@ -187,6 +188,8 @@
 			return "owner_load";
 		case event::owner_behind:
 			return "owner_behind";
+		case event::owner_handed_on:
+			return "owner_handed_on";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/src/connection/agent_peer.cpp
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
+
 namespace trailjunction
 {
 	namespace asio = boost::asio;
@@ -17,6 +19,9 @@
 	{
 		constexpr auto dial_time = millis{500};  ///< For a connection within a region.
 		constexpr auto dial_pause = millis{200}; ///< Between two tries: a restarted agent is back within some of them.
+		/// Of the pause, while an agent closes each link without a report: it obeys a later owner, which this one cannot
+		/// hear of while the store does not answer it. Without it such an owner made 1,200 links a second to 240 agents.
+		constexpr int most_doublings = 3;
 
 		/// Agents report twice a second, so a link without a word for three reports is of no use.
 		constexpr link_limits limits{.silence = millis{1'500}};
@@ -72,6 +77,7 @@
 
 	asio::awaitable<void> agent_peer::dial_forever()
 	{
+		int without_report = 0; // links in a row
 		while (!stopped_)
 		{
 			boost::beast::tcp_stream stream{io_};
@@ -97,8 +103,9 @@
 			send(to_envelope(claim_));
 			(void)co_await closed.async_wait(as_result);
 			link_.reset();
+			without_report = reported_ ? 0 : std::min(without_report + 1, most_doublings);
 			if (!stopped_)
-				co_await pause_for(io_, dial_pause);
+				co_await pause_for(io_, dial_pause * (1 << without_report));
 		}
 	}
 }
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -58,7 +58,8 @@
 		while (!leaving_)
 		{
 			co_await look();
-			if (leaving_ || !may_take_over(seen_, times_, steady_now()))
+			const auto now = steady_now();
+			if (leaving_ || now < rests_until_ || !may_take_over(seen_, times_, now))
 			{
 				co_await pause_for(io_, time_to_next_look(steady_now()));
 				continue;
@@ -74,6 +75,8 @@
 				term_->release();
 			if (loaded.ok())
 				co_await term_->work();
+			if (term_->handed_on())
+				rests_until_ = steady_now() + handover_policy{}.rest;
 			term_.reset();
 			seen_ = {};
 			failed_loads_ = loaded.ok() ? 0 : std::min(failed_loads_ + 1, most_doublings);
@@ -146,6 +149,7 @@
 		out.row.epoch = seen_row_.epoch + 1;
 		out.row.member = settings_.member.str();
 		out.row.incarnation = incarnation_;
+		out.row.handed_on_ms = seen_row_.handed_on_ms;
 		if (settings_.callers)
 			out.row.address = to_string(*settings_.callers);
 		row_change change;
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -51,7 +51,8 @@
 		stored::ownership seen_row_;
 		std::int64_t incarnation_{};
 		std::shared_ptr<job_term> term_;
-		int failed_loads_{}; ///< In a row.
+		int failed_loads_{};    ///< In a row.
+		instant rests_until_{}; ///< Until then the row is left to others.
 		bool leaving_{};
 	};
 }
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -37,6 +37,9 @@
 		/// begin 1.5 s later, and nothing may begin 5 s after its job was cancelled.
 		constexpr auto cancellations_age = millis{3'000};
 		constexpr auto lag_probe = millis{100};
+		/// Ends of one job come spread over many rounds; a line a job and round would go over the log's bound.
+		constexpr auto log_ends_every = millis{250};
+		constexpr handover_policy handing_on{};
 		/// Rows of jobs in one transaction; the store takes 100 entries, two are the owner's row and its condition.
 		constexpr std::size_t most_rows = 90;
 		/// Bytes of values in one transaction: the store takes 1 MB with base64 and names.
@@ -163,37 +166,58 @@
 			const auto due = steady_now() + lag_probe;
 			co_await pause_for(io_, lag_probe);
 			const auto now = steady_now();
-			meter_.load.longest_lag = std::max(meter_.load.longest_lag, std::chrono::nanoseconds{now - due});
+			const std::chrono::nanoseconds lag = now - due;
+			meter_.load.longest_lag = std::max(meter_.load.longest_lag, lag);
+			hand_on_if_behind(lag, now);
 			if (now - told < load_told_every)
 				continue;
 			told = now;
-			const auto load = meter_.take(now);
-			const auto ms = [](std::chrono::nanoseconds time)
-			{
-				return std::chrono::duration_cast<millis>(time).count();
-			};
-			const auto busy = [&](owner_duty duty)
-			{
-				return ms(load.busy[static_cast<std::size_t>(duty)]);
-			};
-			log_event(event::owner_load, {{"time_spent_ms", ms(load.time)},
-										  {"busy_percent", static_cast<std::int64_t>(busy_share(load) * 100.0)},
-										  {"reports_ms", busy(owner_duty::reports)},
-										  {"placing_ms", busy(owner_duty::placing)},
-										  {"saving_ms", busy(owner_duty::saving)},
-										  {"acting_ms", busy(owner_duty::acting)},
-										  {"reading_ms", busy(owner_duty::reading)},
-										  {"longest_lag_ms", ms(load.longest_lag)},
-										  {"reports", load.reports},
-										  {"ordered", load.ordered},
-										  {"ended", load.ended},
-										  {"commits", load.commits},
-										  {"jobs", table_.jobs.size()},
-										  {"tasks_waiting", waiting_},
-										  {"feed_age_ms", ms(now - fed_until_)}});
+			tell_load(now);
 		}
 	}
 
+	void job_term::hand_on_if_behind(std::chrono::nanoseconds lag, instant now)
+	{
+		note_lag(lag_, lag, handing_on, now);
+		const auto last_ms = owned_.row.handed_on_ms;
+		const auto since_last = last_ms > 0 ? std::optional{millis{store_now_ms(now) - last_ms}} : std::nullopt;
+		if (over_ || releasing_ || !should_hand_on(lag_, since_last, handing_on, now))
+			return;
+		log_event(event::owner_handed_on,
+				  {{"epoch", owned_.row.epoch}, {"lag_ms", std::chrono::duration_cast<millis>(lag).count()}});
+		owned_.row.handed_on_ms = store_now_ms(now);
+		handed_on_ = true;
+		release();
+	}
+
+	void job_term::tell_load(instant now)
+	{
+		const auto load = meter_.take(now);
+		const auto ms = [](std::chrono::nanoseconds time)
+		{
+			return std::chrono::duration_cast<millis>(time).count();
+		};
+		const auto busy = [&](owner_duty duty)
+		{
+			return ms(load.busy[static_cast<std::size_t>(duty)]);
+		};
+		log_event(event::owner_load, {{"time_spent_ms", ms(load.time)},
+									  {"busy_percent", static_cast<std::int64_t>(busy_share(load) * 100.0)},
+									  {"reports_ms", busy(owner_duty::reports)},
+									  {"placing_ms", busy(owner_duty::placing)},
+									  {"saving_ms", busy(owner_duty::saving)},
+									  {"acting_ms", busy(owner_duty::acting)},
+									  {"reading_ms", busy(owner_duty::reading)},
+									  {"longest_lag_ms", ms(load.longest_lag)},
+									  {"reports", load.reports},
+									  {"ordered", load.ordered},
+									  {"ended", load.ended},
+									  {"commits", load.commits},
+									  {"jobs", table_.jobs.size()},
+									  {"tasks_waiting", waiting_},
+									  {"feed_age_ms", ms(now - fed_until_)}});
+	}
+
 	void job_term::add_owner_row(batch& out, bool loaded)
 	{
 		out.change.partition = job_partition;
@@ -236,7 +260,11 @@
 	job_term::batch job_term::make_batch(instant now)
 	{
 		const busy_scope scope{meter_, owner_duty::saving};
-		ended_log_.write();
+		if (now - ends_logged_ >= log_ends_every)
+		{
+			ends_logged_ = now;
+			ended_log_.write();
+		}
 		batch out;
 		add_owner_row(out, knows_latest(depths_age, now));
 		std::size_t bytes = 0;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -61,6 +61,12 @@
 		/// \brief Gives the row back with the next transaction.
 		void release();
 
+		/// \brief Whether the term ended since this member could not keep up.
+		[[nodiscard]] bool handed_on() const noexcept
+		{
+			return handed_on_;
+		}
+
 	private:
 		struct kept_ends
 		{
@@ -101,6 +107,8 @@
 		boost::asio::awaitable<void> wait_for_work();
 		void wake();
 		boost::asio::awaitable<void> watch_load();
+		void tell_load(instant now);
+		void hand_on_if_behind(std::chrono::nanoseconds lag, instant now);
 		[[nodiscard]] std::int64_t store_now_ms(instant now) const noexcept;
 		[[nodiscard]] bool may_act(instant now) const noexcept;
 
@@ -179,6 +187,7 @@
 		owner_meter meter_;
 		run_log ordered_log_{event::run_ordered};
 		run_log ended_log_{event::run_ended};
+		instant ends_logged_{};
 		std::size_t waiting_{}; ///< Tasks that the latest round found waiting.
 		/// Jobs that ended long ago and whose submissions the store has no more; their progress goes next.
 		std::vector<job_id> removed_submissions_;
@@ -188,6 +197,8 @@
 		bool loading_{};
 		bool renewing_{}; ///< A renewal while loading is under way.
 		bool told_behind_{};
+		owner_lag lag_;
+		bool handed_on_{};
 		std::int64_t agents_version_{};
 		boost::asio::steady_timer work_;
 		bool placing_wanted_{true};
--- a/packages/jobs/include/trailjunction/jobs/ownership.hpp
+++ b/packages/jobs/include/trailjunction/jobs/ownership.hpp
@@ -65,4 +65,33 @@
 	/// \brief Whether an owner may still order starts and confirm runs.
 	/// \param renewal_sent When the last successful renewal was sent.
 	[[nodiscard]] bool holds_lease(instant renewal_sent, const ownership_times& times, instant now) noexcept;
+
+	/// \brief When an owner that cannot keep up gives the row to others.
+	struct handover_policy
+	{
+		/// Of a timer of its loop: reports, orders and renewals then wait for as long, and users' tightest aim is 250
+		/// ms.
+		millis most_lag{300};
+		/// Behind for so long without a break: longer than a takeover and the links that follow it take.
+		millis patience{3'000};
+		/// Between two hand-overs of anybody: where all members are too small, jobs would stand still for a takeover
+		/// each time.
+		millis least_between{60'000};
+		/// For so long the member that gave the row up leaves it to others.
+		millis rest{5'000};
+	};
+
+	/// \brief How an owner keeps up.
+	struct owner_lag
+	{
+		std::optional<instant> behind_since; ///< Nothing: it is not behind.
+	};
+
+	/// \brief Takes in how late a timer of the owner's loop was.
+	void note_lag(owner_lag& known, std::chrono::nanoseconds lag, const handover_policy& policy, instant now) noexcept;
+
+	/// \brief Whether an owner should give the row up.
+	/// \param since_last Since anybody did so last; nothing: nobody did.
+	[[nodiscard]] bool should_hand_on(const owner_lag& known, std::optional<millis> since_last,
+									  const handover_policy& policy, instant now) noexcept;
 }
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -84,6 +84,7 @@
 	6: list<queue_depth> depths,
 	7: bool loaded,             // the owner knows all jobs, so depths are complete
 	8: string address,          // where the owner takes callers; held by one process at a time
+	9: i64 handed_on_ms,        // of the store's clock when an owner that was behind last gave the row up, or 0
 }
 
 /** The worker beside an agent, as an owner last heard of it; written by the owner of the shard. */
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -55,4 +55,20 @@
 	{
 		return now - renewal_sent < times.lease;
 	}
+
+	void note_lag(owner_lag& known, std::chrono::nanoseconds lag, const handover_policy& policy, instant now) noexcept
+	{
+		if (lag <= policy.most_lag)
+			known.behind_since.reset();
+		else
+			known.behind_since = known.behind_since.value_or(now);
+	}
+
+	bool should_hand_on(const owner_lag& known, std::optional<millis> since_last, const handover_policy& policy,
+						instant now) noexcept
+	{
+		if (since_last && *since_last < policy.least_between)
+			return false;
+		return known.behind_since && now - *known.behind_since >= policy.patience;
+	}
 }
--- a/tests/busy_owner.cpp
+++ b/tests/busy_owner.cpp
@@ -3,6 +3,8 @@
 /// \brief An owner of jobs that is slow, or behind with what it hears, against a store in memory.
 #include "job_term_scene.hpp"
 
+#include <thread>
+
 using namespace trailjunction;
 using namespace trailjunction::testkit;
 using namespace trailjunction::job_term_scene;
@@ -154,3 +156,22 @@
 	CHECK(it.agent.starts.size() == 1);
 	CHECK(it.store.value(job_partition, progress_table, first_job) == stored);
 }
+
+TEST_CASE("an owner whose loop is late for seconds gives its row to others", "[jobs]")
+{
+	constexpr auto other_work = millis{450}; // of the thread, between two turns of the owner
+	scene it;
+	it.settings.contact = millis{20'000};
+	it.begin();
+	REQUIRE(it.run_until([&] { return owner_row_of(it.store).loaded; }));
+	const auto slow_until_over = [&]
+	{
+		std::this_thread::sleep_for(other_work);
+		return it.worked;
+	};
+	REQUIRE(it.run_until(slow_until_over));
+	const auto row = owner_row_of(it.store);
+	CHECK(row.released);
+	CHECK(row.handed_on_ms > 0);
+	CHECK(it.term->handed_on());
+}
--- a/tests/ownership_rank.cpp
+++ b/tests/ownership_rank.cpp
@@ -64,3 +64,26 @@
 	note_failed_look(seen);
 	CHECK_FALSE(takeover_due(seen, times_of(1.0)));
 }
+
+TEST_CASE("an owner gives the row up only after it was behind for long without a break", "[jobs]")
+{
+	const handover_policy policy;
+	const auto late = policy.most_lag + millis{1};
+	owner_lag known;
+	note_lag(known, late, policy, start);
+	CHECK_FALSE(should_hand_on(known, std::nullopt, policy, start + policy.patience - millis{1}));
+	CHECK(should_hand_on(known, std::nullopt, policy, start + policy.patience));
+	note_lag(known, policy.most_lag, policy, start + policy.patience);
+	note_lag(known, late, policy, start + policy.patience);
+	CHECK_FALSE(should_hand_on(known, std::nullopt, policy, start + policy.patience));
+}
+
+TEST_CASE("where nobody can keep up, the row does not change hands all the time", "[jobs]")
+{
+	const handover_policy policy;
+	owner_lag known;
+	note_lag(known, policy.most_lag * 2, policy, start);
+	const auto later = start + policy.patience;
+	CHECK_FALSE(should_hand_on(known, policy.least_between - millis{1}, policy, later));
+	CHECK(should_hand_on(known, policy.least_between, policy, later));
+}
