Owner: a lease of 1.5 s at the most

Change: the lease is half of contact_ms and no more than 1.5 s, as on the sites with contact_ms 3,000. Tests: ownership_rank.cpp (last case).

--- a/packages/entry/src/job_entry_settings.cpp
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -15,6 +15,9 @@
 
 		/// Half of what counts as a short fault: a dead owner is replaced before anybody calls it an outage.
 		constexpr int leases_in_contact = 2;
+		/// And no longer than this, which holds four renewals also where the store answers 60 times slower than usual
+		/// (0.24 s): jobs wait for their first task as long as a dead owner has its lease.
+		constexpr auto longest_lease = millis{1'500};
 		/// Runs outlive a fault of this many contact times, where the worker allows it.
 		constexpr int contacts_in_run_lease = 2;
 		constexpr int renewals_in_lease = 4;
@@ -73,7 +76,7 @@
 	ownership_times ownership_times_of(const job_entry_settings& settings) noexcept
 	{
 		ownership_times out;
-		out.lease = settings.contact / leases_in_contact;
+		out.lease = std::min(longest_lease, settings.contact / leases_in_contact);
 		out.renew_every = out.lease / renewals_in_lease;
 		out.observe_every = out.lease / looks_in_lease;
 		out.rank_wait = rank_wait_of(settings.processors);
--- a/tests/ownership_rank.cpp
+++ b/tests/ownership_rank.cpp
@@ -3,6 +3,8 @@
 /// \brief Which of several members takes a free row: pure functions, no process.
 #include "job_fixtures.hpp"
 
+#include <trailjunction/entry/job_entry_settings.hpp>
+
 #include <catch2/catch.hpp>
 
 using namespace trailjunction;
@@ -87,3 +89,17 @@
 	CHECK_FALSE(should_hand_on(known, policy.least_between - millis{1}, policy, later));
 	CHECK(should_hand_on(known, policy.least_between, policy, later));
 }
+
+TEST_CASE("a dead owner is replaced within two seconds, however long the faults that users bear", "[jobs]")
+{
+	constexpr auto two_seconds = millis{2'000};
+	for (const auto contact : {millis{3'000}, millis{5'000}, millis{60'000}})
+	{
+		job_entry_settings settings;
+		settings.contact = contact;
+		settings.processors = 0.5;
+		const auto times = ownership_times_of(settings);
+		CHECK(times.lease + times.margin + times.rank_wait < two_seconds);
+		CHECK(4 * times.renew_every <= times.lease);
+	}
+}
