--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -78,6 +78,7 @@
 		owner_load = 444,
 		owner_behind = 445,
 		owner_handed_on = 446,
+		heartbeat_refused = 447,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -59,6 +59,7 @@
 			event::stop_begun,           event::order_dropped,
 			event::runs_overlap,         event::owner_load,
 			event::owner_behind,         event::owner_handed_on,
+			event::heartbeat_refused,
 		};
 	}
 
@@ -190,6 +191,8 @@
 			return "owner_behind";
 		case event::owner_handed_on:
 			return "owner_handed_on";
+		case event::heartbeat_refused:
+			return "heartbeat_refused";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/src/connection/agent_peer.cpp
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -19,8 +19,9 @@
 	{
 		constexpr auto dial_time = millis{500};  ///< For a connection within a region.
 		constexpr auto dial_pause = millis{200}; ///< Between two tries: a restarted agent is back within some of them.
-		/// Of the pause, while an agent closes each link without a report: it obeys a later owner, which this one cannot
-		/// hear of while the store does not answer it. Without it such an owner made 1,200 links a second to 240 agents.
+		/// Of the pause, while an agent closes each link without a report: it obeys a later owner, which this one
+		/// cannot hear of while the store does not answer it. Without it such an owner made 1,200 links a second to 240
+		/// agents.
 		constexpr int most_doublings = 3;
 
 		/// Agents report twice a second, so a link without a word for three reports is of no use.
