Owner: reads of a load that get no answer are tried again after 2 s

Change: a load's reads get 2 s, then 4, then 8; the row is renewed meanwhile as before. Tests: busy_owner.cpp ('an owner whose first reads get no answer ...').

--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -94,6 +94,7 @@
 		void add_owner_row(batch& out, bool loaded);
 		boost::asio::awaitable<void> renew_while_loading();
 		boost::asio::awaitable<absl::Status> read_state();
+		boost::asio::awaitable<absl::StatusOr<row_page>> read_with_retries(std::vector<row_range> ranges);
 		/// Whether nothing may be started, since a cancellation may be unknown here for too long.
 		[[nodiscard]] bool is_behind(instant now);
 		[[nodiscard]] bool knows_latest(millis age, instant now) const noexcept;
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -22,9 +22,9 @@
 	namespace
 	{
 		constexpr auto read_time = millis{2'000};
-		/// For all that a new owner reads: the row is renewed meanwhile, and 1,300 jobs take the smallest instances
-		/// seconds.
-		constexpr auto load_time = millis{8'000};
+		/// For the longest try to read all jobs. The first one has read_time, each next one twice as long: a read that
+		/// a silent store swallowed costs 2 s, and 1,300 jobs take the smallest instances longer than that.
+		constexpr auto longest_read_time = millis{8'000};
 		/// Rows that are taken in before the loop does something else, such as to renew.
 		constexpr std::size_t rows_in_part = 50;
 		/// How long the store holds the feed of submissions back: short, so that a feed that went silent is noticed
@@ -93,6 +93,19 @@
 		co_return status;
 	}
 
+	asio::awaitable<absl::StatusOr<row_page>> job_term::read_with_retries(std::vector<row_range> ranges)
+	{
+		for (auto time = read_time;; time *= 2)
+		{
+			auto tried = ranges;
+			auto page = co_await read_all(io_, store_, std::move(tried), steady_now() + time);
+			if (page.ok() || over_ || releasing_ || time >= longest_read_time)
+				co_return page;
+			watch_.note_failure("load jobs", page.status().ToString());
+			co_await pause_for(io_, retry_pause);
+		}
+	}
+
 	asio::awaitable<absl::Status> job_term::read_state()
 	{
 		// Nobody else changes what the owner writes from here on, and a submission goes before its job's progress is
@@ -100,7 +113,7 @@
 		std::vector<row_range> own{
 			whole_table(progress_table, job_partition), whole_table(workers_table, job_partition),
 			whole_table(pressures_table, job_partition), whole_table(agents_table, agent_partition)};
-		const auto known = co_await read_all(io_, store_, std::move(own), steady_now() + load_time);
+		const auto known = co_await read_with_retries(std::move(own));
 		if (!known.ok())
 			co_return known.status();
 		take_progress(rows_of(known->rows, progress_table));
@@ -108,7 +121,7 @@
 		take_pressures(rows_of(known->rows, pressures_table));
 		auto ranges = all_submissions();
 		const auto asked = steady_now();
-		const auto submissions = co_await read_all(io_, store_, std::move(ranges), asked + load_time);
+		const auto submissions = co_await read_with_retries(std::move(ranges));
 		if (!submissions.ok())
 			co_return submissions.status();
 		fed_until_ = asked;
--- a/packages/testkit/include/trailjunction/testkit/memory_store.hpp
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -27,6 +27,7 @@
 		/// more than a second is refused.
 		millis transaction_time{};
 		millis read_time{};       ///< A read takes so long.
+		std::string lose_reads;   ///< Of this table get no answer; empty: of none.
 		std::string refuse_reads; ///< Of this table; empty: of none.
 	};
 
@@ -49,6 +50,7 @@
 
 		store_faults faults;
 		int held_commits{};            ///< Transactions that wait now.
+		int lost_reads{};              ///< Reads that got no answer, or will get none.
 		std::vector<row_change> asked; ///< Every transaction that was asked for, in order.
 
 	private:
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -100,8 +100,13 @@
 	asio::awaitable<absl::StatusOr<row_page>> memory_store::read(row_range range, instant deadline)
 	{
 		const auto left = std::chrono::duration_cast<millis>(deadline - steady_now());
-		const bool in_time = faults.read_time <= left;
-		if (faults.read_time.count() > 0)
+		const bool lost = !faults.lose_reads.empty() && faults.lose_reads == range.table;
+		if (lost)
+			++lost_reads;
+		const bool in_time = !lost && faults.read_time <= left;
+		if (lost)
+			co_await pause_for(io_, left);
+		else if (faults.read_time.count() > 0)
 			co_await pause_for(io_, std::min(faults.read_time, left));
 		if (!in_time)
 			co_return absl::DeadlineExceededError("no answer");
--- a/tests/busy_owner.cpp
+++ b/tests/busy_owner.cpp
@@ -68,6 +68,20 @@
 	CHECK_FALSE(it.worked);
 }
 
+// Trouble-1 of grown Umuganda: after the power loss of all an owner's first reads went into a silent store, and it had
+// given them 8 s in one.
+TEST_CASE("an owner whose first reads get no answer reads again, and is owner still", "[jobs]")
+{
+	scene it;
+	it.store.faults.lose_reads = progress_table;
+	it.begin();
+	REQUIRE(it.run_until([&] { return it.store.lost_reads > 0; }));
+	it.store.faults.lose_reads.clear(); // what was asked before stays without an answer
+	REQUIRE(it.run_until([&] { return it.agent.claims > 0 || it.worked; }));
+	CHECK_FALSE(it.worked);
+	CHECK(it.agent.claims > 0);
+}
+
 TEST_CASE("an owner that loses its row while it reads its jobs does not begin to work", "[jobs]")
 {
 	scene it;
