Owner: data centres that operators empty get nothing new

Cause: op/evacuate/ZONE was decoded nowhere. Ruled out: agents that follow the rows themselves: 62 to 300 more feeds, and they add nothing, since an agent passes an order on at once or never (1.5 s window, links that are silent for 1.5 s are closed). A condition on the rows in the owner's transaction: it would cross partitions, which takes twice as long. Change: the owner reads the requests before it starts anything and follows them; nothing is placed there, a kept start that was not ordered is taken back, a run that a new owner does not find listed is settled by a stop, and nothing is ordered anywhere while what is known of the requests is older than half of evacuate_within_ms. What runs goes on. E448, E449, a metric, counts in E444; the setting comes from the users' bounds.

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -79,6 +79,8 @@
 		owner_behind = 445,
 		owner_handed_on = 446,
 		heartbeat_refused = 447,
+		evacuation_begun = 448,
+		evacuation_withdrawn = 449,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -59,7 +59,8 @@
 			event::stop_begun,           event::order_dropped,
 			event::runs_overlap,         event::owner_load,
 			event::owner_behind,         event::owner_handed_on,
-			event::heartbeat_refused,
+			event::heartbeat_refused,    event::evacuation_begun,
+			event::evacuation_withdrawn,
 		};
 	}
 
@@ -193,6 +194,10 @@
 			return "owner_handed_on";
 		case event::heartbeat_refused:
 			return "heartbeat_refused";
+		case event::evacuation_begun:
+			return "evacuation_begun";
+		case event::evacuation_withdrawn:
+			return "evacuation_withdrawn";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/include/trailjunction/entry/job_entry_process.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_process.hpp
@@ -4,6 +4,7 @@
 /// \brief The process of an entry that takes and owns jobs.
 #pragma once
 
+#include "evacuation_rows.hpp"
 #include "job_entry_settings.hpp"
 #include "job_gateway.hpp"
 
@@ -26,6 +27,7 @@
 		std::function<http_server::handler(job_gateway&)> make_job_handler;
 		row_name configuration_row;
 		std::function<absl::StatusOr<job_configuration>(std::string_view)> decode_configuration;
+		evacuation_rows evacuations;
 	};
 
 	/// \brief Where the settings come from, for a process that reads them again when they change.
--- a/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
@@ -29,8 +29,10 @@
 		double processors{1.0};          ///< What this instance may use of them; shares count as parts of one.
 		millis contact{3'000};           ///< A fault that lasts less than this should cost no more than a delay.
 		millis longest_run_lease{6'000}; ///< Workers cut longer leases down.
-		millis status_kept{120'000};     ///< How long an ended job can be asked for.
-		millis stop_within{6'000};       ///< The longest that a planned stop takes.
+		/// Nothing starts in a data centre so long after operators have asked to empty it; from the users' bounds.
+		millis evacuate_within{5'000};
+		millis status_kept{120'000}; ///< How long an ended job can be asked for.
+		millis stop_within{6'000};   ///< The longest that a planned stop takes.
 	};
 
 	/// \brief Checks everything and names every fault.
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace trailjunction
 {
@@ -48,6 +49,15 @@
 		void stop();
 		/// \brief Dials another address from now on.
 		void move_to(endpoint where);
+		/// \brief Takes in where the agent says that it stands.
+		void set_data_centre(data_centre_id data_centre)
+		{
+			data_centre_ = std::move(data_centre);
+		}
+		[[nodiscard]] const data_centre_id& data_centre() const noexcept
+		{
+			return data_centre_;
+		}
 
 		[[nodiscard]] bool is_connected() const noexcept
 		{
@@ -84,6 +94,7 @@
 		boost::asio::io_context& io_;
 		std::string name_;
 		endpoint where_;
+		data_centre_id data_centre_;
 		wire::job_claim claim_;
 		report_handler on_report_;
 		std::shared_ptr<link> link_;
--- a/packages/entry/src/job_entry_settings.cpp
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -58,6 +58,7 @@
 						   });
 		reader.read("contact_ms", out.contact, time_range);
 		reader.read("longest_run_lease_ms", out.longest_run_lease, time_range);
+		reader.read("evacuate_within_ms", out.evacuate_within, time_range);
 		reader.read("status_kept_ms", out.status_kept, time_range);
 		reader.read("stop_within_ms", out.stop_within, time_range);
 		reader.finish();
@@ -70,7 +71,8 @@
 	{
 		return left.member == right.member && left.data_centre == right.data_centre && left.callers == right.callers &&
 			   left.readiness == right.readiness && left.metrics == right.metrics && left.store == right.store &&
-			   left.contact == right.contact && left.longest_run_lease == right.longest_run_lease;
+			   left.contact == right.contact && left.longest_run_lease == right.longest_run_lease &&
+			   left.evacuate_within == right.evacuate_within;
 	}
 
 	ownership_times ownership_times_of(const job_entry_settings& settings) noexcept
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -86,7 +86,8 @@
 		using namespace trailjunction;
 		return {[](boost::asio::io_context& io, endpoint where)
 				{ return std::make_unique<platform::table_store>(io, where); },
-				platform::make_job_front, platform::configuration_row(), platform::decode_configuration};
+				platform::make_job_front, platform::configuration_row(), platform::decode_configuration,
+				platform::make_evacuation_rows()};
 	}
 
 	int run_entry_command(const po::variables_map& given)
--- /dev/null
+++ b/packages/entry/src/process/evacuation_follower.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+#include "evacuation_follower.hpp"
+
+#include <trailjunction/core/event.hpp>
+#include <trailjunction/net/coroutines.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		/// How long the store holds the feed back, and how long after that an answer may take. A feed that went silent
+		/// is given up after 1.1 s, so that what is known is 1.8 s old at the most when the rows are read instead:
+		/// within the 2.5 s after which nothing would be started.
+		constexpr auto feed_wait = millis{600};
+		constexpr auto feed_reserve = millis{500};
+		constexpr auto read_time = millis{600};
+		constexpr auto retry_pause = millis{100};
+	}
+
+	evacuation_follower::evacuation_follower(asio::io_context& io, row_store& store, const evacuation_rows& rows,
+											 process_metrics& metrics, std::function<void()> on_change)
+		: io_{io},
+		  store_{store},
+		  rows_{rows},
+		  evacuated_{metrics.gauge("evacuated_data_centres", "Data centres that this owner starts nothing in.")},
+		  on_change_{std::move(on_change)}
+	{
+	}
+
+	void evacuation_follower::tell_begun(const evacuation_request& request)
+	{
+		log_event(event::evacuation_begun,
+				  {{"data_centre", request.data_centre.str()}, {"row_version", request.version}});
+	}
+
+	void evacuation_follower::tell_withdrawn(const data_centre_id& data_centre)
+	{
+		log_event(event::evacuation_withdrawn, {{"data_centre", data_centre.str()}});
+	}
+
+	void evacuation_follower::tell_count()
+	{
+		evacuated_.Set(static_cast<double>(known_.standing.size()));
+		on_change_();
+	}
+
+	void evacuation_follower::take_all(const std::vector<stored_row>& rows, std::int64_t version, instant asked)
+	{
+		std::vector<evacuation_request> standing;
+		for (const auto& row : rows)
+			if (auto data_centre = rows_.data_centre_of(row.name))
+				standing.push_back({*std::move(data_centre), row.version});
+		const auto changes = note_all_requests(known_, standing, asked);
+		version_ = version;
+		for (const auto& request : changes.begun)
+			tell_begun(request);
+		for (const auto& data_centre : changes.withdrawn)
+			tell_withdrawn(data_centre);
+		if (!changes.begun.empty() || !changes.withdrawn.empty())
+			tell_count();
+	}
+
+	void evacuation_follower::take_changes(const std::vector<stored_row>& rows)
+	{
+		bool changed = false;
+		for (const auto& row : rows)
+		{
+			auto data_centre = rows_.data_centre_of(row.name);
+			if (!data_centre)
+				continue;
+			if (row.removed && note_withdrawal(known_, *data_centre))
+			{
+				changed = true;
+				tell_withdrawn(*data_centre);
+			}
+			const evacuation_request request{*std::move(data_centre), row.version};
+			if (!row.removed && note_request(known_, request))
+			{
+				changed = true;
+				tell_begun(request);
+			}
+		}
+		if (changed)
+			tell_count();
+	}
+
+	asio::awaitable<bool> evacuation_follower::read_all_rows()
+	{
+		auto range = rows_.range;
+		const auto asked = steady_now();
+		const auto page = co_await read_all(store_, std::move(range), asked + read_time);
+		if (page.ok())
+			take_all(page->rows, page->version, asked);
+		co_return page.ok();
+	}
+
+	asio::awaitable<void> evacuation_follower::follow(std::function<bool()> is_over)
+	{
+		bool known = true;
+		while (!is_over())
+		{
+			if (!known)
+			{
+				known = co_await read_all_rows();
+				if (!known)
+					co_await pause_for(io_, retry_pause);
+				continue;
+			}
+			const auto asked = steady_now();
+			const auto page =
+				co_await store_.follow(rows_.range.table, version_, feed_wait, asked + feed_wait + feed_reserve);
+			// After any failure the rows themselves are read: they answer at once, and a feed that failed may have left
+			// something out.
+			known = page.ok();
+			if (!known)
+				continue;
+			take_changes(page->rows);
+			version_ = std::max(version_, page->version);
+			known_.known_at = asked;
+		}
+	}
+}
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -122,7 +122,11 @@
 									  clients.gateway.note_depths(std::move(value));
 								  }};
 		const auto owner_store = carriers.make_store(owner_io, *settings.store);
-		job_owner owner{owner_io, settings, *owner_store, clients.metrics,
+		job_owner owner{owner_io,
+						settings,
+						*owner_store,
+						carriers.evacuations,
+						clients.metrics,
 						[&](queue_depths value)
 						{
 							// A full ring means that newer depths than these wait already.
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -35,10 +35,12 @@
 	}
 
 	job_owner::job_owner(asio::io_context& io, const job_entry_settings& settings, row_store& store,
-						 process_metrics& metrics, job_term::depth_handler on_depths)
+						 const evacuation_rows& evacuations, process_metrics& metrics,
+						 job_term::depth_handler on_depths)
 		: io_{io},
 		  settings_{settings},
 		  store_{store},
+		  evacuations_{evacuations},
 		  metrics_{metrics},
 		  on_depths_{std::move(on_depths)},
 		  times_{ownership_times_of(settings)},
@@ -67,7 +69,8 @@
 			auto owned = co_await take_over();
 			if (!owned)
 				continue;
-			term_ = std::make_shared<job_term>(io_, settings_, store_, metrics_, *std::move(owned), on_depths_);
+			term_ = std::make_shared<job_term>(io_, settings_, store_, evacuations_, metrics_, *std::move(owned),
+											   on_depths_);
 			const auto loaded = co_await term_->load();
 			if (!loaded.ok())
 				watch_.note_failure("load jobs", loaded.ToString());
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -17,7 +17,7 @@
 	{
 	public:
 		job_owner(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store,
-				  process_metrics& metrics, job_term::depth_handler on_depths);
+				  const evacuation_rows& evacuations, process_metrics& metrics, job_term::depth_handler on_depths);
 
 		/// \brief Stands by and owns in turns, until leave().
 		[[nodiscard]] boost::asio::awaitable<void> run();
@@ -43,6 +43,7 @@
 		boost::asio::io_context& io_;
 		job_entry_settings settings_;
 		row_store& store_;
+		const evacuation_rows& evacuations_;
 		store_watch watch_;
 		process_metrics& metrics_;
 		job_term::depth_handler on_depths_;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -57,10 +57,16 @@
 	}
 
 	job_term::job_term(asio::io_context& io, const job_entry_settings& settings, row_store& store,
-					   process_metrics& metrics, owned_row owned, depth_handler on_depths)
+					   const evacuation_rows& evacuations, process_metrics& metrics, owned_row owned,
+					   depth_handler on_depths)
 		: io_{io},
 		  settings_{settings},
 		  store_{store},
+		  evacuations_{io, store, evacuations, metrics,
+					   [this]
+					   {
+						   wake();
+					   }},
 		  metrics_{metrics},
 		  owned_{std::move(owned)},
 		  on_depths_{std::move(on_depths)},
@@ -117,6 +123,8 @@
 			io_, [self]() -> asio::awaitable<void> { co_await self->follow_submissions(); }, asio::detached);
 		asio::co_spawn(
 			io_, [self]() -> asio::awaitable<void> { co_await self->follow_agents(); }, asio::detached);
+		asio::co_spawn(
+			io_, [self]() -> asio::awaitable<void> { co_await self->follow_evacuations(); }, asio::detached);
 		asio::co_spawn(
 			io_, [self]() -> asio::awaitable<void> { co_await self->remove_old_submissions(); }, asio::detached);
 		asio::co_spawn(
@@ -346,10 +354,7 @@
 		metrics_.counter("job_runs_ordered", "Runs that were given to workers.")
 			.Increment(static_cast<double>(done.starts.size()));
 		for (const auto& what : done.starts)
-		{
-			undurable_starts_.erase(what);
-			order_start(what, order_kind::first);
-		}
+			order_kept_start(what, now);
 		for (const auto& id : done.saved)
 			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
 				log_event(event::job_ended, {{"job", id.str()}, {"status", to_string(job->status)}});
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "../connection/agent_peer.hpp"
+#include "evacuation_follower.hpp"
 #include "owner_meter.hpp"
 #include "run_log.hpp"
 
@@ -49,7 +50,8 @@
 		using depth_handler = std::function<void(queue_depths)>;
 
 		job_term(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store,
-				 process_metrics& metrics, owned_row owned, depth_handler on_depths);
+				 const evacuation_rows& evacuations, process_metrics& metrics, owned_row owned,
+				 depth_handler on_depths);
 
 		/// \brief Reads all jobs and agents, and renews the row meanwhile.
 		/// \returns Unavailable where the store did not let it, aborted where another member has taken the row over.
@@ -105,6 +107,8 @@
 		void add_pressures(batch& out, instant now);
 		boost::asio::awaitable<bool> commit(batch& what);
 		void act_on(const batch& done, instant now);
+		/// Orders a start that the store keeps, or takes it back where its data centre is being emptied by now.
+		void order_kept_start(const task_run& what, instant now);
 		boost::asio::awaitable<void> wait_for_work();
 		void wake();
 		boost::asio::awaitable<void> watch_load();
@@ -116,6 +120,7 @@
 		// job_term_inputs.cpp: what comes from the store
 		boost::asio::awaitable<void> follow_submissions();
 		boost::asio::awaitable<void> follow_agents();
+		boost::asio::awaitable<void> follow_evacuations();
 		boost::asio::awaitable<void> reread_submissions();
 		boost::asio::awaitable<void> reread_agents();
 		boost::asio::awaitable<void> take_submissions_in_parts(const std::vector<stored_row>& rows);
@@ -151,6 +156,12 @@
 		void order_start(const task_run& what, order_kind kind);
 		/// \param why For the log.
 		void order_stop(agent_peer& peer, const task_run& what, std::string_view why);
+		/// Whether the worker beside an agent may be given something new, by what operators ask for.
+		[[nodiscard]] start_permission permission_at(const agent_peer& peer, instant now) const noexcept;
+		/// How old what is known of the operators' requests may be for anything to be started.
+		[[nodiscard]] millis evacuation_age() const noexcept;
+		/// Runs on workers of data centres that are being emptied.
+		[[nodiscard]] std::size_t runs_to_be_left() const;
 		[[nodiscard]] std::vector<wire::image_pressure> pressures_beside(const worker_life& worker,
 																		 const std::string& filler) const;
 		[[nodiscard]] bool is_placed_on(const worker_life& life, const task_run& what) const noexcept;
@@ -162,6 +173,7 @@
 		boost::asio::io_context& io_;
 		const job_entry_settings& settings_;
 		row_store& store_;
+		evacuation_follower evacuations_;
 		store_watch watch_;
 		process_metrics& metrics_;
 		owned_row owned_;
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -110,15 +110,18 @@
 	{
 		// Nobody else changes what the owner writes from here on, and a submission goes before its job's progress is
 		// removed; so what has progress here and no submission below is a job whose removal was cut short.
-		std::vector<row_range> own{
-			whole_table(progress_table, job_partition), whole_table(workers_table, job_partition),
-			whole_table(pressures_table, job_partition), whole_table(agents_table, agent_partition)};
+		std::vector<row_range> own{whole_table(progress_table, job_partition),
+								   whole_table(workers_table, job_partition),
+								   whole_table(pressures_table, job_partition),
+								   whole_table(agents_table, agent_partition), evacuations_.range()};
+		const auto known_asked = steady_now();
 		const auto known = co_await read_with_retries(std::move(own));
 		if (!known.ok())
 			co_return known.status();
 		take_progress(rows_of(known->rows, progress_table));
 		take_workers(rows_of(known->rows, workers_table));
 		take_pressures(rows_of(known->rows, pressures_table));
+		evacuations_.take_all(rows_of(known->rows, evacuations_.range().table), known->version, known_asked);
 		auto ranges = all_submissions();
 		const auto asked = steady_now();
 		const auto submissions = co_await read_with_retries(std::move(ranges));
@@ -249,6 +252,7 @@
 			auto& peer = peers_[row.name.key];
 			if (peer)
 			{
+				peer->set_data_centre(data_centre_id{agent->data_centre});
 				peer->move_to(*where);
 				continue;
 			}
@@ -262,6 +266,7 @@
 													if (const auto self = weak.lock(); self && !self->over_)
 														self->on_report(from, std::move(report));
 												});
+			peer->set_data_centre(data_centre_id{agent->data_centre});
 			peer->start();
 		}
 	}
--- a/packages/entry/src/process/job_term_load.cpp
+++ b/packages/entry/src/process/job_term_load.cpp
@@ -29,10 +29,13 @@
 
 	bool job_term::is_behind(instant now)
 	{
-		const bool behind = !knows_latest(cancellations_age, now);
+		const auto requests_known = evacuations_.known().known_at.value_or(began_);
+		const bool behind =
+			!knows_latest(cancellations_age, now) || !knows_evacuations(evacuations_.known(), evacuation_age(), now);
 		if (behind && !told_behind_)
 			log_event(event::owner_behind,
-					  {{"feed_age_ms", std::chrono::duration_cast<millis>(now - fed_until_).count()}});
+					  {{"feed_age_ms", std::chrono::duration_cast<millis>(now - fed_until_).count()},
+					   {"evacuations_age_ms", std::chrono::duration_cast<millis>(now - requests_known).count()}});
 		told_behind_ = behind;
 		return behind;
 	}
@@ -94,6 +97,8 @@
 									  {"commits", load.commits},
 									  {"jobs", table_.jobs.size()},
 									  {"tasks_waiting", waiting_},
-									  {"feed_age_ms", ms(now - fed_until_)}});
+									  {"feed_age_ms", ms(now - fed_until_)},
+									  {"evacuated", evacuations_.known().standing.size()},
+									  {"runs_to_be_left", runs_to_be_left()}});
 	}
 }
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -58,7 +58,8 @@
 				charge_workers({&room, 1}, table_, pressures_, placing);
 			}
 			room.accepts = accepted || (peer->has_reported() && may_start_on(worker.life, now) && worker.responsive &&
-										!worker.draining && now >= worker.trust.avoided_until);
+										!worker.draining && now >= worker.trust.avoided_until &&
+										permission_at(*peer, now) == start_permission::allowed);
 		}
 		table_.changed.clear();
 	}
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -201,9 +201,14 @@
 		for (const auto& key : placed->second)
 		{
 			const task_run what{key, find_task(table_, key)->run};
-			// A run whose start is not durable yet is ordered once it is.
-			if (!undurable_starts_.contains(what))
-				order_start(what, listed.contains(what) ? order_kind::known_running : order_kind::repeated);
+			if (undurable_starts_.contains(what))
+				continue; // ordered once it is durable
+			if (listed.contains(what))
+				order_start(what, order_kind::known_running);
+			else if (permission_at(peer, steady_now()) == start_permission::allowed)
+				order_start(what, order_kind::repeated);
+			else // a stop settles whether it runs, and starts nothing
+				order_stop(peer, what, "evacuated");
 		}
 	}
 
--- a/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
@@ -26,6 +26,7 @@
 		std::string programs; ///< The build folder.
 		int entries{2};
 		int workers{2};
+		int data_centres{1}; ///< Workers stand in them by turns: `dc1`, `dc2` and so on.
 		millis contact{3'000};
 		bool proxies{}; ///< Whether connections pass through a fault_proxy, see #cable.
 	};
--- a/packages/testkit/include/trailjunction/testkit/memory_store.hpp
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -44,6 +44,8 @@
 
 		/// \brief Writes a row without any condition.
 		void put(const std::string& partition, const std::string& table, const std::string& key, std::string value);
+		/// \brief Removes a row without any condition.
+		void remove(const std::string& partition, const std::string& table, const std::string& key);
 		/// \brief The value of a row; empty where it is absent.
 		[[nodiscard]] std::string value(const std::string& partition, const std::string& table,
 										const std::string& key) const;
--- a/packages/testkit/src/job_cluster.cpp
+++ b/packages/testkit/src/job_cluster.cpp
@@ -115,12 +115,12 @@
 		const auto links = addresses_.pick();
 		stored::agent row;
 		row.address = to_string(through_proxy(cable::agent_links, index, links));
-		row.data_centre = "dc1";
+		row.data_centre = absl::StrCat("dc", index % options_.data_centres + 1);
 		if (options_.proxies)
 			thread_.run([&] { link_rows_[name] = encode_agent(row); });
 		json::object settings{{"mode", "jobs"},
 							  {"worker", name},
-							  {"data_centre", "dc1"},
+							  {"data_centre", row.data_centre},
 							  {"store", to_string(through_proxy(cable::agent_store, index, store_))}};
 		settings["listen"] = {{"heartbeats", to_string(heartbeats)},
 							  {"links", to_string(links)},
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -166,6 +166,11 @@
 		rows_[{table, partition, key}] = {std::move(value), ++version_, false};
 	}
 
+	void memory_store::remove(const std::string& partition, const std::string& table, const std::string& key)
+	{
+		rows_[{table, partition, key}] = {"", ++version_, true};
+	}
+
 	std::string memory_store::value(const std::string& partition, const std::string& table,
 									const std::string& key) const
 	{
--- /dev/null
+++ b/tests/evacuation.cpp
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Data centres that operators empty get nothing new, whatever happens to owners, links and the store meanwhile.
+#include "job_term_scene.hpp"
+
+#include <trailjunction/testkit/job_cluster.hpp>
+
+using namespace trailjunction;
+using namespace trailjunction::testkit;
+using namespace trailjunction::job_term_scene;
+
+namespace
+{
+	constexpr auto fresh = millis{2'500};
+	const data_centre_id here{"dc1"};
+	const data_centre_id there{"dc2"};
+
+	void request(memory_store& store, const std::string& data_centre)
+	{
+		store.put("", "op", "evacuate/" + data_centre, "{}");
+	}
+
+	void withdraw(memory_store& store, const std::string& data_centre)
+	{
+		store.remove("", "op", "evacuate/" + data_centre);
+	}
+
+	/// An owner, and an agent in each of two data centres.
+	struct two_data_centres : scene
+	{
+		two_data_centres()
+		{
+			other.full_report = report_of("life-2");
+			register_agent("agent-1", agent, "dc1");
+			register_agent("agent-2", other, "dc2");
+		}
+
+		void register_agent(const std::string& name, const agent_standin& who, const std::string& data_centre)
+		{
+			stored::agent row;
+			row.address = to_string(who.where());
+			row.data_centre = data_centre;
+			store.put(agent_partition, agents_table, name, encode_agent(row));
+		}
+
+		/// Runs until both agents have a lease.
+		bool run_until_leased()
+		{
+			return run_until([&] { return !agent.confirms.empty() && !other.confirms.empty(); });
+		}
+
+		/// Gives whatever is under way time to arrive.
+		void run_for(millis time)
+		{
+			const auto end = steady_now() + time;
+			while (steady_now() < end)
+				io.run_one_for(millis{10});
+		}
+
+		agent_standin other{io};
+	};
+
+	job_spec some_tasks(std::uint32_t count)
+	{
+		auto spec = one_task();
+		spec.groups[0].count = count;
+		return spec;
+	}
+
+	constexpr const char* second_job = "00000000000000b2";
+}
+
+TEST_CASE("a data centre may be started in only while it is known that nobody empties it", "[evacuation]")
+{
+	evacuations known;
+	const auto begin = instant{} + std::chrono::hours{1};
+	CHECK(may_start_in(known, here, fresh, begin) == start_permission::not_known);
+
+	const auto first = note_all_requests(known, {{there, 7}}, begin);
+	CHECK(first.begun.size() == 1);
+	CHECK(may_start_in(known, here, fresh, begin + fresh) == start_permission::allowed);
+	CHECK(may_start_in(known, here, fresh, begin + fresh + millis{1}) == start_permission::not_known);
+	CHECK(may_start_in(known, there, fresh, begin) == start_permission::evacuated);
+	CHECK(may_start_in(known, there, fresh, begin + 2 * fresh) == start_permission::evacuated);
+
+	CHECK(!note_request(known, {there, 9})); // the same request again
+	CHECK(note_request(known, {here, 10}));
+	const auto later = note_all_requests(known, {{here, 10}}, begin + fresh);
+	CHECK(later.begun.empty());
+	REQUIRE(later.withdrawn.size() == 1);
+	CHECK(later.withdrawn[0] == there);
+	CHECK(may_start_in(known, there, fresh, begin + fresh) == start_permission::allowed);
+	CHECK(note_withdrawal(known, here));
+	CHECK(!note_withdrawal(known, here));
+}
+
+TEST_CASE("only rows that name a data centre ask to empty one", "[evacuation]")
+{
+	const auto rows = platform::make_evacuation_rows();
+	CHECK(rows.data_centre_of({"op", "evacuate/dc1"}) == here);
+	CHECK(rows.data_centre_of({"op", "evacuate/a/b"}) == data_centre_id{"a/b"});
+	CHECK(!rows.data_centre_of({"op", "evacuate/"}));
+	CHECK(!rows.data_centre_of({"op", "config"}));
+	CHECK(!rows.data_centre_of({"status", "evacuate/dc1"}));
+	CHECK(rows.range.from <= "evacuate/\x7f");
+	CHECK("evacuate/\x7f" < rows.range.until);
+}
+
+TEST_CASE("an owner starts nothing in a data centre that is emptied, and again once it is not", "[evacuation]")
+{
+	two_data_centres it;
+	request(it.store, "dc2");
+	it.begin();
+	REQUIRE(it.run_until_leased());
+	it.submit(first_job, some_tasks(6));
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 6; }));
+	CHECK(it.other.starts.empty());
+	withdraw(it.store, "dc2");
+	it.submit(second_job, some_tasks(6)); // the worker of dc1 has less room left
+	REQUIRE(it.run_until([&] { return !it.other.starts.empty(); }));
+}
+
+TEST_CASE("work waits while all data centres are emptied, and is started once one is not", "[evacuation]")
+{
+	two_data_centres it;
+	request(it.store, "dc1");
+	request(it.store, "dc2");
+	request(it.store, "dc3"); // where no worker is
+	it.begin();
+	REQUIRE(it.run_until_leased());
+	it.submit(first_job, some_tasks(2));
+	it.run_for(millis{500});
+	CHECK(it.agent.starts.empty());
+	CHECK(it.other.starts.empty());
+	withdraw(it.store, "dc2");
+	REQUIRE(it.run_until([&] { return it.other.starts.size() == 2; }));
+	CHECK(it.agent.starts.empty());
+}
+
+TEST_CASE("a start that was kept but not ordered when the request came goes elsewhere", "[evacuation]")
+{
+	two_data_centres it;
+	request(it.store, "dc1");
+	it.begin();
+	REQUIRE(it.run_until_leased());
+	it.store.faults.hold_commits = true;
+	it.submit(first_job, some_tasks(1));
+	REQUIRE(it.run_until([&] { return it.store.held_commits > 0 && saves_progress(it.store.asked.back()); }));
+	withdraw(it.store, "dc1");
+	request(it.store, "dc2");
+	it.run_for(millis{300}); // until the owner knows
+	it.store.faults.hold_commits = false;
+	REQUIRE(it.run_until([&] { return !it.agent.starts.empty(); }));
+	CHECK(it.other.starts.empty());
+	CHECK(it.agent.starts[0].what.run == 2);
+}
+
+TEST_CASE("a kept start is ordered only once the latest requests are known", "[evacuation]")
+{
+	// An owner that hears nothing between its transaction and the order: a request may stand that it does not know.
+	two_data_centres it;
+	it.settings.contact = millis{600'000}; // nobody loses a lease here
+	it.settings.longest_run_lease = millis{600'000};
+	it.begin();
+	REQUIRE(it.run_until_leased());
+	it.store.faults.hold_commits = true;
+	it.submit(first_job, some_tasks(1));
+	REQUIRE(it.run_until([&] { return it.store.held_commits > 0 && saves_progress(it.store.asked.back()); }));
+	it.store.faults.silence_feeds = true;
+	it.store.faults.refuse_reads = "op";
+	it.run_for(it.settings.evacuate_within / 2 + millis{1'000});
+	it.store.faults.hold_commits = false;
+	REQUIRE(it.run_until([&] { return it.stored_job(first_job).tasks[0].run == 1; }));
+	it.run_for(millis{300});
+	CHECK(it.agent.starts.empty());
+	CHECK(it.other.starts.empty());
+	it.store.faults.refuse_reads.clear();
+	it.store.faults.silence_feeds = false;
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() + it.other.starts.size() == 1; }));
+}
+
+TEST_CASE("a new owner settles a run by a stop where it might otherwise start in a data centre that is emptied",
+		  "[evacuation]")
+{
+	two_data_centres it;
+	it.settings.contact = millis{600'000};
+	it.settings.longest_run_lease = millis{600'000};
+	request(it.store, "dc1");
+	it.begin();
+	REQUIRE(it.run_until_leased());
+	it.submit(first_job, some_tasks(1));
+	REQUIRE(it.run_until([&] { return it.other.starts.size() == 1; }));
+	it.term->release();
+	REQUIRE(it.run_until([&] { return it.worked; }));
+	withdraw(it.store, "dc1");
+	request(it.store, "dc2");
+	it.other.full_report = report_of("life-2"); // which does not list the run: its start may be on its way
+	it.begin();
+	REQUIRE(it.run_until([&] { return it.other.stops.size() == 1; }));
+	CHECK(it.other.starts.size() == 1);
+	auto settled = report_of("life-2");
+	wire::job_refusal refusal;
+	refusal.what = it.other.stops[0].what;
+	refusal.why = wire::start_refusal::refused_never_started;
+	settled.refused.push_back(refusal);
+	it.other.send(settled);
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 1; }));
+	CHECK(it.agent.starts[0].what.run == 2);
+}
+
+TEST_CASE("a feed of the operators' requests that has failed is replaced by reading them", "[evacuation]")
+{
+	two_data_centres it;
+	it.begin();
+	REQUIRE(it.run_until_leased());
+	it.store.faults.silence_feeds = true;
+	request(it.store, "dc2");
+	it.run_for(millis{1'500}); // a silent feed is given up after 1.1 s
+	it.store.faults.silence_feeds = false;
+	it.store.faults.forget_history = true;
+	it.submit(first_job, some_tasks(6));
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 6; }));
+	CHECK(it.other.starts.empty());
+}
+
+TEST_CASE("an owner that dies while operators empty a data centre has a successor that holds to it", "[process]")
+{
+	job_cluster_options options;
+	options.programs = TRAILJUNCTION_PROGRAMS;
+	options.data_centres = 2;
+	job_cluster system{options};
+	INFO(system.logs());
+	REQUIRE(system.wait_ready());
+	const auto owner = system.owner();
+	REQUIRE(owner >= 0);
+	system.with_store(
+		[](memory_store& store)
+		{
+			request(store, "dc2");
+			return true;
+		});
+	system.entry(owner).kill();
+	const auto successor = 1 - owner;
+	const auto told = [&](const char* what)
+	{
+		return job_cluster::wait_until([&] { return !system.lines_with(what).empty(); }, longest_wait);
+	};
+	REQUIRE(job_cluster::wait_until([&] { return system.owner() == successor; }, longest_wait));
+	REQUIRE(told("evacuation_begun"));
+	REQUIRE(system.submit(successor, first_job, 8, millis{200}) == 200);
+	REQUIRE(job_cluster::wait_until([&] { return system.state(successor, first_job) == "completed"; }, longest_wait));
+	const auto begun_at = [&](int worker, const std::string& job)
+	{
+		return system.with_worker(worker,
+								  [&](worker_standin& one)
+								  {
+									  return std::count_if(one.begun.begin(), one.begun.end(),
+														   [&](const worker_standin::begun_run& run)
+														   { return run.task.starts_with(job); });
+								  });
+	};
+	CHECK(begun_at(0, first_job) == 8);
+	CHECK(begun_at(1, first_job) == 0);
+	system.with_store(
+		[](memory_store& store)
+		{
+			withdraw(store, "dc2");
+			return true;
+		});
+	REQUIRE(told("evacuation_withdrawn"));
+	REQUIRE(system.submit(successor, second_job, 8, millis{200}) == 200);
+	REQUIRE(job_cluster::wait_until([&] { return system.state(successor, second_job) == "completed"; }, longest_wait));
+	CHECK(begun_at(1, second_job) > 0);
+}
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -81,8 +81,9 @@
 		settings.member = member_id{"entry-1"};
 		settings.callers = *parse_endpoint("127.0.0.1:7001");
 		settings.contact = millis{600'000}; // the lease of others does not end in this test
+		const auto evacuations = platform::make_evacuation_rows();
 		process_metrics metrics;
-		job_owner owner{io, settings, store, metrics, [](queue_depths) {
+		job_owner owner{io, settings, store, evacuations, metrics, [](queue_depths) {
 						}};
 		stored::ownership row;
 		row.epoch = 3;
@@ -109,8 +110,9 @@
 	job_entry_settings settings;
 	settings.member = member_id{"entry-1"};
 	settings.callers = *parse_endpoint("127.0.0.1:7001");
+	const auto evacuations = platform::make_evacuation_rows();
 	process_metrics metrics;
-	job_owner owner{io, settings, store, metrics, [](queue_depths) {
+	job_owner owner{io, settings, store, evacuations, metrics, [](queue_depths) {
 					}};
 	boost::asio::co_spawn(io, owner.run(), boost::asio::detached);
 	const auto until = steady_now() + millis{1'000};
@@ -128,8 +130,13 @@
 	job_entry_settings settings;
 	settings.member = member_id{"entry-2"};
 	std::vector<queue_depths> told;
+	const auto evacuations = platform::make_evacuation_rows();
 	process_metrics metrics;
-	job_owner standby{io, settings, store, metrics,
+	job_owner standby{io,
+					  settings,
+					  store,
+					  evacuations,
+					  metrics,
 					  [&](queue_depths depths)
 					  {
 						  told.push_back(std::move(depths));
--- a/tests/job_term_scene.hpp
+++ b/tests/job_term_scene.hpp
@@ -6,6 +6,7 @@
 #include "../packages/entry/src/process/job_owner.hpp"
 
 #include <trailjunction/jobs.hpp>
+#include <trailjunction/platform/operator_rows.hpp>
 #include <trailjunction/testkit/agent_standin.hpp>
 #include <trailjunction/testkit/memory_store.hpp>
 #include <trailjunction/wire/job_messages.hpp>
@@ -70,7 +71,8 @@
 					owned.version = page->rows.front().version;
 					owned.renewal_sent = now;
 					owned.store_ms = page->store_ms;
-					term = std::make_shared<job_term>(io, settings, store, metrics, owned, [](queue_depths) {});
+					term = std::make_shared<job_term>(io, settings, store, evacuations, metrics, owned,
+													  [](queue_depths) {});
 					if ((co_await term->load()).ok())
 						co_await term->work();
 					worked = true;
@@ -81,6 +83,7 @@
 		boost::asio::io_context io{1};
 		memory_store store{io};
 		job_entry_settings settings;
+		evacuation_rows evacuations{platform::make_evacuation_rows()};
 		process_metrics metrics;
 		std::shared_ptr<job_term> term;
 		std::int64_t epochs{};
