Jobs: run times are learnt by queue, and by the first task of a group that ends

The order of waiting, the outlook of a job and its objective took the guesses as they were: a guess of a tenth made a job hopeless before it could be late. Change: a line of ln(time) over ln(guess) by queue, which begins as the guess itself; the first whole run of a group that ends well tells for its other tasks. Ruled out: guesses by rank only, which still order wrongly where they say nothing.

--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -22,4 +22,5 @@
 #include "jobs/refusal_memory.hpp"
 #include "jobs/run_lease.hpp"
 #include "jobs/run_listing.hpp"
+#include "jobs/run_times.hpp"
 #include "jobs/worker_trust.hpp"
--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -11,6 +11,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,7 @@
 		worker_life worker;         ///< Where the latest run is, while ordered or running.
 		std::string checkpoint;     ///< To resume from.
 		instant since{};            ///< Of the present phase; of this process only.
+		instant ordered{};          ///< When the latest run was given to its worker; of this process only.
 		worker_life failed_on;      ///< Where the latest failure was; of this process only.
 		std::uint32_t failed_run{}; ///< The latest run whose failure is counted; of this process only.
 		std::int64_t figure{};      ///< The worker's last measure; see job_run in wire.thrift.
@@ -71,6 +73,8 @@
 		std::uint64_t occurrence_size{};
 		std::int64_t ended_ms{}; ///< Of the store's clock; 0 while it has not ended or that is not known.
 		instant accepted{};      ///< When this process learnt of it.
+		/// How long the first whole run took that ended well, by group; 0: none yet. Of this process only.
+		std::vector<millis> took;
 	};
 
 	/// \brief A job none of whose tasks has begun.
@@ -90,6 +94,7 @@
 	[[nodiscard]] bool is_due(const job_state& job, std::uint32_t occurrence, std::uint32_t group,
 							  std::int64_t unix_ms) noexcept;
 
-	/// \brief The longest chain of estimates from a group to the end of the graph, itself included.
-	[[nodiscard]] millis chain_from(const job_spec& spec, std::uint32_t group) noexcept;
+	/// \brief The longest chain of run times from a group to the end of the graph, itself included.
+	/// \param times Of the tasks of each group.
+	[[nodiscard]] millis chain_from(const job_spec& spec, std::span<const millis> times, std::uint32_t group);
 }
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "job_state.hpp"
+#include "run_times.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -45,8 +46,13 @@
 		absl::flat_hash_set<worker_life> changed;
 		/// Jobs among which needless_runs() looks: those that ended while they had runs, and those with gangs.
 		absl::flat_hash_set<job_id> watched;
+		run_times learnt; ///< How long tasks take, by queue.
 	};
 
+	/// \brief How long the tasks of each group of a job are expected to take: as long as one of the group took, or by
+	/// what was learnt of the queue.
+	[[nodiscard]] std::vector<millis> expected_times(const job_table& table, const job_state& job);
+
 	/// \brief The job of that id, or nothing.
 	[[nodiscard]] job_state* find_job(const job_table& table, const job_id& id) noexcept;
 
--- a/packages/jobs/src/job_state.cpp
+++ b/packages/jobs/src/job_state.cpp
@@ -40,6 +40,7 @@
 		for (const auto& group : job.spec.groups)
 			job.occurrence_size += group.count;
 		job.tasks.resize(job.occurrence_size * job.spec.occurrences);
+		job.took.resize(job.spec.groups.size());
 		job.accepted = now;
 		return job;
 	}
@@ -78,13 +79,13 @@
 						   [&](std::uint32_t before) { return is_done(job, occurrence, before); });
 	}
 
-	millis chain_from(const job_spec& spec, std::uint32_t group) noexcept
+	millis chain_from(const job_spec& spec, std::span<const millis> times, std::uint32_t group)
 	{
 		// Groups only wait for earlier ones, so one pass from the end knows every chain that it needs.
 		std::vector<millis> longest(spec.groups.size());
 		for (std::size_t i = spec.groups.size(); i-- > group;)
 		{
-			longest[i] += spec.groups[i].estimate;
+			longest[i] += times[i];
 			for (const auto before : spec.groups[i].after)
 				longest[before] = std::max(longest[before], longest[i]);
 		}
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -140,6 +140,20 @@
 			return any;
 		}
 
+		/// Takes in how long a run took that ended well. Later runs resume, and a gang waits for its members: they say
+		/// nothing.
+		void note_run_time(job_table& table, job_state& job, const task_run& what, const job_task& task, instant now)
+		{
+			const auto& group = group_of(job, what.task);
+			if (what.run != 1 || group.gang || task.ordered == instant{})
+				return;
+			auto& took = job.took[what.task.group];
+			if (took.count() > 0)
+				return; // the first to end was held up least
+			took = std::max(millis{1}, std::chrono::duration_cast<millis>(now - task.ordered));
+			learn_run_time(table.learnt, job.queue.queue, group.estimate, took);
+		}
+
 		/// Where a task stands after a run that did not end `done`.
 		task_stage phase_after(const job_state& job, const task_group& group, const job_task& task)
 		{
@@ -245,6 +259,7 @@
 		task.phase = task_stage::ordered;
 		task.worker = worker;
 		task.since = now;
+		task.ordered = now;
 		task.stop_ordered = instant{};
 		task.run = next_run(job, key, task);
 		if (job.status == job_status::queued)
@@ -273,6 +288,8 @@
 		auto& job = *find_job(table, what.task.job);
 		const auto& group = group_of(job, what.task);
 		const auto worker = task->worker;
+		if (how == run_outcome::done && !group.long_running)
+			note_run_time(table, job, what, *task, now);
 		take_off_worker(table, what.task, *task);
 		task->since = now;
 		table.unsaved.insert(job.id);
@@ -315,6 +332,17 @@
 			keep_checkpoint(*find_job(table, what.task.job), what.task, *task, checkpoint);
 	}
 
+	std::vector<millis> expected_times(const job_table& table, const job_state& job)
+	{
+		std::vector<millis> out;
+		out.reserve(job.spec.groups.size());
+		for (std::size_t i = 0; i < job.spec.groups.size(); ++i)
+			out.push_back(job.took[i].count() > 0
+							  ? job.took[i]
+							  : expected_run_time(table.learnt, job.queue.queue, job.spec.groups[i].estimate));
+		return out;
+	}
+
 	std::vector<task_key> waiting_tasks(const job_table& table, std::int64_t unix_ms)
 	{
 		std::vector<task_key> out;
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -2,6 +2,7 @@
 #include <trailjunction/jobs/placement_order.hpp>
 
 #include <algorithm>
+#include <span>
 
 namespace trailjunction
 {
@@ -11,25 +12,25 @@
 		/// Times its objective, a job is late and still worth something; from the users' rules.
 		constexpr int late_factor = 3;
 
-		double core_seconds_of(const task_group& group)
+		double core_seconds_of(const task_group& group, std::chrono::duration<double> time)
 		{
-			const std::chrono::duration<double> estimate = group.estimate;
-			return static_cast<double>(group.claim.cpu_milli) / cpu_milli * estimate.count();
+			return static_cast<double>(group.claim.cpu_milli) / cpu_milli * time.count();
 		}
 
-		double work_left_in(const job_state& job, std::uint32_t occurrence)
+		double work_left_in(const job_state& job, std::span<const millis> times, std::uint32_t occurrence)
 		{
 			double out = 0.0;
 			auto place = place_of(job, {job.id, occurrence, 0, 0});
-			for (const auto& group : job.spec.groups)
+			for (std::size_t i = 0; i < job.spec.groups.size(); ++i)
 			{
+				const auto& group = job.spec.groups[i];
 				const auto begin = job.tasks.begin() + static_cast<std::ptrdiff_t>(place);
 				const auto open =
 					std::count_if(begin, begin + group.count,
 								  [](const job_task& task)
 								  { return task.phase != task_stage::done && task.phase != task_stage::failed; });
 				if (!group.long_running)
-					out += static_cast<double>(open) * core_seconds_of(group);
+					out += static_cast<double>(open) * core_seconds_of(group, times[i]);
 				place += group.count;
 			}
 			return out;
@@ -70,13 +71,14 @@
 			millis objective{};
 		};
 
-		job_progress progress_of(const job_state& job, const task_key& key, decision_time at)
+		job_progress progress_of(const job_state& job, std::span<const millis> times, const task_key& key,
+								 decision_time at)
 		{
-			const auto whole = chain_from(job.spec, 0);
+			const auto whole = chain_from(job.spec, times, 0);
 			job_progress out;
 			out.objective = std::chrono::duration_cast<millis>(whole * job.queue.stretch) + job.queue.latency_target;
 			out.age = age_of(job, key.occurrence, at);
-			out.rest = chain_from(job.spec, key.group);
+			out.rest = chain_from(job.spec, times, key.group);
 			return out;
 		}
 
@@ -128,14 +130,15 @@
 			out.key = key;
 			out.job = find_job(table, key.job);
 			out.group = &out.job->spec.groups[key.group];
-			const auto progress = progress_of(*out.job, key, at);
+			const auto times = expected_times(table, *out.job);
+			const auto progress = progress_of(*out.job, times, key, at);
 			out.outlook = outlook_of(progress);
 			out.urgency = urgency_of(progress);
 			const bool known = before != nullptr && same_occurrence(before->key, key);
 			out.starving = known ? before->starving : is_starving(*out.job, key.occurrence, at.now);
 			if (!out.group->long_running)
-				out.work_left =
-					known && !before->group->long_running ? before->work_left : work_left_in(*out.job, key.occurrence);
+				out.work_left = known && !before->group->long_running ? before->work_left
+																	  : work_left_in(*out.job, times, key.occurrence);
 			return out;
 		}
 	}
--- /dev/null
+++ b/tests/run_times.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief How long tasks are expected to take, whatever their clients guess.
+#include "job_fixtures.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+
+using namespace trailjunction;
+using namespace trailjunction::job_tests;
+
+namespace
+{
+	const queue_id queue{"q"};
+
+	millis seconds(double count)
+	{
+		return millis{static_cast<millis::rep>(count * 1'000.0)};
+	}
+
+	/// Guesses that differ from the run times by factors of 1/4 to 4, in turn.
+	run_times after_wild_guesses(int groups, double took)
+	{
+		run_times out;
+		const double factors[] = {0.25, 2.0, 0.5, 4.0, 1.0};
+		for (int i = 0; i < groups; ++i)
+			learn_run_time(out, queue, seconds(took * factors[i % 5]), seconds(took));
+		return out;
+	}
+}
+
+TEST_CASE("guesses are believed until their queue has shown otherwise", "[jobs]")
+{
+	run_times known;
+	CHECK(expected_run_time(known, queue, seconds(1.7)) == seconds(1.7));
+	learn_run_time(known, queue, millis{0}, seconds(2.0)); // nothing was guessed
+	CHECK(expected_run_time(known, queue, millis{0}) == millis{0});
+	CHECK(expected_run_time(known, queue, seconds(1.7)) == seconds(1.7));
+}
+
+TEST_CASE("wild guesses give way to what the tasks of their queue took", "[jobs]")
+{
+	// A full day: guesses off by 0.9, run times of a queue by 0.46 (standard deviations of logarithms).
+	const auto known = after_wild_guesses(100, 1.7);
+	for (const double guess : {0.3, 1.7, 6.0})
+		CHECK(std::abs(std::log(expected_run_time(known, queue, seconds(guess)).count() / 1'700.0)) < 0.15);
+	CHECK(expected_run_time(known, queue_id{"other"}, seconds(6.0)) == seconds(6.0));
+}
+
+TEST_CASE("good guesses are kept, and ones that are all too low by a factor are corrected by it", "[jobs]")
+{
+	run_times good;
+	run_times low;
+	for (int i = 0; i < 100; ++i)
+	{
+		const double took = 0.5 * (1 + i % 7);
+		learn_run_time(good, queue, seconds(took), seconds(took));
+		learn_run_time(low, queue, seconds(took / 2), seconds(took));
+	}
+	for (const double guess : {0.5, 2.0, 3.5})
+	{
+		CHECK(std::abs(std::log(expected_run_time(good, queue, seconds(guess)).count() / (guess * 1'000.0))) < 0.02);
+		CHECK(std::abs(std::log(expected_run_time(low, queue, seconds(guess)).count() / (guess * 2'000.0))) < 0.05);
+	}
+}
+
+TEST_CASE("the first task of a group that ends tells how long the others take", "[jobs]")
+{
+	job_table table;
+	add_job(table, job_of("a", {group_of(3, 1'000), group_of(2, 1'000)}));
+	const auto first = assign(table, {job_id{"a"}, 0, 0, 0}, worker_life{"w1"}, start);
+	const auto second = assign(table, {job_id{"a"}, 0, 0, 1}, worker_life{"w1"}, start);
+	const auto third = assign(table, {job_id{"a"}, 0, 0, 2}, worker_life{"w1"}, start);
+	end_run(table, third, run_outcome::failed, "", start + seconds(0.1)); // says nothing
+	CHECK(expected_times(table, *find_job(table, job_id{"a"}))[0] == seconds(1.0));
+	end_run(table, second, run_outcome::done, "", start + seconds(3.0));
+	end_run(table, first, run_outcome::done, "", start + seconds(5.0)); // was held up
+	const auto again = assign(table, {job_id{"a"}, 0, 0, 2}, worker_life{"w1"}, start + seconds(6.0));
+	end_run(table, again, run_outcome::done, "", start + seconds(6.5)); // resumed
+	const auto times = expected_times(table, *find_job(table, job_id{"a"}));
+	REQUIRE(times.size() == 2);
+	CHECK(times[0] == seconds(3.0));
+	CHECK(times[1] > seconds(1.0)); // by what the queue has shown
+	CHECK(times[1] < seconds(3.0));
+}
+
+TEST_CASE("a job is not given up for a guess that its queue has shown to be far too low", "[jobs]")
+{
+	// Its guess of 0.1 s would make it hopeless 1.2 s after it was handed in; tasks of its queue take 1.7 s.
+	job_table table;
+	table.learnt = after_wild_guesses(100, 1.7);
+	auto guessed_low = group_of(1, 8'000);
+	guessed_low.estimate = millis{100};
+	auto waiting = job_of("b", {guessed_low});
+	waiting.accepted = start - millis{1'400};
+	add_job(table, std::move(waiting));
+	const auto wishes = order_wishes(table, waiting_tasks(table, 0), {start, 0});
+	REQUIRE(wishes.size() == 1);
+	CHECK(wishes[0].outlook == job_outlook::in_time);
+}
