Jobs: waiting work is ordered by what a core-second still brings

The job with the least work left went first, also where it could not be in time any more, and large jobs that were nearly done waited behind small new ones though they are worth more. Change: by priority, then what lasts, then merit: the job's worth by its size, times the chance that it is in time, for each core-second that is left.

--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -10,6 +10,7 @@
 #include "jobs/job_configuration.hpp"
 #include "jobs/job_fwd.hpp"
 #include "jobs/job_ids.hpp"
+#include "jobs/job_merit.hpp"
 #include "jobs/job_placement.hpp"
 #include "jobs/job_rows.hpp"
 #include "jobs/job_spec.hpp"
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -4,6 +4,7 @@
 /// \brief All jobs of a shard and every change that they may undergo.
 #pragma once
 
+#include "job_merit.hpp"
 #include "job_state.hpp"
 #include "run_times.hpp"
 
@@ -12,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace trailjunction
@@ -47,12 +49,20 @@
 		/// Jobs among which needless_runs() looks: those that ended while they had runs, and those with gangs.
 		absl::flat_hash_set<job_id> watched;
 		run_times learnt; ///< How long tasks take, by queue.
+		usual_work_by_queue usual;
 	};
 
 	/// \brief How long the tasks of each group of a job are expected to take: as long as one of the group took, or by
 	/// what was learnt of the queue.
 	[[nodiscard]] std::vector<millis> expected_times(const job_table& table, const job_state& job);
 
+	/// \brief Core-seconds of one occurrence of a job, without tasks that last.
+	/// \param times Of the tasks of each group.
+	[[nodiscard]] double whole_work(const job_spec& spec, std::span<const millis> times) noexcept;
+
+	/// \brief Core-seconds of one task.
+	[[nodiscard]] double task_work(const task_group& group, millis time) noexcept;
+
 	/// \brief The job of that id, or nothing.
 	[[nodiscard]] job_state* find_job(const job_table& table, const job_id& id) noexcept;
 
--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -36,7 +36,7 @@
 		job_outlook outlook{job_outlook::in_time};
 		/// The job's age and the rest of its longest chain, as a share of its objective: at 1 it can just be in time.
 		double urgency{};
-		double work_left{}; ///< Core-seconds that its occurrence of the job still needs; 0 for serving tasks.
+		double merit{}; ///< See job_merit.hpp; 0 for tasks that last.
 		/// Nothing of its occurrence runs, and nothing has happened to it for long: where there is room to spare, it
 		/// gets a place at any cost to others.
 		bool starving{};
@@ -44,8 +44,8 @@
 
 	/// \brief Puts waiting tasks in the order of their turns.
 	/// \details By the priority of their queues; serving tasks first, since one that is away is missed until it is
-	/// back; what nobody waits for any more last. Then the job with the least work left: where not all can be in time,
-	/// this order brings the most of them there, and jobs that have begun end before others begin.
+	/// back; what nobody waits for any more last. Then the job of the highest merit, see job_merit.hpp; jobs that have
+	/// begun have the more of it the less work is left, so they end before others begin.
 	///
 	/// \param waiting As from waiting_tasks(): the tasks of a group one after the other.
 	/// \returns Tasks of a group and occurrence stay together.
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -236,6 +236,7 @@
 									   [](const task_group& group) { return group.gang; });
 		if (gangs || has_ended(job.status))
 			table.watched.insert(job.id);
+		note_work(table.usual[job.queue.queue], whole_work(job.spec, expected_times(table, job)));
 		auto id = job.id;
 		table.jobs.emplace(std::move(id), std::make_unique<job_state>(std::move(job)));
 		return true;
@@ -332,6 +333,22 @@
 			keep_checkpoint(*find_job(table, what.task.job), what.task, *task, checkpoint);
 	}
 
+	double task_work(const task_group& group, millis time) noexcept
+	{
+		constexpr double cpu_milli = 1'000.0;
+		const std::chrono::duration<double> seconds = time;
+		return static_cast<double>(group.claim.cpu_milli) / cpu_milli * seconds.count();
+	}
+
+	double whole_work(const job_spec& spec, std::span<const millis> times) noexcept
+	{
+		double out = 0.0;
+		for (std::size_t i = 0; i < spec.groups.size(); ++i)
+			if (!spec.groups[i].long_running)
+				out += spec.groups[i].count * task_work(spec.groups[i], times[i]);
+		return out;
+	}
+
 	std::vector<millis> expected_times(const job_table& table, const job_state& job)
 	{
 		std::vector<millis> out;
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -8,15 +8,9 @@
 {
 	namespace
 	{
-		constexpr double cpu_milli = 1'000.0;
 		/// Times its objective, a job is late and still worth something; from the users' rules.
 		constexpr int late_factor = 3;
 
-		double core_seconds_of(const task_group& group, std::chrono::duration<double> time)
-		{
-			return static_cast<double>(group.claim.cpu_milli) / cpu_milli * time.count();
-		}
-
 		double work_left_in(const job_state& job, std::span<const millis> times, std::uint32_t occurrence)
 		{
 			double out = 0.0;
@@ -30,7 +24,7 @@
 								  [](const job_task& task)
 								  { return task.phase != task_stage::done && task.phase != task_stage::failed; });
 				if (!group.long_running)
-					out += static_cast<double>(open) * core_seconds_of(group, times[i]);
+					out += static_cast<double>(open) * task_work(group, times[i]);
 				place += group.count;
 			}
 			return out;
@@ -63,20 +57,13 @@
 			return now - changed >= starves_after;
 		}
 
-		/// How far a job is from its objective.
-		struct job_progress
-		{
-			millis age{};
-			millis rest{}; ///< Of its longest chain.
-			millis objective{};
-		};
-
 		job_progress progress_of(const job_state& job, std::span<const millis> times, const task_key& key,
 								 decision_time at)
 		{
-			const auto whole = chain_from(job.spec, times, 0);
 			job_progress out;
-			out.objective = std::chrono::duration_cast<millis>(whole * job.queue.stretch) + job.queue.latency_target;
+			out.chain = chain_from(job.spec, times, 0);
+			out.stretch = job.queue.stretch;
+			out.latency_target = job.queue.latency_target;
 			out.age = age_of(job, key.occurrence, at);
 			out.rest = chain_from(job.spec, times, key.group);
 			return out;
@@ -84,15 +71,15 @@
 
 		job_outlook outlook_of(const job_progress& job) noexcept
 		{
-			if (job.age + job.rest > late_factor * job.objective)
+			if (job.age + job.rest > late_factor * objective_of(job))
 				return job_outlook::hopeless;
 			// Estimates are off by as much as the rest itself.
-			return job.age > job.objective ? job_outlook::late : job_outlook::in_time;
+			return job.age > objective_of(job) ? job_outlook::late : job_outlook::in_time;
 		}
 
 		double urgency_of(const job_progress& job) noexcept
 		{
-			const auto objective = std::max<millis::rep>(1, job.objective.count());
+			const auto objective = std::max<millis::rep>(1, objective_of(job).count());
 			return static_cast<double>((job.age + job.rest).count()) / static_cast<double>(objective);
 		}
 
@@ -108,8 +95,8 @@
 			const bool right_hopeless = right.outlook == job_outlook::hopeless;
 			if (left_hopeless != right_hopeless)
 				return right_hopeless;
-			if (left.work_left != right.work_left)
-				return left.work_left < right.work_left;
+			if (left.merit != right.merit)
+				return left.merit > right.merit;
 			return left.key < right.key;
 		}
 
@@ -136,9 +123,11 @@
 			out.urgency = urgency_of(progress);
 			const bool known = before != nullptr && same_occurrence(before->key, key);
 			out.starving = known ? before->starving : is_starving(*out.job, key.occurrence, at.now);
-			if (!out.group->long_running)
-				out.work_left = known && !before->group->long_running ? before->work_left
-																	  : work_left_in(*out.job, times, key.occurrence);
+			if (out.group->long_running)
+				return out;
+			const auto left = work_left_in(*out.job, times, key.occurrence);
+			out.merit =
+				merit_of(progress, whole_work(out.job->spec, times), left, table.usual.at(out.job->queue.queue));
 			return out;
 		}
 	}
