--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -52,8 +52,8 @@
 		double serving_use{0.5};
 		/// Standard deviation of ln(strain) around what the pressure model expects: its residuals on both deployments.
 		double strain_spread{0.35};
-		/// A filler that adds less than this to ln(strain) is not to blame for what the others beside it do: twice what
-		/// a pair's pressure is off by on a full day (0.003 a processor, 7 processors).
+		/// A filler that adds less than this to ln(strain) is not to blame for what the others beside it do: on a
+		/// full day three tenths of the pairs of images press by less than that, 0.003 a processor at 7 processors.
 		double blameless_below{0.02};
 		/// Cost of one serving task over its target, against a filler's full speed: by both sheets' worths.
 		double harm_cost{3.0};
