Tests: tasks that crash each worker that starts them, red

What callers saw: two such tasks took worker after worker down, over a tenth of the requests beside them were not served, and the jobs stayed `running` for ever. The stand-in of a worker learns to crash under named tasks and to come back under a new id after a while.

--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,6 +57,8 @@
 		void begin(endpoint announced);
 		/// \brief Ends this incarnation with all that it runs and begins another one.
 		void restart(std::string id);
+		/// \brief Ends this incarnation with all that it runs; the next one is there after #away.
+		void crash();
 		/// \brief Ends what is over by now, so that #begun is up to date.
 		void settle(instant now);
 
@@ -102,6 +105,8 @@
 		/// came.
 		std::vector<std::pair<std::size_t, std::size_t>> doubled;
 		std::map<std::string, int> done; ///< Tasks by how often they ended `done`.
+		std::set<std::string> crashing;  ///< Tasks that crash this worker as soon as it starts them.
+		millis away{500};                ///< From such a crash until its next incarnation is there.
 
 	private:
 		using run_name = std::pair<std::string, std::int64_t>;
@@ -119,6 +124,7 @@
 		};
 
 		boost::asio::awaitable<void> send_heartbeats();
+		boost::asio::awaitable<void> come_back();
 		boost::asio::awaitable<http_response> answer(http_request request);
 		boost::asio::awaitable<void> carry_out_late(http_request request, millis by);
 		boost::asio::awaitable<http_response> carry_out(http_request request, bool late);
@@ -137,6 +143,8 @@
 
 		boost::asio::io_context& io_;
 		std::string id_;
+		bool down_{}; ///< It has crashed and is not back.
+		int crashes_{};
 		std::string service_;
 		endpoint agent_;
 		endpoint announced_;
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -69,6 +69,19 @@
 		ends_ = 0;
 	}
 
+	void worker_standin::crash()
+	{
+		restart(absl::StrCat(id_.substr(0, id_.find('+')), "+", ++crashes_));
+		down_ = true;
+		asio::co_spawn(io_, come_back(), asio::detached);
+	}
+
+	asio::awaitable<void> worker_standin::come_back()
+	{
+		co_await pause_for(io_, away);
+		down_ = false;
+	}
+
 	std::int64_t worker_standin::clock_ms() const
 	{
 		return to_millis(steady_now());
@@ -78,7 +91,7 @@
 	{
 		while (true)
 		{
-			if (!faults.silent)
+			if (!faults.silent && !down_)
 			{
 				http_request request;
 				request.method = "PUT";
@@ -167,7 +180,7 @@
 
 	asio::awaitable<http_response> worker_standin::answer(http_request request)
 	{
-		if (faults.silent)
+		if (faults.silent || down_)
 			co_return http_response{0, {}, ""};
 		const auto path = path_of(request.target);
 		if (take_late(path))
@@ -179,6 +192,8 @@
 		if (slowness.before.count() > 0)
 			co_await pause_for(io_, slowness.before);
 		auto out = co_await carry_out(std::move(request), false);
+		if (down_)
+			co_return http_response{0, {}, ""};
 		if (slowness.after.count() > 0)
 			co_await pause_for(io_, slowness.after);
 		co_return out;
@@ -271,6 +286,8 @@
 			return plain(409, "room");
 		}
 		begin_run(body, late);
+		if (crashing.contains(task))
+			crash();
 		return plain(200);
 	}
 
