Owner: the runs that are lost with a worker are named in the log

Before, worker_lapsed told how many runs were lost and nothing told which, so that a task could not be followed from one crashed worker to the next: the timeline of the incident had to be put together from the agents' logs. run_ended lists them now, with the outcome `lapsed`, as it does for all other ends.

--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -243,7 +243,11 @@
 		const std::vector<task_key> keys(placed->second.begin(), placed->second.end());
 		log_event(event::worker_lapsed, {{"worker", life.str()}, {"why", why}, {"runs", keys.size()}});
 		for (const auto& key : keys)
-			end_run(table_, {key, find_task(table_, key)->run}, run_outcome::lapsed, "", now);
+		{
+			const task_run what{key, find_task(table_, key)->run};
+			ended_log_.note(what, life, to_string(run_outcome::lapsed));
+			end_run(table_, what, run_outcome::lapsed, "", now);
+		}
 	}
 
 	void job_term::lose_earlier_lives(const agent_peer& peer, instant now)
