Owner: a task that crashes the workers that start it is suspected, started apart, and given up

What callers saw: two tasks were started 41 and 36 times in two minutes; each start took a worker down with up to 59 runs of others, over a tenth of the callers beside them were not served, and both jobs stayed `running`.

Cause: a run that is gone with its worker counted as nothing (release and `lapsed` cost no attempt), so its task waited again beside all others and was placed within a millisecond on the next worker. Class: a retry without a bound, where the outcome was not told by anybody. Ruled out: a count that died with its owner (run numbers went on over both takeovers, and no code counts), and ends that were not seen (each is in the log as `worker_lapsed`, `restarted`).

Change: a crash counts against each task whose run may have to do with it: its worker shows a new incarnation, or its agent keeps hearing nothing of it until the lease is over; not where the agent is silent too, nor where the worker had said that it leaves. Who counts: runs of up to 10 s, ordered no later than a second after the worker's last answer, which agents report now. What counts is stored with the job, so that it outlives owners. A suspected task starts apart from others that are suspected, where the least is lost; from two crashes on alone; after three (four, where they did not come promptly) it fails and its job with it, also one that lasts, and a gang as a whole. A run that goes on for twice as long as any crashed one, and for a second, clears it; so does the worker if it is there after all.

Why it holds: each start after the first crash is judged alone or apart, a crash that is known counts before the task can be placed again (both happen on the owner's thread), and the count is written in the transaction that must be kept before the next order leaves.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -278,6 +278,7 @@
 		out.pace_percent = mean_pace();
 		out.responsive = failed_listings_ < unresponsive_after;
 		out.lease_ends = closing_;
+		out.unheard_ms = std::chrono::duration_cast<millis>(steady_now() - clock_read_).count();
 		for (auto& [what, run] : runs_)
 		{
 			if (!out.full && !run.changed)
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -81,6 +81,9 @@
 		heartbeat_refused = 447,
 		evacuation_begun = 448,
 		evacuation_withdrawn = 449,
+		task_suspected = 450,
+		task_cleared = 451,
+		task_given_up = 452,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -24,7 +24,7 @@
 			event::worker_quarantined,   event::config_refused,      event::settings_refused, event::worker_silent,
 			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,   event::job_refused,
 			event::job_unknown,          event::row_unreadable,      event::runs_overlap,     event::owner_behind,
-			event::owner_handed_on,
+			event::owner_handed_on,      event::task_given_up,
 		};
 
 		constexpr std::initializer_list<event> every_event = {
@@ -60,7 +60,8 @@
 			event::runs_overlap,         event::owner_load,
 			event::owner_behind,         event::owner_handed_on,
 			event::heartbeat_refused,    event::evacuation_begun,
-			event::evacuation_withdrawn,
+			event::evacuation_withdrawn, event::task_suspected,
+			event::task_cleared,         event::task_given_up,
 		};
 	}
 
@@ -198,6 +199,12 @@
 			return "evacuation_begun";
 		case event::evacuation_withdrawn:
 			return "evacuation_withdrawn";
+		case event::task_suspected:
+			return "task_suspected";
+		case event::task_cleared:
+			return "task_cleared";
+		case event::task_given_up:
+			return "task_given_up";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/src/client/day_report.cpp
+++ b/packages/entry/src/client/day_report.cpp
@@ -38,6 +38,7 @@
 				{"worker_silent", report_mark_kind::worker},
 				{"worker_lapsed", report_mark_kind::worker},
 				{"worker_avoided", report_mark_kind::worker},
+				{"task_given_up", report_mark_kind::worker},
 				{"platform_unreachable", report_mark_kind::store},
 				{"platform_back", report_mark_kind::store},
 			};
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -28,7 +29,9 @@
 		resources capacity;
 		bool draining{};
 		bool responsive{};
-		double filler_pace{1.0}; ///< The share at which fillers may work there.
+		std::optional<instant> heard;   ///< When it last answered its agent.
+		std::optional<instant> crashed; ///< When the incarnation before it was known to have crashed.
+		double filler_pace{1.0};        ///< The share at which fillers may work there.
 		worker_trust trust;
 		std::int64_t ends_seen{}; ///< Reported up to here.
 		std::int64_t ends_kept{}; ///< Durable up to here.
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -282,6 +282,7 @@
 			co_await pause_for(io_, sweep_every);
 			for (const auto& id : settle_ended(table_))
 				forget_bases(pressures_, id);
+			drop_cleared_suspects();
 			for (const auto& id : jobs_to_forget(steady_now()))
 			{
 				if (over_)
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -141,9 +141,6 @@
 		void learn(const agent_peer& peer, instant now);
 		void reconcile(agent_peer& peer, const wire::job_report& report);
 		void confirm(agent_peer& peer, const wire::job_report& report, instant now);
-		void lose_worker(const worker_life& life, std::string_view why, instant now);
-		void lose_earlier_lives(const agent_peer& peer, instant now);
-		void lose_lapsed(instant now);
 		void place_waiting(instant now);
 		void stop_needless(instant now);
 		/// What is known of earlier orders of a run.
@@ -170,6 +167,19 @@
 		[[nodiscard]] bool may_start_on(const worker_life& life, instant now) const;
 		void refresh_rooms(instant now);
 
+		// job_term_crashes.cpp: workers that are no more, and the tasks that may have crashed them
+		void lose_worker(const lost_worker& worker, bool crashed, std::string_view why, instant now);
+		/// \param before What was known of the worker beside the agent until now.
+		void lose_earlier_lives(agent_peer& peer, const worker_facts& before, instant now);
+		void lose_lapsed(instant now);
+		void take_back_lost(const lost_run& lost, const worker_life& worker, instant now);
+		/// Clears tasks whose runs on the worker have gone on for long enough, and those that were suspected of
+		/// crashing it though it is there.
+		void clear_suspects(const agent_peer& peer);
+		void note_suspects(const job_state& job);
+		/// Forgets whom suspects_ names that is suspected no more, or not for that worker.
+		void drop_cleared_suspects();
+
 		boost::asio::io_context& io_;
 		const job_entry_settings& settings_;
 		row_store& store_;
@@ -193,6 +203,8 @@
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
 		/// The agent beside each worker that was ever heard of in this term or just before it.
 		absl::flat_hash_map<worker_life, agent_seat> agent_beside_;
+		/// Tasks that are suspected, by the workers that crashed under them.
+		absl::flat_hash_map<worker_life, absl::flat_hash_set<task_key>> suspects_;
 		instant began_{};
 		instant committed_{};
 		/// Between two transactions; longer after a round that took long, so that rounds leave time for reports.
--- /dev/null
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The part of job_term that follows workers which are no more, and finds out which tasks crash them.
+/// \details A worker has crashed where its agent tells of another incarnation, or keeps hearing nothing of it until
+/// the lease is over. Where the agent is not heard either, it may as well be cut off, and nothing is held against
+/// what ran there; nor where the worker had said that it leaves. See crash_suspicion.hpp for what follows.
+#include "job_term.hpp"
+
+#include <trailjunction/core/event.hpp>
+
+#include <absl/strings/str_join.h>
+
+namespace trailjunction
+{
+	namespace
+	{
+		constexpr crash_policy crashing{};
+
+		std::string names_of(const crash_record& record)
+		{
+			return absl::StrJoin(record.workers, " ",
+								 [](std::string* out, const worker_life& worker) { out->append(worker.str()); });
+		}
+	}
+
+	void job_term::lose_worker(const lost_worker& worker, bool crashed, std::string_view why, instant now)
+	{
+		auto lost = runs_lost_with(table_, worker, crashed, crashing);
+		if (lost.empty())
+			return;
+		log_event(event::worker_lapsed,
+				  {{"worker", worker.life.str()}, {"why", why}, {"crashed", crashed ? 1 : 0}, {"runs", lost.size()}});
+		for (auto& run : lost)
+		{
+			if (undurable_starts_.contains(run.what))
+				run.age.reset(); // it was never ordered
+			take_back_lost(run, worker.life, now);
+		}
+	}
+
+	void job_term::take_back_lost(const lost_run& lost, const worker_life& worker, instant now)
+	{
+		const auto effect = lose_run(table_, lost, worker, crashing, now);
+		if (effect == end_effect::ignored)
+			return;
+		ended_log_.note(lost.what, worker, to_string(run_outcome::lapsed));
+		if (!lost.age)
+			return;
+		const auto& key = lost.what.task;
+		const auto& crashes = find_task(table_, key)->crashes;
+		suspects_[worker].insert(key);
+		log_event(event::task_suspected, {{"task", to_string(key)},
+										  {"run", lost.what.run},
+										  {"worker", worker.str()},
+										  {"age_ms", lost.age->count()},
+										  {"crashes", crashes.workers.size()}});
+		metrics_.counter("tasks_suspected", "Times that a task was suspected of having crashed its worker.")
+			.Increment();
+		if (effect != end_effect::job_over)
+			return;
+		log_event(event::task_given_up, {{"task", to_string(key)}, {"workers", names_of(crashes)}});
+		metrics_.counter("tasks_given_up", "Tasks that are not started again since they crash their workers.")
+			.Increment();
+	}
+
+	void job_term::lose_earlier_lives(agent_peer& peer, const worker_facts& before, instant now)
+	{
+		// Agents tell of an incarnation only once it has answered them, and there is one worker beside an agent. So
+		// those that were there before have ended, and all that ran in them. An agent of the same name at another
+		// address is on another instance; the worker on the one before may be at work until its lease is over.
+		std::vector<worker_life> gone;
+		for (const auto& [life, seat] : agent_beside_)
+			if (seat.agent == peer.name() && life != peer.worker.life && seat.address == to_string(peer.where()))
+				gone.push_back(life);
+		for (const auto& life : gone)
+		{
+			agent_beside_.erase(life);
+			const bool known = life == before.life;
+			const bool crashed = !known || !before.draining;
+			if (crashed && table_.placed.contains(life))
+				peer.worker.crashed = now;
+			lose_worker({life, known ? before.heard : std::nullopt}, crashed, "restarted", now);
+		}
+	}
+
+	void job_term::lose_lapsed(instant now)
+	{
+		std::vector<worker_life> lapsed;
+		for (const auto& [life, keys] : table_.placed)
+		{
+			const auto confirmed = confirmed_.find(life);
+			if (now >= lease_over(confirmed == confirmed_.end() ? began_ : confirmed->second, run_lease_))
+				lapsed.push_back(life);
+		}
+		for (const auto& life : lapsed)
+		{
+			const auto* peer = peer_of(life);
+			const bool crashed = peer != nullptr && !peer->worker.responsive && !peer->worker.draining;
+			lose_worker({life, crashed ? peer->worker.heard : std::nullopt}, crashed, "lease over", now);
+		}
+	}
+
+	void job_term::note_suspects(const job_state& job)
+	{
+		for (std::size_t i = 0; i < job.tasks.size(); ++i)
+			for (const auto& worker : job.tasks[i].crashes.workers)
+				suspects_[worker].insert(key_of(job, i));
+	}
+
+	void job_term::drop_cleared_suspects()
+	{
+		absl::erase_if(suspects_,
+					   [this](auto& entry)
+					   {
+						   auto& [worker, keys] = entry;
+						   absl::erase_if(keys,
+										  [&](const task_key& key) { return !is_held_against(table_, key, worker); });
+						   return keys.empty();
+					   });
+	}
+
+	void job_term::clear_suspects(const agent_peer& peer)
+	{
+		const auto& worker = peer.worker;
+		if (!worker.responsive || !worker.heard)
+			return;
+		const auto cleared = [](const task_key& key, std::string_view why)
+		{
+			log_event(event::task_cleared, {{"task", to_string(key)}, {"why", why}});
+		};
+		if (const auto blamed = suspects_.extract(worker.life); !blamed.empty())
+			for (const auto& key : blamed.mapped())
+				if (forgive_crash(table_, key, worker.life))
+					cleared(key, "its worker is there");
+		const auto placed = table_.placed.find(worker.life);
+		if (placed == table_.placed.end())
+			return;
+		for (const auto& key : placed->second)
+			if (clear_crashes(table_, {key, find_task(table_, key)->run}, crashing, *worker.heard))
+				cleared(key, "it goes on");
+	}
+}
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -207,6 +207,7 @@
 				}
 			}
 			log_taken_up(*job);
+			note_suspects(*job);
 			add_job(table_, *std::move(job));
 		}
 		wake();
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -15,6 +15,9 @@
 		/// Rooms for each agent before those of gone incarnations are dropped.
 		constexpr std::size_t most_rooms_each = 4;
 
+		/// For so long after a crash of a worker suspected tasks are rather started on others.
+		constexpr auto crashed_lately = millis{10'000};
+
 		/// A worker with nothing charged, which accepts nothing.
 		worker_room room_of(const worker_facts& worker)
 		{
@@ -57,6 +60,7 @@
 				room = room_of(worker);
 				charge_workers({&room, 1}, table_, pressures_, placing);
 			}
+			room.crashed_lately = worker.crashed && now - *worker.crashed < crashed_lately;
 			room.accepts = accepted || (peer->has_reported() && may_start_on(worker.life, now) && worker.responsive &&
 										!worker.draining && now >= worker.trust.avoided_until &&
 										permission_at(*peer, now) == start_permission::allowed);
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -5,6 +5,7 @@
 #include <trailjunction/wire/job_messages.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace trailjunction
 {
@@ -64,6 +65,7 @@
 		note_refusals(peer, report, now);
 		note_running(peer, report, now);
 		learn(peer, now);
+		clear_suspects(peer);
 		if (report.full)
 			reconcile(peer, report);
 		confirm(peer, report, now);
@@ -74,15 +76,17 @@
 	void job_term::note_worker(agent_peer& peer, const wire::job_report& report)
 	{
 		const worker_life life{report.worker};
+		const auto now = steady_now();
 		auto& worker = peer.worker;
 		if (worker.life != life)
 		{
-			worker = {};
+			const auto before = std::exchange(worker, {});
 			worker.life = life;
 			agent_beside_[life] = {peer.name(), to_string(peer.where())};
-			lose_earlier_lives(peer, steady_now());
+			lose_earlier_lives(peer, before, now);
 			wake();
 		}
+		worker.heard = now - millis{report.unheard_ms};
 		worker.service = service_id{report.service_name};
 		worker.labels = report.labels;
 		worker.capacity = {report.capacity.cpu_milli, report.capacity.memory_mib, report.capacity.accelerators};
@@ -235,50 +239,6 @@
 			wake(); // work may wait for this worker
 	}
 
-	void job_term::lose_worker(const worker_life& life, std::string_view why, instant now)
-	{
-		const auto placed = table_.placed.find(life);
-		if (placed == table_.placed.end())
-			return;
-		const std::vector<task_key> keys(placed->second.begin(), placed->second.end());
-		log_event(event::worker_lapsed, {{"worker", life.str()}, {"why", why}, {"runs", keys.size()}});
-		for (const auto& key : keys)
-		{
-			const task_run what{key, find_task(table_, key)->run};
-			ended_log_.note(what, life, to_string(run_outcome::lapsed));
-			end_run(table_, what, run_outcome::lapsed, "", now);
-		}
-	}
-
-	void job_term::lose_earlier_lives(const agent_peer& peer, instant now)
-	{
-		// Agents tell of an incarnation only once it has answered them, and there is one worker beside an agent. So
-		// those that were there before have ended, and all that ran in them. An agent of the same name at another
-		// address is on another instance; the worker on the one before may be at work until its lease is over.
-		std::vector<worker_life> gone;
-		for (const auto& [life, seat] : agent_beside_)
-			if (seat.agent == peer.name() && life != peer.worker.life && seat.address == to_string(peer.where()))
-				gone.push_back(life);
-		for (const auto& life : gone)
-		{
-			agent_beside_.erase(life);
-			lose_worker(life, "restarted", now);
-		}
-	}
-
-	void job_term::lose_lapsed(instant now)
-	{
-		std::vector<worker_life> lapsed;
-		for (const auto& [life, keys] : table_.placed)
-		{
-			const auto confirmed = confirmed_.find(life);
-			if (now >= lease_over(confirmed == confirmed_.end() ? began_ : confirmed->second, run_lease_))
-				lapsed.push_back(life);
-		}
-		for (const auto& life : lapsed)
-			lose_worker(life, "lease over", now);
-	}
-
 	bool job_term::may_start_on(const worker_life& life, instant now) const
 	{
 		const auto confirmed = confirmed_.find(life);
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -42,6 +42,9 @@
 		std::int64_t serving_cpu_milli{};     ///< Processor claims of the serving tasks there.
 		std::vector<expected_strain> serving; ///< The serving tasks there.
 		double pace{1.0};                     ///< The share at which its agent lets fillers work now.
+		std::size_t suspects{};               ///< Runs there that are suspected of crashing their workers.
+		bool reserved{};                      ///< One of them is there alone: nothing is started beside it.
+		bool crashed_lately{};                ///< The incarnation before this one crashed a short while ago.
 	};
 
 	/// \brief What placement is told beyond the workers.
@@ -79,6 +82,20 @@
 		/// Where less than this share of a service's workers is claimed, no job is left without anything running for
 		/// long: users bear it from a half on, and claims change while an order is on its way.
 		double spare_below{0.6};
+		/// The share of a service's workers that may be reserved for tasks which start alone; one always may. A worker
+		/// is reserved for a second, so ten such tasks on 11 workers are settled within some five.
+		double reserved_share{0.25};
+		/// Cost of each suspected task on a worker, against a worker whose claims are full. Above all that a load can
+		/// cost: two that crash together take two tests, and all that ran beside them is lost twice.
+		double suspect_cost{4.0};
+		/// Cost of a worker with suspected tasks for any other one, which is lost if one of them crashes the worker. Of
+		/// some ten that a crash makes suspected one may be at fault.
+		double beside_suspect_cost{0.5};
+		/// Cost of a worker that crashed lately for a suspected task: if the worker was at fault, another one shows it.
+		/// Less than that of a suspected task, or a crash would heap all suspected ones on the workers that are left.
+		double crashed_lately_cost{2.0};
+		/// The same for a task that starts alone: any other worker is better, but none is worse than to wait.
+		double crashed_lately_alone_cost{20.0};
 		/// A filler waits rather than work below this share of its speed: those before it end sooner for it.
 		double least_speed{0.5};
 	};
--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -4,6 +4,7 @@
 /// \brief What is known of a job and its tasks.
 #pragma once
 
+#include "crash_suspicion.hpp"
 #include "job_ids.hpp"
 #include "job_spec.hpp"
 #include "queue_policy.hpp"
@@ -25,23 +26,25 @@
 		ordered = 1, ///< Given to a worker, which has not confirmed it.
 		running = 2, ///< The worker has confirmed it.
 		done = 3,
-		failed = 4, ///< It failed as often as its queue allows.
+		failed = 4, ///< It failed as often as its queue allows, or crashed too many workers.
 	};
 
 	/// \brief One task.
 	struct job_task
 	{
 		task_stage phase{task_stage::waiting};
-		std::uint32_t run{};        ///< The latest run; 0 before the first.
-		std::uint32_t failures{};   ///< Runs that failed by their own fault or their worker's; of a gang: its runs.
-		worker_life worker;         ///< Where the latest run is, while ordered or running.
-		std::string checkpoint;     ///< To resume from.
-		instant since{};            ///< Of the present phase; of this process only.
-		instant ordered{};          ///< When the latest run was given to its worker; of this process only.
-		worker_life failed_on;      ///< Where the latest failure was; of this process only.
-		std::uint32_t failed_run{}; ///< The latest run whose failure is counted; of this process only.
-		std::int64_t figure{};      ///< The worker's last measure; see job_run in wire.thrift.
-		instant stop_ordered{};     ///< When its worker was last told to stop the latest run; of this process only.
+		std::uint32_t run{};         ///< The latest run; 0 before the first.
+		std::uint32_t failures{};    ///< Runs that failed by their own fault or their worker's; of a gang: its runs.
+		worker_life worker;          ///< Where the latest run is, while ordered or running.
+		std::string checkpoint;      ///< To resume from.
+		instant since{};             ///< Of the present phase; of this process only.
+		instant ordered{};           ///< When the latest run was given to its worker; of this process only.
+		worker_life failed_on;       ///< Where the latest failure was; of this process only.
+		std::uint32_t failed_run{};  ///< The latest run whose failure is counted; of this process only.
+		crash_record crashes;        ///< Of a gang: what its members share.
+		std::uint32_t crashed_run{}; ///< The latest run whose crash is counted; of this process only.
+		std::int64_t figure{};       ///< The worker's last measure; see job_run in wire.thrift.
+		instant stop_ordered{};      ///< When its worker was last told to stop the latest run; of this process only.
 	};
 
 	/// \brief How a job stands.
--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -40,6 +40,7 @@
 		/// Nothing of its occurrence runs, and nothing has happened to it for long: where there is room to spare, it
 		/// gets a place at any cost to others.
 		bool starving{};
+		suspicion crashes{suspicion::none}; ///< Whether it may crash its worker, and so how it may be started.
 	};
 
 	/// \brief Puts waiting tasks in the order of their turns.
@@ -48,7 +49,7 @@
 	/// begun have the more of it the less work is left, so they end before others begin.
 	///
 	/// \param waiting As from waiting_tasks(): the tasks of a group one after the other.
-	/// \returns Tasks of a group and occurrence stay together.
+	/// \returns Tasks of a group and occurrence stay together, and those among them that are started alike.
 	[[nodiscard]] std::vector<placement_wish> order_wishes(const job_table& table, std::vector<task_key> waiting,
 														   decision_time at);
 }
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -55,6 +55,8 @@
 	4: i32 failures,
 	5: i32 worker,              // index into progress.workers, or -1
 	6: string checkpoint,
+	7: list<i32> crashed,       // workers that crashed under its latest runs in a row; indexes into progress.workers
+	8: i64 crash_age_ms,        // how long, at most, such a run had been there
 }
 
 /** How far a job is; written by the owner of its shard only. */
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -55,10 +55,36 @@
 			worker.serving.push_back({group.image, alone, alone});
 		}
 
+		void note_suspect(worker_room& worker, suspicion how) noexcept
+		{
+			if (how != suspicion::none)
+				++worker.suspects;
+			worker.reserved = worker.reserved || how == suspicion::likely;
+		}
+
+		/// Whether one more worker of the service may be reserved. Those that accept nothing do not count: rooms of
+		/// incarnations that have gone stay in the list for a while.
+		bool may_reserve(std::span<const worker_room> workers, const service_id& service,
+						 const placement_policy& policy)
+		{
+			std::size_t all = 0;
+			std::size_t reserved = 0;
+			for (const auto& worker : workers)
+			{
+				if (!worker.accepts || worker.service != service)
+					continue;
+				++all;
+				reserved += worker.reserved ? 1 : 0;
+			}
+			return static_cast<double>(reserved) < std::max(1.0, policy.reserved_share * static_cast<double>(all));
+		}
+
 		bool may_run(const worker_room& worker, const placement_wish& what, const group_counts& counts)
 		{
 			const auto& group = *what.group;
-			if (!worker.accepts || worker.service != what.job->queue.service)
+			if (!worker.accepts || worker.reserved || worker.service != what.job->queue.service)
+				return false;
+			if (what.crashes == suspicion::likely && worker.suspects > 0)
 				return false;
 			if (!counted_claim(group).fits(worker.capacity - worker.claimed))
 				return false;
@@ -81,6 +107,17 @@
 			return out;
 		}
 
+		/// What is lost if the worker crashes: a suspected task goes where that is least, whatever else would suit it.
+		double crash_cost(const worker_room& worker, suspicion how, const placement_policy& policy)
+		{
+			const auto lately =
+				how == suspicion::likely ? policy.crashed_lately_alone_cost : policy.crashed_lately_cost;
+			const auto capacity = std::max(1.0, static_cast<double>(worker.capacity.cpu_milli));
+			const auto load = worker.claimed.cpu_milli + worker.serving_cpu_milli + worker.filler_cpu_milli;
+			return static_cast<double>(load) / capacity + policy.suspect_cost * static_cast<double>(worker.suspects) +
+				   (worker.crashed_lately ? lately : 0.0);
+		}
+
 		/// Added to a worker's cost for a task whose latest failure was there.
 		constexpr double failed_there_cost = 5.0;
 
@@ -96,13 +133,19 @@
 			double out = worker.distrust * 10.0;
 			if (!group.preferred_rack.empty() && !has_label(worker, group.preferred_rack))
 				out += 2.0;
+			std::optional<filler_fit> fit;
 			if (group.filler)
 			{
-				const auto fit = fit_filler(worker, what, policy, press);
+				fit = fit_filler(worker, what, policy, press);
 				if (!fit)
 					return no_place;
-				return out - fit->speed - left_over(worker, policy) / capacity / 2 + policy.harm_cost * fit->harm;
 			}
+			if (what.crashes != suspicion::none)
+				return out + crash_cost(worker, what.crashes, policy);
+			if (worker.suspects > 0)
+				out += policy.beside_suspect_cost;
+			if (group.filler)
+				return out - fit->speed - left_over(worker, policy) / capacity / 2 + policy.harm_cost * fit->harm;
 			if (group.latency_target.count() > 0)
 				return out + serving_cost(worker, group, policy);
 			// Batch tasks go where the least is claimed, so that they do not wait for each other.
@@ -193,11 +236,14 @@
 			group_costs costs{workers, what, rules};
 			for (const auto& wish : wishes)
 			{
+				if (wish.crashes == suspicion::likely && !may_reserve(workers, wish.job->queue.service, rules.policy))
+					return false;
 				const auto found = costs.best_for(wish);
 				if (!found)
 					return false;
 				const bool starved = std::exchange(what.starving, false); // one place at any cost is enough
 				note_serving(workers[*found], wish.key, *wish.job, rules);
+				note_suspect(workers[*found], wish.crashes);
 				costs.place_on(*found, what);
 				out.push_back({wish.key, *found});
 				if (starved)
@@ -259,7 +305,7 @@
 			const auto& one = *left.group;
 			const auto& other = *right.group;
 			return one.per_worker_limit == 0 && other.per_worker_limit == 0 && !other.gang &&
-				   left.starving == right.starving && one.filler == other.filler &&
+				   left.starving == right.starving && left.crashes == right.crashes && one.filler == other.filler &&
 				   harm_allowed(left, policy) >= harm_allowed(right, policy) && one.claim == other.claim &&
 				   one.image == other.image && one.required_label == other.required_label &&
 				   left.job->queue.service == right.job->queue.service;
@@ -296,7 +342,11 @@
 			if (found == table.placed.end())
 				continue;
 			for (const auto& key : found->second)
-				note_serving(worker, key, *find_job(table, key.job), rules);
+			{
+				const auto& job = *find_job(table, key.job);
+				note_serving(worker, key, job, rules);
+				note_suspect(worker, start_suspicion(job, key));
+			}
 			for (const auto& key : found->second)
 			{
 				const auto& group = find_job(table, key.job)->spec.groups[key.group];
@@ -319,7 +369,8 @@
 		for (std::size_t i = 0; i < wishes.size();)
 		{
 			std::size_t end = i + 1;
-			while (end < wishes.size() && same_group(wishes[i].key, wishes[end].key))
+			while (end < wishes.size() && same_group(wishes[i].key, wishes[end].key) &&
+				   wishes[i].crashes == wishes[end].crashes)
 				++end;
 			const auto group = std::span{wishes}.subspan(i, end - i);
 			i = end;
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -116,9 +116,21 @@
 			return static_cast<std::int32_t>(workers.size() - 1);
 		}
 
-		bool names_worker(const stored::progress& row, const stored::task& task) noexcept
+		bool names_worker(const stored::progress& row, std::int32_t index) noexcept
 		{
-			return task.worker >= 0 && static_cast<std::size_t>(task.worker) < row.workers.size();
+			return index >= 0 && static_cast<std::size_t>(index) < row.workers.size();
+		}
+
+		absl::StatusOr<crash_record> crashes_from(const stored::progress& row, const stored::task& from)
+		{
+			crash_record out;
+			for (const auto index : from.crashed)
+			{
+				if (!names_worker(row, index))
+					return absl::DataLossError("a stored crash names no worker");
+				note_crash(out, worker_life{row.workers[static_cast<std::size_t>(index)]}, millis{from.crash_age_ms});
+			}
+			return out;
 		}
 	}
 
@@ -173,6 +185,9 @@
 			to.worker = placed ? index_of(row.workers, from.worker) : -1;
 			if (from.phase != task_stage::done)
 				to.checkpoint = from.checkpoint;
+			for (const auto& worker : from.crashes.workers)
+				to.crashed.push_back(index_of(row.workers, worker));
+			to.crash_age_ms = from.crashes.longest_age.count();
 			row.tasks.push_back(std::move(to));
 		}
 		return encode(row);
@@ -198,9 +213,13 @@
 			to.failures = static_cast<std::uint32_t>(from.failures);
 			to.checkpoint = from.checkpoint;
 			to.since = now;
+			auto crashes = crashes_from(*row, from);
+			if (!crashes.ok())
+				return crashes.status();
+			to.crashes = *std::move(crashes);
 			if (to.phase != task_stage::ordered)
 				continue;
-			if (!names_worker(*row, from))
+			if (!names_worker(*row, from.worker))
 				return absl::DataLossError("a stored run names no worker");
 			to.worker = worker_life{row->workers[static_cast<std::size_t>(from.worker)]};
 		}
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -123,6 +123,8 @@
 			out.urgency = urgency_of(progress);
 			const bool known = before != nullptr && same_occurrence(before->key, key);
 			out.starving = known ? before->starving : is_starving(*out.job, key.occurrence, at.now);
+			if (out.group->gang)
+				out.crashes = start_suspicion(*out.job, key);
 			if (out.group->long_running)
 				return out;
 			const auto left = work_left_in(*out.job, times, key.occurrence);
@@ -153,12 +155,24 @@
 		std::vector<placement_wish> out;
 		out.reserve(waiting.size());
 		for (const auto& group : groups)
+		{
+			const auto first = out.size();
 			for (auto i = group.begin; i < group.end; ++i)
 			{
 				out.push_back(group.first);
 				out.back().task = find_task(table, waiting[i]);
+				if (!out.back().group->gang)
+					out.back().crashes = suspicion_of(out.back().task->crashes);
 				out.back().key = std::move(waiting[i]);
 			}
+			const auto alike = [](const placement_wish& left, const placement_wish& right)
+			{
+				return left.crashes < right.crashes;
+			};
+			const auto begin = out.begin() + static_cast<std::ptrdiff_t>(first);
+			if (!std::is_sorted(begin, out.end(), alike))
+				std::stable_sort(begin, out.end(), alike);
+		}
 		return out;
 	}
 }
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -320,6 +320,7 @@
 	13: bool responsive,        // the worker answers its agent
 	14: i32 pace_percent,       // of the fillers
 	15: bool lease_ends,        // the agent is about to go: it extends the lease of its worker's runs no more
+	16: i64 unheard_ms,         // since the worker's last answer
 }
 
 /** What a frame holds: exactly one member. */
--- /dev/null
+++ b/tests/crash_suspicion.cpp
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Whose crash it was: pure functions, no process.
+#include "job_fixtures.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace trailjunction;
+using namespace trailjunction::job_tests;
+
+namespace
+{
+	constexpr crash_policy policy{};
+	const task_key some_task{job_id{"a"}, 0, 0, 0};
+
+	/// Places a task on a worker, which crashes \p age later.
+	end_effect crash_under(job_table& table, const task_key& key, const std::string& life, millis age)
+	{
+		(void)assign(table, key, worker_life{life}, start);
+		const lost_worker worker{worker_life{life}, start + age};
+		auto effect = end_effect::ignored;
+		for (const auto& lost : runs_lost_with(table, worker, true, policy))
+			if (const auto one = lose_run(table, lost, worker.life, policy, start + age); lost.what.task == key)
+				effect = one;
+		return effect;
+	}
+
+	std::size_t crashes_of(const job_table& table, const task_key& key)
+	{
+		return find_task(table, key)->crashes.workers.size();
+	}
+
+	job_table table_of(std::vector<task_group> groups)
+	{
+		job_table table;
+		add_job(table, job_of("a", std::move(groups)));
+		return table;
+	}
+}
+
+TEST_CASE("a task under which three workers crash just after its starts is given up, and its job fails", "[jobs]")
+{
+	auto group = group_of(1, 100);
+	SECTION("that ends by itself") {}
+	SECTION("that lasts")
+	{
+		group.long_running = true;
+	}
+	SECTION("that is a member of a gang")
+	{
+		group.gang = true;
+	}
+	auto table = table_of({group});
+	CHECK(crash_under(table, some_task, "w1", millis{0}) == end_effect::recorded);
+	CHECK(crash_under(table, some_task, "w2", millis{0}) == end_effect::recorded);
+	CHECK(waiting_tasks(table, 0).size() == 1);
+	CHECK(crash_under(table, some_task, "w3", millis{0}) == end_effect::job_over);
+	CHECK(find_job(table, some_task.job)->status == job_status::failed);
+	CHECK(waiting_tasks(table, 0).empty());
+}
+
+TEST_CASE("a run that goes on for long enough clears its task", "[jobs]")
+{
+	auto table = table_of({group_of(1, 100)});
+	(void)crash_under(table, some_task, "w1", millis{800});
+	const auto next = assign(table, some_task, worker_life{"w2"}, start);
+	CHECK_FALSE(clear_crashes(table, next, policy, start + millis{60'000})); // it was not confirmed
+	confirm_run(table, next, start);
+	CHECK_FALSE(clear_crashes(table, next, policy, start + millis{1'500})); // not yet twice as long as the one before
+	CHECK(clear_crashes(table, next, policy, start + millis{1'600}));
+	CHECK(crashes_of(table, some_task) == 0);
+	CHECK(start_suspicion(*find_job(table, some_task.job), some_task) == suspicion::none);
+}
+
+TEST_CASE("a task that crashes its worker some time after each start is given up too", "[jobs]")
+{
+	auto table = table_of({group_of(1, 100)});
+	CHECK(crash_under(table, some_task, "w1", millis{4'000}) == end_effect::recorded);
+	CHECK(crash_under(table, some_task, "w2", millis{4'000}) == end_effect::recorded);
+	CHECK(crash_under(table, some_task, "w3", millis{4'000}) == end_effect::recorded);
+	CHECK(crash_under(table, some_task, "w4", millis{4'000}) == end_effect::job_over);
+}
+
+TEST_CASE("a crash does not count against a run that cannot have to do with it", "[jobs]")
+{
+	auto table = table_of({group_of(1, 100)});
+	SECTION("since it had been there for long")
+	{
+		(void)crash_under(table, some_task, "w1", millis{10'001});
+	}
+	SECTION("since it was ordered long after the worker's last answer")
+	{
+		(void)crash_under(table, some_task, "w1", millis{-1'001});
+	}
+	SECTION("since the worker did not crash")
+	{
+		(void)assign(table, some_task, worker_life{"w1"}, start);
+		const lost_worker left{worker_life{"w1"}, start};
+		for (const auto& lost : runs_lost_with(table, left, false, policy))
+			CHECK(lose_run(table, lost, left.life, policy, start) == end_effect::recorded);
+	}
+	SECTION("since the worker is there after all")
+	{
+		(void)crash_under(table, some_task, "w1", millis{0});
+		CHECK(forgive_crash(table, some_task, worker_life{"w1"}));
+		CHECK_FALSE(forgive_crash(table, some_task, worker_life{"w1"}));
+	}
+	CHECK(crashes_of(table, some_task) == 0);
+	CHECK(find_task(table, some_task)->phase == task_stage::waiting);
+}
+
+TEST_CASE("a task that was started alone is blamed alone", "[jobs]")
+{
+	auto table = table_of({group_of(2, 100)});
+	const task_key bystander{job_id{"a"}, 0, 0, 1};
+	(void)crash_under(table, some_task, "w1", millis{0});
+	(void)crash_under(table, some_task, "w2", millis{0});
+	(void)assign(table, bystander, worker_life{"w3"}, start - millis{2'000});
+	CHECK(crash_under(table, some_task, "w3", millis{0}) == end_effect::job_over);
+	CHECK(crashes_of(table, bystander) == 0);
+}
+
+TEST_CASE("a gang counts one crash for each of its runs", "[jobs]")
+{
+	auto table = table_of({gang_of(3, 100)});
+	for (std::uint32_t i = 0; i < 3; ++i)
+		(void)assign(table, {job_id{"a"}, 0, 0, i}, worker_life{i == 0 ? "w1" : "w2"}, start);
+	for (const auto* life : {"w1", "w2"})
+	{
+		const lost_worker worker{worker_life{life}, start};
+		for (const auto& lost : runs_lost_with(table, worker, true, policy))
+			(void)lose_run(table, lost, worker.life, policy, start);
+	}
+	for (std::uint32_t i = 0; i < 3; ++i)
+		CHECK(crashes_of(table, {job_id{"a"}, 0, 0, i}) == 1);
+}
+
+TEST_CASE("what is held against a task outlives its owner", "[jobs]")
+{
+	auto table = table_of({group_of(1, 100)});
+	(void)crash_under(table, some_task, "w1", millis{300});
+	(void)crash_under(table, some_task, "w2", millis{0});
+	(void)assign(table, some_task, worker_life{"w3"}, start);
+	auto successor = job_of("a", {group_of(1, 100)});
+	REQUIRE(decode_progress(successor, encode_progress(*find_job(table, some_task.job)), start).ok());
+	CHECK(successor.tasks[0].worker == worker_life{"w3"});
+	CHECK(successor.tasks[0].crashes.workers == std::vector{worker_life{"w1"}, worker_life{"w2"}});
+	CHECK(successor.tasks[0].crashes.longest_age == millis{300});
+	job_table next;
+	add_job(next, std::move(successor));
+	// Its order's time is not known any more.
+	const lost_worker worker{worker_life{"w3"}, std::nullopt};
+	for (const auto& lost : runs_lost_with(next, worker, true, policy))
+		CHECK(lose_run(next, lost, worker.life, policy, start) == end_effect::job_over);
+}
+
+TEST_CASE("suspected tasks start apart from each other, where the least is lost", "[jobs]")
+{
+	auto table = table_of({group_of(2, 500)});
+	add_job(table, job_of("b", {group_of(1, 4'000)}));
+	(void)assign(table, {job_id{"b"}, 0, 0, 0}, worker_life{"w1"}, start);
+	for (std::uint32_t i = 0; i < 2; ++i)
+		(void)assign(table, {job_id{"a"}, 0, 0, i}, worker_life{"w0"}, start);
+	const lost_worker worker{worker_life{"w0"}, start};
+	for (const auto& lost : runs_lost_with(table, worker, true, policy))
+		(void)lose_run(table, lost, worker.life, policy, start);
+	std::vector<worker_room> rooms{room_of("w1"), room_of("w2"), room_of("w3")};
+	const auto placed = place(rooms, table);
+	REQUIRE(placed.size() == 2);
+	CHECK(placed[0].worker != placed[1].worker);
+	CHECK(placed[0].worker != 0);
+	CHECK(placed[1].worker != 0);
+}
+
+TEST_CASE("nothing starts beside a task that is likely to crash its worker, nor it beside a suspected one", "[jobs]")
+{
+	auto table = table_of({group_of(1, 500)});
+	(void)crash_under(table, some_task, "w8", millis{0});
+	(void)crash_under(table, some_task, "w9", millis{0});
+	add_job(table, job_of("b", {group_of(8, 1'000)}));
+	SECTION("which waits for its turn")
+	{
+		std::vector<worker_room> rooms{room_of("w1"), room_of("w2")};
+		rooms[0].suspects = 1;
+		const auto placed = place(rooms, table);
+		const auto likely =
+			std::find_if(placed.begin(), placed.end(), [](const placement& one) { return one.task == some_task; });
+		REQUIRE(likely != placed.end());
+		CHECK(likely->worker == 1);
+		CHECK(std::count_if(likely, placed.end(), [](const placement& one) { return one.worker == 1; }) == 1);
+	}
+	SECTION("which runs")
+	{
+		(void)assign(table, some_task, worker_life{"w1"}, start);
+		std::vector<worker_room> rooms{room_of("w1"), room_of("w2")};
+		for (const auto& one : place(rooms, table))
+			CHECK(one.worker == 1);
+	}
+}
+
+TEST_CASE("tasks that are likely to crash their workers reserve a few workers at once, and one always", "[jobs]")
+{
+	// The rooms of incarnations that have crashed stay for a while, and once kept all others from such tasks for good.
+	const auto placed_on = [](std::size_t workers)
+	{
+		auto table = table_of({group_of(8, 500)});
+		for (std::uint32_t i = 0; i < 8; ++i)
+			for (const auto* life : {"w8", "w9"})
+				(void)crash_under(table, {job_id{"a"}, 0, 0, i}, life, millis{0});
+		std::vector<worker_room> rooms;
+		for (std::size_t i = 0; i < workers; ++i)
+			rooms.push_back(room_of("w" + std::to_string(i)));
+		for (const auto* gone : {"gone1", "gone2", "gone3", "gone4", "gone5", "gone6"})
+		{
+			rooms.push_back(room_of(gone));
+			rooms.back().accepts = false;
+			rooms.back().reserved = true;
+		}
+		return place(rooms, table).size();
+	};
+	CHECK(placed_on(1) == 1);
+	CHECK(placed_on(3) == 1);
+	CHECK(placed_on(11) == 3);
+	CHECK(placed_on(24) == 6);
+}
