--- a/tests/crash_suspicion.cpp
+++ b/tests/crash_suspicion.cpp
@@ -225,3 +225,17 @@
 	CHECK(placed_on(11) == 3);
 	CHECK(placed_on(24) == 6);
 }
+
+TEST_CASE("tasks of a group keep their limit for each worker when some of them are suspected and some are not",
+		  "[jobs]")
+{
+	// After a crash one task of a group was suspected and another one was not. They were placed apart within one round,
+	// and the second search did not see what the first had placed: both were started on one worker, which may carry
+	// one.
+	auto group = group_of(2, 500);
+	group.per_worker_limit = 1;
+	auto table = table_of({group});
+	(void)crash_under(table, some_task, "w9", millis{0});
+	std::vector<worker_room> rooms{room_of("w1")};
+	CHECK(place(rooms, table).size() == 1);
+}
