Placement: a group with suspected tasks is placed in one search, so its limit for each worker holds

Cause: the tasks of a group were split by suspicion, and each part counted the group's tasks by worker anew from what is stored, without what the part before had placed in the same round. Why it holds: one search places the whole group and works the costs out anew where the way of starting changes; the counts go with it. What found no place is remembered as the task that found none, not as the first of its group.

--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -228,19 +228,24 @@
 		};
 
 		/// Places consecutive wishes of one group of one occurrence, as many as there is room for.
-		/// \returns Whether all were placed.
-		bool place_each(std::span<worker_room> workers, std::span<const placement_wish> wishes,
-						const placement_rules& rules, std::vector<placement>& out)
+		/// \returns The first one for which there was no place; nothing where all were placed.
+		const placement_wish* place_each(std::span<worker_room> workers, std::span<const placement_wish> wishes,
+										 const placement_rules& rules, std::vector<placement>& out)
 		{
 			auto what = wishes.front(); // what they ask for is the same
 			group_costs costs{workers, what, rules};
 			for (const auto& wish : wishes)
 			{
+				if (wish.crashes != what.crashes)
+				{
+					what.crashes = wish.crashes;
+					costs.update_all(what);
+				}
 				if (wish.crashes == suspicion::likely && !may_reserve(workers, wish.job->queue.service, rules.policy))
-					return false;
+					return &wish;
 				const auto found = costs.best_for(wish);
 				if (!found)
-					return false;
+					return &wish;
 				const bool starved = std::exchange(what.starving, false); // one place at any cost is enough
 				note_serving(workers[*found], wish.key, *wish.job, rules);
 				note_suspect(workers[*found], wish.crashes);
@@ -249,7 +254,7 @@
 				if (starved)
 					costs.update_all(what);
 			}
-			return true;
+			return nullptr;
 		}
 
 		/// Places all wishes or none, on the workers of one rack where a rack is named.
@@ -260,7 +265,7 @@
 			for (auto& worker : tried)
 				worker.accepts = worker.accepts && (rack.empty() || has_label(worker, rack));
 			std::vector<placement> placed;
-			if (!place_each(tried, wishes, rules, placed))
+			if (place_each(tried, wishes, rules, placed) != nullptr)
 				return false;
 			for (std::size_t i = 0; i < workers.size(); ++i)
 			{
@@ -289,14 +294,14 @@
 				(void)place_all(workers, wishes, rules, "", out);
 		}
 
-		/// \returns Whether all were placed; true for a gang, which is looked at anew each time.
-		bool place_group(std::span<worker_room> workers, std::span<const placement_wish> wishes,
-						 const placement_rules& rules, std::vector<placement>& out)
+		/// \returns The first one for which there was no place; nothing for a gang, which is looked at anew each time.
+		const placement_wish* place_group(std::span<worker_room> workers, std::span<const placement_wish> wishes,
+										  const placement_rules& rules, std::vector<placement>& out)
 		{
 			if (!wishes.front().group->gang)
 				return place_each(workers, wishes, rules, out);
 			place_gang(workers, wishes, rules, out);
-			return true;
+			return nullptr;
 		}
 
 		/// Whether whatever worker the second group may go to was open to the first one too.
@@ -369,8 +374,7 @@
 		for (std::size_t i = 0; i < wishes.size();)
 		{
 			std::size_t end = i + 1;
-			while (end < wishes.size() && same_group(wishes[i].key, wishes[end].key) &&
-				   wishes[i].crashes == wishes[end].crashes)
+			while (end < wishes.size() && same_group(wishes[i].key, wishes[end].key))
 				++end;
 			const auto group = std::span{wishes}.subspan(i, end - i);
 			i = end;
@@ -383,11 +387,11 @@
 			if (std::any_of(without_place.begin(), without_place.end(), found_none))
 				continue;
 			const auto placed_before = out.size();
-			const bool all = place_group(workers, group, rules, out);
+			const auto* left = place_group(workers, group, rules, out);
 			// A starving job has had the one place that is meant for it; the next one gets its own.
 			const bool had_turn = group.front().starving && out.size() > placed_before;
-			if (!all && !had_turn)
-				without_place.push_back(&group.front());
+			if (left != nullptr && !had_turn)
+				without_place.push_back(left);
 		}
 		return out;
 	}
