--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -109,14 +109,10 @@
 
 	void job_term::drop_cleared_suspects()
 	{
-		absl::erase_if(suspects_,
-					   [this](auto& entry)
-					   {
-						   auto& [worker, keys] = entry;
-						   absl::erase_if(keys,
-										  [&](const task_key& key) { return !is_held_against(table_, key, worker); });
-						   return keys.empty();
-					   });
+		for (auto& [worker, keys] : suspects_)
+			absl::erase_if(keys,
+						   [this, &life = worker](const task_key& key) { return !is_held_against(table_, key, life); });
+		absl::erase_if(suspects_, [](const auto& entry) { return entry.second.empty(); });
 	}
 
 	void job_term::clear_suspects(const agent_peer& peer)
