--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -113,16 +113,16 @@
 				record.worker_life = {123'456'789};
 				batch.records.push_back(record);
 			}
-			const auto began = std::chrono::steady_clock::now();
+			const auto began = steady_now();
 			const auto text = encode_batch(batch);
-			const auto encoded = std::chrono::steady_clock::now();
+			const auto encoded = steady_now();
 			const auto decoded = decode_batch(text);
 			(void)apply(shard, *decoded);
-			const auto applied = std::chrono::steady_clock::now();
+			const auto applied = steady_now();
 			const auto snapshot = encode_snapshot(shard);
-			const auto written = std::chrono::steady_clock::now();
+			const auto written = steady_now();
 			const auto restored = decode_snapshot(snapshot);
-			const auto read = std::chrono::steady_clock::now();
+			const auto read = steady_now();
 			const auto per = [&](auto from, auto to)
 			{
 				return std::chrono::duration<double, std::micro>(to - from).count() / tasks;
--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -42,7 +42,7 @@
 			constexpr int rounds = 20'000;
 			task_spec task;
 			task.kind = kind_id{"merge"};
-			const auto began = std::chrono::steady_clock::now();
+			const auto began = steady_now();
 			for (int i = 0; i < rounds; ++i)
 			{
 				task.claim = {static_cast<std::int64_t>(500 + random() % 1'500), 256, 0};
@@ -52,7 +52,7 @@
 				places.claim(decision.chosen->worker, task, true);
 				places.claim(decision.chosen->worker, task, false);
 			}
-			const auto took = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - began);
+			const auto took = std::chrono::duration<double, std::micro>(steady_now() - began);
 			print_figure("placement_time", "us_at_" + std::to_string(workers) + "_workers", took.count() / rounds);
 		}
 
--- a/packages/agent/src/process/agent_process.cpp
+++ b/packages/agent/src/process/agent_process.cpp
@@ -27,12 +27,12 @@
 		asio::awaitable<void> wait_until_idle(asio::io_context& io, const control_duty& control,
 											  const request_duty& requests, millis most)
 		{
-			const auto began = std::chrono::steady_clock::now();
+			const auto began = steady_now();
 			while (true)
 			{
 				asio::steady_timer timer{io, stop_check};
 				(void)co_await timer.async_wait(as_result);
-				const auto waited = std::chrono::steady_clock::now() - began;
+				const auto waited = steady_now() - began;
 				const bool idle = control.active_runs() == 0 && requests.held() == 0;
 				if ((idle && waited >= notice_time) || waited >= most)
 					break;
@@ -60,6 +60,7 @@
 			return exit_code::failed;
 		}
 		log_event(event::process_started, {{"worker", settings.worker.str()}, {"incarnation", life.value}});
+		log_suspensions(control_io);
 		on_stop_signal(control_io,
 					   [&]
 					   {
--- a/packages/agent/src/process/job_agent_process.cpp
+++ b/packages/agent/src/process/job_agent_process.cpp
@@ -110,6 +110,7 @@
 		const auto store = carriers.make_store(io, *settings.store);
 		asio::co_spawn(io, register_agent(io, *store, settings), asio::detached);
 		on_settings_change(io, source.path, [&] { reload(live, source); });
+		log_suspensions(io);
 		on_stop_signal(io,
 					   [&]
 					   {
--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -152,9 +152,16 @@
 		return {worker_->life, fencing_token_};
 	}
 
+	instant run_keeper::clock_read_as_worker() const noexcept
+	{
+		// The worker's clock may have stood still with this instance. To take it for earlier than it is ends leases
+		// sooner and has starts refused; to take it for later lets runs outlive what their owner counts.
+		return clock_read_ + std::max(std::chrono::nanoseconds{0}, suspended_so_far() - clock_read_suspended_);
+	}
+
 	std::int64_t run_keeper::worker_now_ms(instant now) const noexcept
 	{
-		return clock_ms_ + std::chrono::duration_cast<millis>(now - clock_read_).count();
+		return clock_ms_ + std::chrono::duration_cast<millis>(now - clock_read_as_worker()).count();
 	}
 
 	void run_keeper::note_result(const order_result& result, instant answered)
@@ -165,6 +172,7 @@
 			return;
 		clock_ms_ = result.clock_ms;
 		clock_read_ = answered;
+		clock_read_suspended_ = suspended_so_far();
 	}
 
 	asio::awaitable<void> run_keeper::list_forever()
@@ -251,8 +259,8 @@
 		if (!is_current(worker_life{answer.worker}))
 			return;
 		if (clock_ms_ > 0 && !closing_)
-			deadline_ms_ = std::max(deadline_ms_,
-									worker_deadline_ms(clock_ms_, clock_read_, from_millis(answer.stamp_ms), lease_));
+			deadline_ms_ = std::max(deadline_ms_, worker_deadline_ms(clock_ms_, clock_read_as_worker(),
+																	 from_millis(answer.stamp_ms), lease_));
 		ends_kept_ = std::max(ends_kept_, answer.ends_kept);
 		for (const auto& end : ends_)
 			if (end.number <= ends_kept_)
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -130,6 +130,8 @@
 		[[nodiscard]] bool has_ended(const task_run& what) const noexcept;
 		[[nodiscard]] order_authority authority() const;
 		[[nodiscard]] std::int64_t worker_now_ms(instant now) const noexcept;
+		/// When the worker's clock was read, as if this instance had not been suspended since.
+		[[nodiscard]] instant clock_read_as_worker() const noexcept;
 
 		boost::asio::io_context& io_;
 		port_maker make_port_;
@@ -143,6 +145,7 @@
 		std::int64_t fencing_token_{};
 		std::int64_t clock_ms_{}; ///< The worker's clock in an answer that had arrived by clock_read_.
 		instant clock_read_{};
+		std::chrono::nanoseconds clock_read_suspended_{}; ///< How long this instance had been suspended by then.
 		std::int64_t deadline_ms_{}; ///< Up to which the runs are confirmed, on the worker's clock.
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -22,6 +22,7 @@
 		process_ready = 101,
 		process_stopping = 102,
 		process_stopped = 103,
+		instance_suspended = 104,
 		listen_failed = 105,
 		settings_reloaded = 106,
 		settings_refused = 107,
--- a/packages/core/include/trailjunction/core/units.hpp
+++ b/packages/core/include/trailjunction/core/units.hpp
@@ -4,19 +4,21 @@
 /// \brief Units: instants, durations and amounts of resources.
 #pragma once
 
+#include "clock.hpp"
+
 #include <chrono>
 #include <cstdint>
 
 namespace trailjunction
 {
-	using instant = std::chrono::steady_clock::time_point; ///< A point of this process's own steady clock.
+	using instant = lasting_clock::time_point; ///< Of this instance's own clock.
 	using millis = std::chrono::milliseconds;
 	using micros = std::chrono::microseconds;
 
 	/// \brief The present time, for those who hand it to deciding functions.
 	[[nodiscard]] inline instant steady_now() noexcept
 	{
-		return std::chrono::steady_clock::now();
+		return lasting_clock::now();
 	}
 
 	/// \brief Amounts of what a worker holds or a task claims.
@@ -57,7 +59,7 @@
 		}
 	};
 
-	/// \brief Milliseconds of the steady clock since its own start; only meaningful within one process.
+	/// \brief Milliseconds of this instance's clock since its own start; only meaningful within one process.
 	[[nodiscard]] inline std::int64_t to_millis(instant now) noexcept
 	{
 		return std::chrono::duration_cast<millis>(now.time_since_epoch()).count();
--- /dev/null
+++ b/packages/core/src/clock.cpp
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/clock.hpp>
+
+#include <atomic>
+#include <ctime>
+
+namespace trailjunction
+{
+	namespace
+	{
+		using std::chrono::nanoseconds;
+
+		std::atomic<nanoseconds::rep> pretended{0};
+
+		nanoseconds read(clockid_t clock) noexcept
+		{
+			timespec time{};
+			(void)clock_gettime(clock, &time); // fails for unknown clocks only
+			return std::chrono::seconds{time.tv_sec} + nanoseconds{time.tv_nsec};
+		}
+	}
+
+	lasting_clock::time_point lasting_clock::now() noexcept
+	{
+		return time_point{read(CLOCK_MONOTONIC)};
+	}
+
+	std::chrono::nanoseconds suspended_so_far() noexcept
+	{
+		return read(CLOCK_BOOTTIME) - read(CLOCK_MONOTONIC) + nanoseconds{pretended.load(std::memory_order_relaxed)};
+	}
+
+	std::chrono::steady_clock::time_point timer_time(lasting_clock::time_point due) noexcept
+	{
+		return std::chrono::steady_clock::now() + (due - lasting_clock::now());
+	}
+
+	void pretend_suspension(std::chrono::nanoseconds time) noexcept
+	{
+		pretended.fetch_add(time.count(), std::memory_order_relaxed);
+	}
+}
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -18,13 +18,13 @@
 	{
 		/// Events that an operator should look at.
 		constexpr event warnings[] = {
-			event::member_superseded,    event::listen_failed,       event::frame_refused,    event::worker_ejected,
-			event::platform_unreachable, event::member_renewed_late, event::shard_lost,       event::run_fenced,
-			event::run_paused,           event::run_stopped,         event::grant_refused,    event::task_parked,
-			event::worker_quarantined,   event::config_refused,      event::settings_refused, event::worker_silent,
-			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,   event::job_refused,
-			event::job_unknown,          event::row_unreadable,      event::runs_overlap,     event::owner_behind,
-			event::owner_handed_on,      event::task_given_up,
+			event::member_superseded,    event::listen_failed,       event::frame_refused,      event::worker_ejected,
+			event::platform_unreachable, event::member_renewed_late, event::shard_lost,         event::run_fenced,
+			event::run_paused,           event::run_stopped,         event::grant_refused,      event::task_parked,
+			event::worker_quarantined,   event::config_refused,      event::settings_refused,   event::worker_silent,
+			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,     event::job_refused,
+			event::job_unknown,          event::row_unreadable,      event::runs_overlap,       event::owner_behind,
+			event::owner_handed_on,      event::task_given_up,       event::instance_suspended,
 		};
 
 		constexpr std::initializer_list<event> every_event = {
@@ -62,6 +62,7 @@
 			event::heartbeat_refused,    event::evacuation_begun,
 			event::evacuation_withdrawn, event::task_suspected,
 			event::task_cleared,         event::task_given_up,
+			event::instance_suspended,
 		};
 	}
 
@@ -77,6 +78,8 @@
 			return "process_stopping";
 		case event::process_stopped:
 			return "process_stopped";
+		case event::instance_suspended:
+			return "instance_suspended";
 		case event::listen_failed:
 			return "listen_failed";
 		case event::link_opened:
--- a/packages/entry/src/connection/agent_peer.cpp
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -91,7 +91,7 @@
 				co_await pause_for(io_, dial_pause);
 				continue;
 			}
-			asio::steady_timer closed{io_, instant::max()};
+			asio::steady_timer closed{io_, std::chrono::steady_clock::time_point::max()};
 			reported_ = false;
 			link_ = std::make_shared<link>(stream.release_socket(), limits);
 			link_->start([self = shared_from_this()](wire::envelope&& message)
--- a/packages/entry/src/process/command_tables.cpp
+++ b/packages/entry/src/process/command_tables.cpp
@@ -26,7 +26,7 @@
 
 		std::int64_t millis_since(instant then)
 		{
-			return std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - then).count();
+			return std::chrono::duration_cast<millis>(steady_now() - then).count();
 		}
 	}
 
@@ -61,7 +61,7 @@
 			const auto space = view == nullptr ? resources{} : view->space();
 			table.rows.push_back({name.str(), worker.place.data_centre.str(), worker.place.rack.str(),
 								  worker.service.str(), yes_no(worker.ready), yes_no(workers_.leaving(worker)),
-								  yes_no(worker.health.quarantined_until > std::chrono::steady_clock::now()),
+								  yes_no(worker.health.quarantined_until > steady_now()),
 								  absl::StrCat(capacity.cpu_milli), absl::StrCat(space.cpu_milli),
 								  absl::StrCat(capacity.memory_mib), absl::StrCat(space.memory_mib),
 								  absl::StrCat(millis_since(worker.heard)), absl::StrCat(worker.config.value)});
@@ -139,7 +139,7 @@
 	result_table command_runner::member_table_now() const
 	{
 		result_table table{{"member", "address", "live", "unchanged_ms"}, {}};
-		const auto live = members_.live(std::chrono::steady_clock::now());
+		const auto live = members_.live(steady_now());
 		for (const auto& [member, sighting] : members_.members())
 			table.rows.push_back({member.str(), sighting.address,
 								  yes_no(std::find(live.begin(), live.end(), member) != live.end()),
--- a/packages/entry/src/process/entry_process.cpp
+++ b/packages/entry/src/process/entry_process.cpp
@@ -34,14 +34,14 @@
 		asio::awaitable<void> stop_entry(asio::io_context& control_io, asio::io_context& request_io,
 										 control_duty& control, request_duty& requests, millis most)
 		{
-			const auto began = std::chrono::steady_clock::now();
+			const auto began = steady_now();
 			bool handed_over = false;
 			asio::co_spawn(control_io, hand_over(control_io, control, handed_over), asio::detached);
 			co_await pause_for(control_io, notice_time);
 			asio::post(request_io, [&requests] { requests.stop(); });
 			do
 				co_await pause_for(control_io, stop_check);
-			while ((requests.in_flight() > 0 || !handed_over) && std::chrono::steady_clock::now() - began < most);
+			while ((requests.in_flight() > 0 || !handed_over) && steady_now() - began < most);
 			co_await pause_for(control_io, stop_check); // for the last answers to be written
 			control_io.stop();
 		}
@@ -66,6 +66,7 @@
 			return exit_code::failed;
 		}
 		log_event(event::process_started, {{"member", settings.member.str()}, {"incarnation", life.value}});
+		log_suspensions(control_io);
 		on_stop_signal(control_io,
 					   [&]
 					   {
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -144,6 +144,7 @@
 		asio::co_spawn(request_io, follow_configuration(request_io, *clients.store, carriers, clients.gateway),
 					   asio::detached);
 		on_settings_change(request_io, source.path, [&] { reload(live, source, owner_io, owner); });
+		log_suspensions(request_io);
 		on_stop_signal(request_io,
 					   [&]
 					   {
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -111,7 +111,7 @@
 			const auto due = work ? committed_ + gap_ : committed_ + ownership_.renew_every;
 			if (now >= due)
 				co_return;
-			work_.expires_at(due);
+			work_.expires_at(timer_time(due));
 			(void)co_await work_.async_wait(as_result);
 		}
 	}
--- a/packages/entry/src/process/task_owner.cpp
+++ b/packages/entry/src/process/task_owner.cpp
@@ -37,7 +37,7 @@
 		{
 			if (!waiter->end)
 			{
-				waiter->wake.expires_at(deadline);
+				waiter->wake.expires_at(timer_time(deadline));
 				(void)co_await waiter->wake.async_wait(as_result);
 			}
 			if (waiter->end == commit_end::durable)
--- a/packages/entry/src/request/request_duty.cpp
+++ b/packages/entry/src/request/request_duty.cpp
@@ -203,7 +203,8 @@
 		{
 			const bool may_hedge = config_.hedge && work.request.repeatable && !work.hedged;
 			auto& wake = work.tries->wake;
-			wake.expires_at(may_hedge ? std::min(work.hedge_at, work.request.deadline) : work.request.deadline);
+			wake.expires_at(
+				timer_time(may_hedge ? std::min(work.hedge_at, work.request.deadline) : work.request.deadline));
 			if (work.tries->any_open())
 				(void)co_await wake.async_wait(as_result);
 			const auto at = steady_now();
--- a/packages/net/include/trailjunction/net/program.hpp
+++ b/packages/net/include/trailjunction/net/program.hpp
@@ -38,6 +38,9 @@
 	/// \details The file is looked at every two seconds; a signal is acted upon at once.
 	void on_settings_change(boost::asio::io_context& io, const std::string& path, std::function<void()> changed);
 
+	/// \brief Logs each suspension of this instance, within two seconds of its end.
+	void log_suspensions(boost::asio::io_context& io);
+
 	/// \brief Calls \p stop on the first SIGTERM or SIGINT; a second one ends the process.
 	void on_stop_signal(boost::asio::io_context& io, std::function<void()> stop);
 }
--- a/packages/net/src/program.cpp
+++ b/packages/net/src/program.cpp
@@ -1,8 +1,12 @@
 // SPDX-License-Identifier: MIT
+#include <trailjunction/core/event.hpp>
 #include <trailjunction/core/json.hpp>
+#include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/net/program.hpp>
 
 #include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -43,6 +47,23 @@
 	namespace
 	{
 		constexpr auto look_every = std::chrono::seconds{2};
+		/// The two clocks are read one after the other, and a process may be held up between.
+		constexpr auto least_suspension = millis{20};
+
+		boost::asio::awaitable<void> watch_suspensions(boost::asio::io_context& io)
+		{
+			auto before = suspended_so_far();
+			while (true)
+			{
+				co_await pause_for(io, look_every);
+				const auto time = suspended_so_far() - before;
+				if (time < least_suspension)
+					continue;
+				before += time;
+				log_event(event::instance_suspended,
+						  {{"suspended_ms", std::chrono::duration_cast<millis>(time).count()}});
+			}
+		}
 
 		/// Watches one file for as long as its io_context runs.
 		class settings_watch : public std::enable_shared_from_this<settings_watch>
@@ -111,6 +132,11 @@
 		watch->await_look();
 	}
 
+	void log_suspensions(boost::asio::io_context& io)
+	{
+		boost::asio::co_spawn(io, watch_suspensions(io), boost::asio::detached);
+	}
+
 	void on_stop_signal(boost::asio::io_context& io, std::function<void()> stop)
 	{
 		const auto signals = std::make_shared<boost::asio::signal_set>(io, SIGTERM, SIGINT);
--- a/packages/net/src/span_exporter.cpp
+++ b/packages/net/src/span_exporter.cpp
@@ -92,7 +92,7 @@
 			http_request request{"POST", "/v1/traces", {{"Content-Type", "application/json"}}, ""};
 			request.body = to_otlp(service_, batch_);
 			batch_.clear();
-			(void)co_await client.send(std::move(request), std::chrono::steady_clock::now() + export_deadline);
+			(void)co_await client.send(std::move(request), steady_now() + export_deadline);
 		}
 	}
 }
--- a/packages/store/src/row_store.cpp
+++ b/packages/store/src/row_store.cpp
@@ -63,7 +63,7 @@
 	{
 		const auto all = std::make_shared<gathering>(
 			gathering{std::vector<absl::StatusOr<row_page>>(ranges.size(), absl::UnknownError("not read")),
-					  ranges.size(), boost::asio::steady_timer{io, instant::max()}});
+					  ranges.size(), boost::asio::steady_timer{io, std::chrono::steady_clock::time_point::max()}});
 		for (std::size_t i = 0; i < ranges.size(); ++i)
 			boost::asio::co_spawn(io, read_into(all, store, std::move(ranges[i]), i, deadline), boost::asio::detached);
 		while (all->open > 0)
--- a/tests/run_keeper_scene.hpp
+++ b/tests/run_keeper_scene.hpp
@@ -36,6 +36,7 @@
 		int lists{};
 		std::optional<task_run> stopped;  ///< By the latest stop.
 		std::vector<std::int64_t> tokens; ///< Of all calls, in order.
+		std::int64_t deadline_ms{};       ///< Up to which runs are confirmed, by the latest listing call.
 		std::map<task_run, int> paces;    ///< The latest of each filler.
 		std::string life;                 ///< The only one that listings are answered for; empty: any.
 	};
@@ -58,8 +59,9 @@
 			lines_.tokens.push_back(authority.fencing_token);
 			co_return lines_.on_stop();
 		}
-		boost::asio::awaitable<listing_result> list(order_authority authority, listing_order, instant) override
+		boost::asio::awaitable<listing_result> list(order_authority authority, listing_order order, instant) override
 		{
+			lines_.deadline_ms = order.deadline_ms;
 			co_await pause_for(io_, millis{5});
 			++lines_.lists;
 			if (!lines_.life.empty() && authority.life.str() != lines_.life)
