Core: leases, fences and the age of news count the time for which an instance is suspended

Cause: the steady clock stands still while an instance is suspended. Ways weighed: CLOCK_BOOTTIME alone; both clocks with the older answer. The first for all that others rely on: there a clock that stands still is never the safer one. Timers stay steady and fire late; what acts after one reads the clock anew. Why it holds: to the decisions a suspension is now what a freeze is, and freezes are played by tests and storms.

--- a/packages/core/src/clock.cpp
+++ b/packages/core/src/clock.cpp
@@ -22,12 +22,12 @@
 
 	lasting_clock::time_point lasting_clock::now() noexcept
 	{
-		return time_point{read(CLOCK_MONOTONIC)};
+		return time_point{read(CLOCK_BOOTTIME) + nanoseconds{pretended.load(std::memory_order_relaxed)}};
 	}
 
 	std::chrono::nanoseconds suspended_so_far() noexcept
 	{
-		return read(CLOCK_BOOTTIME) - read(CLOCK_MONOTONIC) + nanoseconds{pretended.load(std::memory_order_relaxed)};
+		return lasting_clock::now().time_since_epoch() - std::chrono::steady_clock::now().time_since_epoch();
 	}
 
 	std::chrono::steady_clock::time_point timer_time(lasting_clock::time_point due) noexcept
