--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -322,6 +322,10 @@
 		}
 		order.latency_target_ms = group.latency_target.count();
 		order.filler = group.filler;
+		const auto claim = counted_claim(group);
+		order.claim.cpu_milli = claim.cpu_milli;
+		order.claim.memory_mib = claim.memory_mib;
+		order.claim.accelerators = claim.accelerators;
 		order.movable = group.filler && group.checkpointing && !group.gang;
 		order.known_running = kind == order_kind::known_running;
 		order.repeated = kind == order_kind::repeated;
--- a/packages/jobs/include/trailjunction/jobs/job_spec.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_spec.hpp
@@ -35,6 +35,15 @@
 		std::uint32_t may_be_away{};      ///< Tasks of a long-running group that the system may take away at a time.
 	};
 
+	/// \brief What a task of the group takes of its worker's room: fillers live on processor time that others leave.
+	[[nodiscard]] constexpr resources counted_claim(const task_group& group) noexcept
+	{
+		auto claim = group.claim;
+		if (group.filler)
+			claim.cpu_milli = 0;
+		return claim;
+	}
+
 	/// \brief A job.
 	struct job_spec
 	{
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -24,14 +24,6 @@
 			return worker.labels.size() > 1 ? worker.labels[1] : std::string{};
 		}
 
-		resources counted_claim(const task_group& group) noexcept
-		{
-			auto claim = group.claim;
-			if (group.filler)
-				claim.cpu_milli = 0;
-			return claim;
-		}
-
 		void charge(worker_room& worker, const task_group& group, filler_press& press)
 		{
 			worker.claimed += counted_claim(group);
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -240,6 +240,7 @@
 	9: list<image_pressure> pressures, // of a filler, where it differs from nothing
 	10: bool repeated,          // an earlier order of the same run may have been carried out
 	11: bool movable,           // of a filler: it saves its work at a stop, and no other task has to stay with it
+	12: amounts claim,          // what it takes of the worker's room; of fillers no processor time is counted
 }
 
 /** Entry to agent: stop a run, whether it has begun or not. */
--- a/tests/run_keeper_scene.hpp
+++ b/tests/run_keeper_scene.hpp
@@ -127,9 +127,10 @@
 				});
 		}
 
-		void order_start(bool repeated = false)
+		void order_start(bool repeated = false, std::int64_t cpu_milli = 0)
 		{
 			wire::job_start order;
+			order.claim.cpu_milli = cpu_milli;
 			order.what = to_wire(some_run);
 			order.worker = "life-1";
 			order.repeated = repeated;
