Agent: nothing is started that does not fit the room of which the worker told last

Cause: only the owner looked at the room, when it placed a task; the order may come seconds later. Change: the agent looks once more before each start, by the claims that come with the orders and by its worker's last heartbeat; what is ordered, confirmed and not listed, running or being stopped takes its room. What does not fit is refused by itself, a repeated order that may have been carried out is settled by a stop. A changed room is reported at once and told in the log (E453). Why it holds: a start goes by a room that was told at most three seconds before, after which it is refused; by the users' rules a room that has shrunk counts from three seconds and one heartbeat on. The worker beside the agent tells it first, so neither store, link nor owner matter. Not done: what runs over the room stays there; moving it was not measured.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -61,12 +61,20 @@
 		}
 		if (heartbeat.sequence < worker_->sequence)
 			return; // overtaken on its way
+		heartbeat_at_ = steady_now();
+		const bool room_changed = heartbeat.capacity != worker_->capacity;
+		if (room_changed)
+			log_event(event::room_changed, {{"worker", heartbeat.life.str()},
+											{"cpu_milli", heartbeat.capacity.cpu_milli},
+											{"cpu_milli_before", worker_->capacity.cpu_milli},
+											{"memory_mib", heartbeat.capacity.memory_mib},
+											{"memory_mib_before", worker_->capacity.memory_mib}});
 		const bool news = heartbeat.draining != worker_->draining;
 		if (news)
 			log_event(event::worker_leaving,
 					  {{"worker", heartbeat.life.str()}, {"draining", heartbeat.draining ? 1 : 0}});
 		worker_ = std::move(heartbeat);
-		if (news)
+		if (news || room_changed)
 			on_news_();
 	}
 
@@ -97,6 +105,7 @@
 		if (!port_ || worker_->address != heartbeat.address)
 			port_ = make_port_(heartbeat.address);
 		worker_ = heartbeat;
+		heartbeat_at_ = steady_now();
 		// The worker's clock has gone on since the last life of this agent, so this token is above its token.
 		fencing_token_ = heartbeat.clock_ms;
 		clock_ms_ = 0;
@@ -110,6 +119,7 @@
 		paces_.clear();
 		fillers_stopped_ = false;
 		ordering_.clear();
+		unlisted_.clear();
 		stopping_.clear();
 		ends_.clear();
 		refusals_.clear();
@@ -230,6 +240,8 @@
 			now_running.emplace(kept.listed.what, std::move(kept));
 		}
 		runs_ = std::move(now_running);
+		// The listing that was under way when a run was confirmed may have been made before; the next one was not.
+		absl::erase_if(unlisted_, [this](const auto& run) { return listings_ >= run.second + 2; });
 		note_overlaps();
 		absl::erase_if(paces_, [this](const auto& pace) { return !runs_.contains(pace.first); });
 		ends_.clear();
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -79,6 +79,7 @@
 			bool movable{}; ///< Of a filler; see wire.thrift.
 			std::string image;
 			pressures_by_image pressures; ///< Of a filler.
+			resources claim;              ///< Of the worker's room.
 		};
 		struct kept_run
 		{
@@ -106,7 +107,7 @@
 		boost::asio::awaitable<void> list_forever();
 		/// Takes an incarnation that is not the current one for the next only once it has answered to its name.
 		boost::asio::awaitable<void> probe_life(worker_heartbeat heartbeat);
-		boost::asio::awaitable<void> carry_out_start(wire::job_start order);
+		boost::asio::awaitable<void> carry_out_start(wire::job_start order, bool fits);
 		boost::asio::awaitable<void> carry_out_stop(task_run what, worker_life life);
 		boost::asio::awaitable<void> settle_start(task_run what, worker_life life);
 		boost::asio::awaitable<void> pace_fillers();
@@ -126,6 +127,12 @@
 		void answer_refused(const task_run& what, start_refusal why, bool repeated);
 		void note_overlaps();
 		void started(const task_run& what);
+		/// Whether a run fits beside all that is there, by what the worker says of itself.
+		/// \details Not every worker guards its room, and it may shrink at any time: while an order is on its way,
+		/// while a store is slow, while this process stands still. The worker beside this agent tells it first, so the
+		/// last look is here. What is being stopped counts until the worker lists its end.
+		[[nodiscard]] bool has_room_for(const task_run& what, const resources& claim, instant now) const;
+		[[nodiscard]] bool is_there(const task_run& what) const noexcept;
 		[[nodiscard]] bool is_current(const worker_life& life) const noexcept;
 		[[nodiscard]] bool has_ended(const task_run& what) const noexcept;
 		[[nodiscard]] order_authority authority() const;
@@ -140,6 +147,7 @@
 		std::function<void()> on_news_;
 		std::shared_ptr<worker_port> port_;
 		std::optional<worker_heartbeat> worker_;
+		instant heartbeat_at_{};                   ///< When the latest heartbeat of the current incarnation came.
 		absl::flat_hash_set<worker_life> probing_; ///< Incarnations that are being asked whether they are there.
 		millis lease_{};
 		std::int64_t fencing_token_{};
@@ -157,6 +165,8 @@
 		absl::flat_hash_map<task_run, run_purpose> purposes_;
 		absl::flat_hash_map<task_run, ordered_pace> paces_; ///< Of fillers.
 		absl::flat_hash_set<task_run> ordering_;
+		/// Runs that the worker has confirmed, until a listing that was made after it: the value of listings_ then.
+		absl::flat_hash_map<task_run, std::uint64_t> unlisted_;
 		absl::flat_hash_set<task_run> stopping_;
 		std::vector<listed_end> ends_;
 		std::vector<refused_run> refusals_; ///< Not reported yet.
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -24,6 +24,9 @@
 		constexpr auto start_window = millis{1'500};
 		/// A start with less time than this left would be refused as late anyway.
 		constexpr auto least_window = millis{100};
+		/// By the users' rules a room that has shrunk counts from three seconds and one heartbeat after it on. So a
+		/// start within three seconds of a heartbeat may go by the room that this one told.
+		constexpr auto room_known_for = millis{3'000};
 		constexpr double pressure_milli = 1'000.0;
 
 		// What settled a refused start, for the log.
@@ -53,6 +56,8 @@
 		run_purpose purpose{millis{order.latency_target_ms}, order.filler, order.movable, order.image, {}};
 		for (const auto& pressure : order.pressures)
 			purpose.pressures[pressure.image] = pressure.milli / pressure_milli;
+		purpose.claim = {order.claim.cpu_milli, order.claim.memory_mib, order.claim.accelerators};
+		const auto claim = purpose.claim;
 		purposes_[what] = std::move(purpose);
 		if (runs_.contains(what))
 		{
@@ -66,8 +71,9 @@
 			refuse(what, start_refusal::leaving, {order.repeated, by_agent});
 			return;
 		}
+		const bool fits = has_room_for(what, claim, steady_now());
 		ordering_.insert(what);
-		asio::co_spawn(io_, carry_out_start(std::move(order)), asio::detached);
+		asio::co_spawn(io_, carry_out_start(std::move(order), fits), asio::detached);
 	}
 
 	void run_keeper::answer_refused(const task_run& what, start_refusal why, bool repeated)
@@ -80,7 +86,25 @@
 			refuse(what, why, {repeated, by_memory});
 	}
 
-	asio::awaitable<void> run_keeper::carry_out_start(wire::job_start order)
+	bool run_keeper::is_there(const task_run& what) const noexcept
+	{
+		return runs_.contains(what) || ordering_.contains(what) || (unlisted_.contains(what) && !has_ended(what));
+	}
+
+	bool run_keeper::has_room_for(const task_run& what, const resources& claim, instant now) const
+	{
+		if (claim == resources{})
+			return true; // an owner of an earlier version does not say what its tasks take
+		if (now - heartbeat_at_ > room_known_for)
+			return false;
+		resources taken;
+		for (const auto& [other, purpose] : purposes_)
+			if (other != what && is_there(other))
+				taken += purpose.claim;
+		return claim.fits(worker_->capacity - taken);
+	}
+
+	asio::awaitable<void> run_keeper::carry_out_start(wire::job_start order, bool fits)
 	{
 		const auto what = from_wire(order.what);
 		const auto life = worker_->life;
@@ -92,7 +116,9 @@
 		const bool leased = clock_ms_ > 0 && call.deadline_ms >= clock + least_window.count();
 		order_result result{order_end::late, 0};
 		refusal_source from{repeated, by_agent};
-		if (leased && !worker_->draining && !closing_)
+		if (!fits)
+			result.how = order_end::no_room;
+		else if (leased && !worker_->draining && !closing_)
 		{
 			++open_orders_;
 			from.by = by_worker;
@@ -238,5 +264,7 @@
 		// Told with the next report: nothing waits for it, and without reports of starts alone an owner of 240 agents
 		// took in 1,350 reports a second instead of 2,500.
 		started_.push_back(what);
+		if (!runs_.contains(what))
+			unlisted_.emplace(what, listings_);
 	}
 }
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -85,6 +85,7 @@
 		task_suspected = 450,
 		task_cleared = 451,
 		task_given_up = 452,
+		room_changed = 453,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -62,7 +62,7 @@
 			event::heartbeat_refused,    event::evacuation_begun,
 			event::evacuation_withdrawn, event::task_suspected,
 			event::task_cleared,         event::task_given_up,
-			event::instance_suspended,
+			event::instance_suspended,   event::room_changed,
 		};
 	}
 
@@ -208,6 +208,8 @@
 			return "task_cleared";
 		case event::task_given_up:
 			return "task_given_up";
+		case event::room_changed:
+			return "room_changed";
 		}
 		return "unnamed";
 	}
