--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -28,6 +28,13 @@
 		/// A figure that moved by less than this share is not worth a message.
 		constexpr double figure_step = 0.2;
 
+		/// Whether a lasting task serves: the owner counts those that do not.
+		bool is_at_work(const listed_run& run) noexcept
+		{
+			constexpr int full_progress = 100;
+			return run.progress_percent >= full_progress;
+		}
+
 		bool moved(std::int64_t before, std::int64_t now) noexcept
 		{
 			return std::abs(static_cast<double>(now - before)) > figure_step * static_cast<double>(before);
@@ -234,7 +241,8 @@
 			{
 				kept.reported_figure = before->second.reported_figure;
 				kept.over = before->second.over;
-				kept.changed = before->second.changed || before->second.listed.checkpoint != kept.listed.checkpoint;
+				kept.changed = before->second.changed || before->second.listed.checkpoint != kept.listed.checkpoint ||
+							   is_at_work(before->second.listed) != is_at_work(kept.listed);
 			}
 			kept.changed = kept.changed || moved(kept.reported_figure, kept.listed.figure);
 			now_running.emplace(kept.listed.what, std::move(kept));
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -22,6 +22,7 @@
 		constexpr auto confirm_gap = millis{250};
 
 		constexpr double full_pace = 100.0;
+		constexpr int at_work_percent = 100; ///< Progress of a lasting task that serves.
 
 		constexpr trust_policy trust{};
 		constexpr pressure_policy pressing{};
@@ -29,6 +30,18 @@
 		constexpr double pressure_milli = 1'000.0;
 	}
 
+	namespace
+	{
+		/// Why needless_runs() names a run, for the log.
+		std::string_view reason_to_stop(const job_table& table, const task_run& what)
+		{
+			if (has_ended(find_job(table, what.task.job)->status))
+				return "job_over";
+			const auto move = table.moves.find(what);
+			return move == table.moves.end() ? "gang_incomplete" : to_string(move->second.why);
+		}
+	}
+
 	agent_peer* job_term::peer_of(const worker_life& life) const noexcept
 	{
 		const auto reaches = [&](const agent_peer& peer)
@@ -171,6 +184,7 @@
 			confirm_run(table_, run.what, now);
 			note_checkpoint(table_, run.what, run.checkpoint);
 			find_task(table_, run.what.task)->figure = run.figure;
+			note_at_work(table_, run.what, run.progress_percent >= at_work_percent);
 		}
 	}
 
@@ -255,8 +269,7 @@
 				continue;
 			if (auto* peer = peer_of(task.worker); peer != nullptr)
 			{
-				const bool over = has_ended(find_job(table_, what.task.job)->status);
-				order_stop(*peer, what, over ? "job_over" : "gang_incomplete");
+				order_stop(*peer, what, reason_to_stop(table_, what));
 				task.stop_ordered = now;
 			}
 		}
--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -45,6 +45,7 @@
 		std::uint32_t crashed_run{}; ///< The latest run whose crash is counted; of this process only.
 		std::int64_t figure{};       ///< The worker's last measure; see job_run in wire.thrift.
 		instant stop_ordered{};      ///< When its worker was last told to stop the latest run; of this process only.
+		bool at_work{};              ///< Its worker says that the latest run serves; of lasting tasks alone.
 	};
 
 	/// \brief How a job stands.
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -6,6 +6,7 @@
 
 #include "job_merit.hpp"
 #include "job_state.hpp"
+#include "planned_moves.hpp"
 #include "run_times.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -48,7 +49,8 @@
 		absl::flat_hash_set<worker_life> changed;
 		/// Jobs among which needless_runs() looks: those that ended while they had runs, and those with gangs.
 		absl::flat_hash_set<job_id> watched;
-		run_times learnt; ///< How long tasks take, by queue.
+		planned_moves moves; ///< Runs that are stopped so that their tasks go on elsewhere.
+		run_times learnt;    ///< How long tasks take, by queue.
 		usual_work_by_queue usual;
 	};
 
@@ -147,9 +149,10 @@
 	/// \brief Tasks whose turn has come and that are nowhere.
 	[[nodiscard]] std::vector<task_key> waiting_tasks(const job_table& table, std::int64_t unix_ms);
 
-	/// \brief Runs that have to stop: those of jobs that have ended, and members of a gang that has lost others.
-	/// \details Looks at watched jobs alone, and forgets those that have ended and run nothing: nearly all of 2,000
-	/// runs that are placed belong to jobs that go on.
+	/// \brief Runs that have to stop: those of jobs that have ended, members of a gang that has lost others, and those
+	/// whose tasks are to go on elsewhere.
+	/// \details Looks at watched jobs and planned moves alone, and forgets those that run nothing any more: nearly all
+	/// of 2,000 runs that are placed belong to jobs that go on.
 	[[nodiscard]] std::vector<task_run> needless_runs(job_table& table);
 
 	/// \brief Jobs of a queue none of whose tasks has begun.
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -28,7 +28,9 @@
 				if (found->second.empty())
 					table.placed.erase(found);
 			}
+			table.moves.erase({key, task.run});
 			task.worker = worker_life{};
+			task.at_work = false;
 			task.stop_ordered = instant{};
 			task.figure = 0;
 		}
@@ -499,6 +501,9 @@
 	std::vector<task_run> needless_runs(job_table& table)
 	{
 		std::vector<task_run> out;
+		for (const auto& [what, move] : table.moves)
+			if (const auto* job = find_job(table, what.task.job); job != nullptr && !has_ended(job->status))
+				out.push_back(what);
 		absl::erase_if(table.watched,
 					   [&](const job_id& id)
 					   {
--- /dev/null
+++ b/tests/planned_moves.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Tasks that are taken away by choice, within what callers bear to miss: pure functions, no process.
+#include "job_fixtures.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace trailjunction;
+using namespace trailjunction::job_tests;
+
+namespace
+{
+	const task_key first_task{job_id{"a"}, 0, 0, 0};
+	const task_key second_task{job_id{"a"}, 0, 0, 1};
+
+	task_group lasting_group(std::uint32_t count, std::uint32_t may_be_away)
+	{
+		auto out = group_of(count, 500);
+		out.long_running = true;
+		out.latency_target = millis{50};
+		out.may_be_away = may_be_away;
+		return out;
+	}
+
+	/// Two lasting tasks that serve, on two workers.
+	job_table table_of(std::uint32_t may_be_away)
+	{
+		job_table table;
+		add_job(table, job_of("a", {lasting_group(2, may_be_away)}));
+		for (std::uint32_t i = 0; i < 2; ++i)
+		{
+			const auto what = assign(table, {job_id{"a"}, 0, 0, i}, worker_life{i == 0 ? "w1" : "w2"}, start);
+			confirm_run(table, what, start);
+			note_at_work(table, what, true);
+		}
+		return table;
+	}
+}
+
+TEST_CASE("no more tasks of a lasting group are taken away than its callers bear to miss", "[jobs]")
+{
+	auto table = table_of(1);
+	CHECK(absent_tasks(*find_job(table, first_task.job), 0, 0) == 0);
+	CHECK(begin_move(table, first_task, move_reason::arrangement, start));
+	CHECK_FALSE(begin_move(table, first_task, move_reason::upkeep, start)); // it is on its way already
+	CHECK_FALSE(begin_move(table, second_task, move_reason::upkeep, start));
+
+	// The one that was taken away counts until it serves elsewhere, not only until it is started.
+	CHECK(end_run(table, {first_task, 1}, run_outcome::stopped, "", start) == end_effect::recorded);
+	CHECK(table.moves.empty());
+	const auto next = assign(table, first_task, worker_life{"w3"}, start);
+	confirm_run(table, next, start);
+	CHECK_FALSE(begin_move(table, second_task, move_reason::upkeep, start));
+	note_at_work(table, next, true);
+	CHECK(begin_move(table, second_task, move_reason::upkeep, start));
+}
+
+TEST_CASE("a lasting group that states no number bears no absence", "[jobs]")
+{
+	auto table = table_of(0);
+	CHECK_FALSE(begin_move(table, first_task, move_reason::arrangement, start));
+}
+
+TEST_CASE("a task that is away for another cause counts against the absences of its group", "[jobs]")
+{
+	auto table = table_of(1);
+	CHECK(end_run(table, {first_task, 1}, run_outcome::lapsed, "", start) == end_effect::recorded);
+	CHECK_FALSE(begin_move(table, second_task, move_reason::arrangement, start));
+}
+
+TEST_CASE("a run that is taken away is stopped until it has ended, and not once its job is over", "[jobs]")
+{
+	auto table = table_of(1);
+	REQUIRE(begin_move(table, first_task, move_reason::shrunk_room, start));
+	CHECK(needless_runs(table) == std::vector<task_run>{{first_task, 1}});
+	CHECK(needless_runs(table).size() == 1);
+	SECTION("it ends")
+	{
+		(void)end_run(table, {first_task, 1}, run_outcome::stopped, "", start);
+		CHECK(needless_runs(table).empty());
+		CHECK(waiting_tasks(table, 0).size() == 1);
+	}
+	SECTION("its job is cancelled: each run is named once")
+	{
+		(void)cancel_job(table, first_task.job);
+		CHECK(needless_runs(table).size() == 2);
+	}
+}
+
+TEST_CASE("fillers are taken away only where they resume from a checkpoint, and members of gangs never", "[jobs]")
+{
+	auto group = group_of(1, 500);
+	bool movable = false;
+	SECTION("with a checkpoint")
+	{
+		group.checkpointing = true;
+		movable = true;
+	}
+	SECTION("without") {}
+	SECTION("a gang")
+	{
+		group = gang_of(1, 500);
+	}
+	job_table table;
+	add_job(table, job_of("a", {group}));
+	confirm_run(table, assign(table, first_task, worker_life{"w1"}, start), start);
+	CHECK(begin_move(table, first_task, move_reason::arrangement, start) == movable);
+}
