Headers: each of the twins says which path it serves

Cause: the product's own path and that for jobs have a placement, an owner and a response to harm each; a reader who opens one could not tell which. No code is touched; nothing was measured.

--- a/packages/decide/include/trailjunction/decide/process/harm_response.hpp
+++ b/packages/decide/include/trailjunction/decide/process/harm_response.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // trailjunction: a scheduler for latency-critical and batch work on the same workers.
 /// \file
-/// \brief What is done about batch work that harms a service.
+/// \brief Of the product's own path: what is done about batch work that harms a service; for jobs, see filler_pacing.hpp.
 #pragma once
 
 #include "../version/config_document.hpp"
--- a/packages/decide/include/trailjunction/decide/process/placement.hpp
+++ b/packages/decide/include/trailjunction/decide/process/placement.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // trailjunction: a scheduler for latency-critical and batch work on the same workers.
 /// \file
-/// \brief Where the next run of a task goes.
+/// \brief Of the product's own path: where the next run of a task goes.
 #pragma once
 
 #include "../version/config_document.hpp"
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 /// \file
-/// \brief Stands by, takes over, and works as the owner of the jobs.
+/// \brief Of the path for jobs: stands by, takes over, and works as their owner.
 #pragma once
 
 #include "job_term.hpp"
--- a/packages/entry/src/process/task_owner.hpp
+++ b/packages/entry/src/process/task_owner.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // trailjunction: a scheduler for latency-critical and batch work on the same workers.
 /// \file
-/// \brief The tasks of this entry's shards: what runs where, and what happens next.
+/// \brief Of the product's own path: the tasks of this entry's shards, what runs where, and what happens next.
 #pragma once
 
 #include "member_keeper.hpp"
--- a/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pacing.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // trailjunction: a scheduler for latency-critical and batch work on the same workers.
 /// \file
-/// \brief How an agent slows fillers down so that the serving tasks beside them keep their latency targets.
+/// \brief Of the path for jobs: how an agent slows fillers down so that the serving tasks beside them keep their latency targets.
 #pragma once
 
 #include "job_ids.hpp"
--- a/packages/jobs/include/trailjunction/jobs/job_placement.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_placement.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // trailjunction: a scheduler for latency-critical and batch work on the same workers.
 /// \file
-/// \brief Where waiting tasks go.
+/// \brief Of the path for jobs: where waiting tasks go.
 #pragma once
 
 #include "filler_pressure.hpp"
