Forecast of the load of serving tasks: level, swing and the latest distance from them

Cause: placement takes a serving task's load of now for the whole run of a filler (1.7 to 1.9 s), while loads swing by half of their level.

Change: load_forecast.cpp, pure and not used yet.

Tests: generated swings of five periods, gaps, noise alone, a jump, bounds.

--- /dev/null
+++ b/tests/load_forecast.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/load_forecast.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <functional>
+#include <numbers>
+#include <random>
+
+using namespace trailjunction;
+
+namespace
+{
+	constexpr instant start{std::chrono::seconds{1'000}};
+	constexpr millis step{500};
+
+	/// A load by the seconds since the start.
+	using load_shape = std::function<double(double)>;
+
+	load_shape swing_of(double period, double phase)
+	{
+		return [=](double at)
+		{
+			return -0.9 + 0.5 * std::sin(2.0 * std::numbers::pi * (at / period + phase));
+		};
+	}
+
+	/// Mean squares of errors, some seconds ahead.
+	struct forecast_errors
+	{
+		double naive{};    ///< Of the last sample.
+		double forecast{}; ///< Of the forecast.
+		std::size_t swings{};
+		std::size_t looked{};
+	};
+
+	/// Tells noisy samples for 60 s, all but a share of them, and compares what was expected with what came.
+	forecast_errors play(const load_shape& load, millis ahead, double missing = 0.0, std::uint64_t seed = 7)
+	{
+		const load_policy policy;
+		std::mt19937_64 random{seed};
+		std::normal_distribution<double> noise{0.0, 0.15};
+		std::uniform_real_distribution<double> chance;
+		load_track known;
+		forecast_errors out;
+		double last = 0.0;
+		for (millis at{0}; at < millis{60'000}; at += step)
+		{
+			const double value = load(static_cast<double>(at.count()) / 1'000.0) + noise(random);
+			if (chance(random) >= missing)
+			{
+				last = value;
+				note_load(known, {start + at, value}, policy);
+			}
+			if (at < millis{20'000})
+				continue;
+			const double comes = load(static_cast<double>((at + ahead).count()) / 1'000.0);
+			out.naive += std::pow(last - comes, 2);
+			out.forecast += std::pow(load_at(known, start + at + ahead, policy)->log_strain - comes, 2);
+			out.swings += known.curve->period ? 1 : 0;
+			++out.looked;
+		}
+		return out;
+	}
+}
+
+TEST_CASE("a swing is foreseen far better than by the last sample, whatever its period", "[jobs]")
+{
+	for (const double period : {5.0, 8.0, 11.0, 14.3, 19.0})
+		for (const auto ahead : {millis{1'000}, millis{2'000}, millis{3'000}})
+		{
+			const auto errors = play(swing_of(period, 0.3), ahead);
+			INFO("period " << period << " s, " << ahead.count() << " ms ahead");
+			CHECK(errors.forecast < 0.5 * errors.naive);
+			CHECK(errors.swings > errors.looked * 9 / 10);
+		}
+}
+
+TEST_CASE("a swing is foreseen where a third of the samples are missing", "[jobs]")
+{
+	const auto errors = play(swing_of(14.0, 0.0), millis{2'000}, 0.33);
+	CHECK(errors.forecast < 0.5 * errors.naive);
+}
+
+TEST_CASE("noise without a swing is taken for its level", "[jobs]")
+{
+	std::size_t swings = 0;
+	std::size_t looked = 0;
+	for (std::uint64_t seed = 1; seed <= 20; ++seed)
+	{
+		const auto errors = play([](double) { return -0.9; }, millis{2'000}, 0.0, seed);
+		CHECK(errors.forecast < 0.6 * errors.naive);
+		swings += errors.swings;
+		looked += errors.looked;
+	}
+	CHECK(swings * 20 < looked);
+}
+
+TEST_CASE("a level that jumps is followed", "[jobs]")
+{
+	const auto jump = [](double at)
+	{
+		return at < 40.0 ? -1.2 : -0.2;
+	};
+	const auto errors = play(jump, millis{1'000});
+	CHECK(errors.forecast < 1.5 * errors.naive);
+}
+
+TEST_CASE("nothing is told of a load that was never measured, and the level beyond the horizon", "[jobs]")
+{
+	const load_policy policy;
+	load_track known;
+	CHECK_FALSE(load_at(known, start, policy));
+	note_load(known, {start, -0.5}, policy);
+	CHECK(load_at(known, start + policy.horizon, policy)->log_strain == -0.5);
+	const auto swing = swing_of(14.0, 0.0);
+	for (millis at{0}; at < millis{28'000}; at += step)
+		note_load(known, {start + at, swing(static_cast<double>(at.count()) / 1'000.0)}, policy);
+	REQUIRE(known.curve->period);
+	CHECK(load_at(known, start + millis{60'000}, policy)->log_strain == known.curve->level);
+}
+
+TEST_CASE("what is kept of a load is bounded, and samples of one moment become one", "[jobs]")
+{
+	const load_policy policy;
+	load_track known;
+	for (int i = 0; i < 10'000; ++i)
+		note_load(known, {start + millis{100 * i}, i % 2 == 0 ? -1.0 : -0.8}, policy);
+	CHECK(known.samples.size() <= policy.most_samples);
+	CHECK(known.samples.back().at - known.samples.front().at <= policy.window);
+	CHECK(std::abs(load_at(known, known.samples.back().at, policy)->log_strain + 0.9) < 0.03);
+	note_load(known, {start, 5.0}, policy); // told late
+	CHECK(load_at(known, known.samples.back().at, policy)->log_strain < 0.0);
+}
