Owner: fillers leave workers that hold less than what is claimed there

Cause: after a room shrank below its claims, nothing is left over for the fillers there. They stood still until their agent had slowed them long enough, while other workers had processors to spare.

Change: leave_shrunk() (pure) notes since when each worker has been too small and names fillers with a checkpoint, after 0.6 s, at most eight a round and no more than find processors elsewhere; the owner begins their moves by begin_move() with shrunk_room. shrunk_policy::moves_fillers switches it off.

Ruled out: moves of lasting tasks.

Not run at this commit: the whole test suite (only the tests of placement, planned moves and shrunk rooms).

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -136,7 +136,10 @@
 			placing_wanted_ = false;
 			lose_lapsed(now);
 			if (may_act(now) && !releasing_ && !is_behind(now))
+			{
+				leave_shrunk_rooms(now);
 				place_waiting(now);
+			}
 			auto next = make_batch(now);
 			const auto decided = steady_now();
 			const bool last = releasing_;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -15,6 +15,7 @@
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_table.hpp>
 #include <trailjunction/jobs/run_listing.hpp>
+#include <trailjunction/jobs/shrunk_rooms.hpp>
 #include <trailjunction/net/process_metrics.hpp>
 #include <trailjunction/store/row_store.hpp>
 #include <trailjunction/store/store_watch.hpp>
@@ -167,6 +168,9 @@
 		[[nodiscard]] bool may_start_on(const worker_life& life, instant now) const;
 		void refresh_rooms(instant now);
 
+		// job_term_moves.cpp: tasks that are taken away by choice
+		void leave_shrunk_rooms(instant now);
+
 		// job_term_crashes.cpp: workers that are no more, and the tasks that may have crashed them
 		void lose_worker(const lost_worker& worker, bool crashed, std::string_view why, instant now);
 		/// \param before What was known of the worker beside the agent until now.
@@ -198,6 +202,7 @@
 		/// placed there, so that a round does not cost by all runs that are placed.
 		std::vector<worker_room> rooms_;
 		absl::flat_hash_map<worker_life, std::size_t> room_places_; ///< Indexes into rooms_.
+		shrunk_rooms shrunk_;
 		absl::flat_hash_set<task_run> undurable_starts_;            ///< Not ordered before the store keeps them.
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
--- /dev/null
+++ b/packages/entry/src/process/job_term_moves.cpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The part of job_term that takes tasks away from their workers by choice.
+#include "job_term.hpp"
+
+namespace trailjunction
+{
+	namespace
+	{
+		constexpr placement_policy placing{};
+		constexpr shrunk_policy leaving{};
+	}
+
+	void job_term::leave_shrunk_rooms(instant now)
+	{
+		const busy_scope scope{meter_, owner_duty::placing};
+		refresh_rooms(now);
+		for (const auto& key : leave_shrunk(shrunk_, rooms_, table_, placing, leaving, now))
+		{
+			if (begin_move(table_, key, move_reason::shrunk_room, now))
+				metrics_.counter("job_moves_begun", "Runs that are stopped so that their tasks go on elsewhere.")
+					.Increment();
+		}
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/shrunk_rooms.cpp
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: MIT
+#include "filler_fit.hpp"
+
+#include <trailjunction/jobs/shrunk_rooms.hpp>
+
+#include <algorithm>
+
+namespace trailjunction
+{
+	namespace
+	{
+		/// Processors that fillers could use elsewhere, by service.
+		using spare_by_service = absl::flat_hash_map<service_id, double>;
+
+		spare_by_service spare_processors(std::span<const worker_room> workers, const placement_policy& placing)
+		{
+			spare_by_service out;
+			for (const auto& worker : workers)
+				if (worker.accepts && !worker.reserved && !is_shrunk(worker))
+					out[worker.service] += std::max(0.0, left_over(worker, placing)) * worker.pace;
+			return out;
+		}
+
+		/// The fillers there that may be moved, in the order in which they go.
+		std::vector<task_key> movable_fillers(const worker_room& worker, const job_table& table)
+		{
+			std::vector<task_key> out;
+			const auto placed = table.placed.find(worker.life);
+			if (placed == table.placed.end())
+				return out;
+			for (const auto& key : placed->second)
+			{
+				const auto* job = find_job(table, key.job);
+				const auto& task = *find_task(table, key);
+				const bool goes_on = task.phase == task_stage::running && !has_ended(job->status);
+				if (goes_on && job->spec.groups[key.group].filler && may_take_away(*job, key) &&
+					!table.moves.contains({key, task.run}))
+					out.push_back(key);
+			}
+			std::sort(out.begin(), out.end()); // whoever decides anew decides the same
+			return out;
+		}
+
+		void note_shrunk(shrunk_rooms& known, std::span<const worker_room> workers, instant now)
+		{
+			shrunk_rooms next;
+			for (const auto& worker : workers)
+			{
+				if (!is_shrunk(worker))
+					continue;
+				const auto before = known.find(worker.life);
+				next.emplace(worker.life, before == known.end() ? now : before->second);
+			}
+			known = std::move(next);
+		}
+	}
+
+	bool is_shrunk(const worker_room& worker) noexcept
+	{
+		return !worker.claimed.fits(worker.capacity);
+	}
+
+	std::vector<task_key> leave_shrunk(shrunk_rooms& known, std::span<const worker_room> workers,
+									   const job_table& table, const placement_policy& placing,
+									   const shrunk_policy& policy, instant now)
+	{
+		std::vector<task_key> out;
+		note_shrunk(known, workers, now);
+		if (!policy.moves_fillers || known.empty())
+			return out;
+		auto spare = spare_processors(workers, placing);
+		for (const auto& worker : workers)
+		{
+			const auto since = known.find(worker.life);
+			if (since == known.end() || now - since->second < policy.settled)
+				continue;
+			auto& left = spare[worker.service];
+			for (auto& key : movable_fillers(worker, table))
+			{
+				const auto claim = find_job(table, key.job)->spec.groups[key.group].claim.cpu_milli;
+				if (out.size() == policy.most_a_round || left < static_cast<double>(claim))
+					break;
+				left -= static_cast<double>(claim);
+				out.push_back(std::move(key));
+			}
+		}
+		return out;
+	}
+}
--- /dev/null
+++ b/tests/shrunk_rooms.cpp
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief What leaves workers that shrink: pure functions, no process.
+#include "job_fixtures.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace trailjunction;
+using namespace trailjunction::job_tests;
+
+namespace
+{
+	task_group serving_group(const std::string& image, std::uint32_t count, std::int64_t cpu = 2'000)
+	{
+		auto out = group_of(count, cpu);
+		out.long_running = true;
+		out.latency_target = millis{20};
+		out.image = image;
+		return out;
+	}
+
+	task_group filler_group(std::uint32_t count)
+	{
+		auto out = group_of(count, 2'000);
+		out.filler = true;
+		out.checkpointing = true;
+		out.image = "f1";
+		return out;
+	}
+
+	void put(job_table& table, const std::string& job, std::uint32_t index, const std::string& worker)
+	{
+		confirm_run(table, assign(table, {job_id{job}, 0, 0, index}, worker_life{worker}, start), start);
+	}
+
+	std::vector<placement> place_by(std::vector<worker_room>& rooms, const job_table& table,
+									const pressure_model& pressures, const placement_policy& policy = {})
+	{
+		charge_workers(rooms, table, pressures, policy);
+		return place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {start, 0});
+	}
+
+	/// Three fillers that run on w1, and two workers.
+	struct shrinking_fleet
+	{
+		job_table table;
+		std::vector<worker_room> rooms{room_of("w1"), room_of("w2")};
+		shrunk_rooms known;
+		shrunk_policy leaving;
+
+		shrinking_fleet()
+		{
+			add_job(table, job_of("s", {serving_group("a", 1, 4'000)}));
+			put(table, "s", 0, "w1");
+			add_job(table, job_of("x", {filler_group(3)}));
+			for (std::uint32_t i = 0; i < 3; ++i)
+				put(table, "x", i, "w1");
+		}
+
+		std::vector<task_key> leave(std::int64_t cpu_milli, instant now)
+		{
+			const placement_policy placing;
+			const pressure_model pressures;
+			auto charged = rooms;
+			charged[0].capacity.cpu_milli = cpu_milli;
+			charge_workers(charged, table, pressures, placing);
+			return leave_shrunk(known, charged, table, placing, leaving, now);
+		}
+	};
+}
+
+TEST_CASE("fillers leave a worker that holds less than is claimed there, once that lasts", "[jobs]")
+{
+	shrinking_fleet fleet;
+	CHECK(fleet.leave(8'000, start).empty());
+	CHECK(fleet.leave(3'000, start).empty());
+	CHECK(fleet.leave(3'000, start + millis{500}).empty());
+	// Room that came back in between begins the time anew.
+	CHECK(fleet.leave(8'000, start + millis{550}).empty());
+	CHECK(fleet.leave(3'000, start + millis{600}).empty());
+	const auto leaving = fleet.leave(3'000, start + millis{1'200});
+	REQUIRE(leaving.size() == 3);
+	for (const auto& key : leaving)
+		CHECK(key.job == job_id{"x"}); // the serving task stays
+}
+
+TEST_CASE("no more fillers leave than find processors elsewhere, nor than the bound of a round", "[jobs]")
+{
+	shrinking_fleet fleet;
+	fleet.rooms[1].capacity.cpu_milli = 5'000;
+	(void)fleet.leave(3'000, start);
+	CHECK(fleet.leave(3'000, start + millis{600}).size() == 2);
+	fleet.leaving.most_a_round = 1;
+	CHECK(fleet.leave(3'000, start + millis{600}).size() == 1);
+	fleet.rooms[1].accepts = false;
+	CHECK(fleet.leave(3'000, start + millis{600}).empty());
+	fleet.rooms[1].accepts = true;
+	fleet.leaving.moves_fillers = false;
+	CHECK(fleet.leave(3'000, start + millis{600}).empty());
+}
+
+TEST_CASE("a filler that left a shrunk worker resumes elsewhere, under the next run after the end was told", "[jobs]")
+{
+	shrinking_fleet fleet;
+	(void)fleet.leave(3'000, start);
+	const auto now = start + millis{600};
+	const auto leaving = fleet.leave(3'000, now);
+	REQUIRE(leaving.size() == 3);
+	for (const auto& key : leaving)
+		CHECK(begin_move(fleet.table, key, move_reason::shrunk_room, now));
+	CHECK(needless_runs(fleet.table).size() == 3);
+	CHECK(fleet.leave(3'000, now).empty()); // they are on their way
+	CHECK(waiting_tasks(fleet.table, 0).empty());
+	const task_run first{leaving[0], 1};
+	CHECK(end_run(fleet.table, first, run_outcome::stopped, "saved", now) == end_effect::recorded);
+	auto rooms = fleet.rooms;
+	rooms[0].capacity.cpu_milli = 3'000;
+	const auto placed = place_by(rooms, fleet.table, {});
+	REQUIRE(placed.size() == 1);
+	CHECK(placed[0].worker == 1);
+	CHECK(find_task(fleet.table, leaving[0])->checkpoint == "saved");
+	CHECK(assign(fleet.table, leaving[0], worker_life{"w2"}, now).run == 2);
+}
