Tests: an owner lost in the middle of a move of a filler

The successor, made from the stored rows, starts nothing before the end of the stopped run is told, and decides anew where the stop was lost with the owner.

--- a/tests/shrunk_rooms.cpp
+++ b/tests/shrunk_rooms.cpp
@@ -121,3 +121,39 @@
 	CHECK(find_task(fleet.table, leaving[0])->checkpoint == "saved");
 	CHECK(assign(fleet.table, leaving[0], worker_life{"w2"}, now).run == 2);
 }
+
+TEST_CASE("the successor of an owner that was lost in the middle of a move starts nothing before the end is told",
+		  "[jobs]")
+{
+	shrinking_fleet fleet;
+	(void)fleet.leave(3'000, start);
+	const auto now = start + millis{600};
+	const auto leaving = fleet.leave(3'000, now);
+	REQUIRE(leaving.size() == 3);
+	REQUIRE(begin_move(fleet.table, leaving[0], move_reason::shrunk_room, now));
+	const auto& job = *find_job(fleet.table, job_id{"x"});
+	auto read = decode_submission(job.id, encode_submission(job.queue, job.spec), now);
+	REQUIRE(read.ok());
+	REQUIRE(decode_progress(*read, encode_progress(job), now).ok());
+	job_table successor;
+	add_job(successor, std::move(*read));
+	CHECK(needless_runs(successor).empty());
+	CHECK(waiting_tasks(successor, 0).empty());
+	const task_run moved{leaving[0], 1};
+	SECTION("the worker tells the end to whoever asks")
+	{
+		CHECK(end_run(successor, moved, run_outcome::stopped, "saved", now) == end_effect::recorded);
+		CHECK(waiting_tasks(successor, 0) == std::vector<task_key>{leaving[0]});
+		CHECK(assign(successor, leaving[0], worker_life{"w2"}, now).run == 2);
+	}
+	SECTION("the stop was lost as well: it is decided anew")
+	{
+		add_job(successor, job_of("s", {serving_group("a", 1, 4'000)}));
+		put(successor, "s", 0, "w1");
+		confirm_run(successor, moved, now);
+		fleet.table = std::move(successor);
+		fleet.known.clear();
+		CHECK(fleet.leave(3'000, now).empty());
+		CHECK(fleet.leave(3'000, now + millis{600}) == std::vector<task_key>{leaving[0]});
+	}
+}
