Tests: an owner moves a filler off a worker that shrank

Through the owner's term with a store in memory and two agents that the test plays: the stop, nothing started before the end was told, then the next run elsewhere with the checkpoint.

--- /dev/null
+++ b/tests/shrunk_workers.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief An owner whose workers shrink under what runs there.
+#include "job_term_scene.hpp"
+
+using namespace trailjunction;
+using namespace trailjunction::job_term_scene;
+
+namespace
+{
+	/// A task that claims half of a worker, and a filler that resumes from its checkpoint.
+	job_spec task_and_filler()
+	{
+		auto out = one_task();
+		out.groups[0].claim.cpu_milli = 4'000;
+		auto filler = out.groups[0];
+		filler.claim.cpu_milli = 2'000;
+		filler.filler = true;
+		filler.checkpointing = true;
+		out.groups.push_back(filler);
+		return out;
+	}
+
+	wire::job_report running_report(const std::vector<wire::job_start>& runs, std::int64_t cpu_milli)
+	{
+		auto out = report_of("life-1");
+		out.capacity.cpu_milli = cpu_milli;
+		for (const auto& start : runs)
+		{
+			wire::job_run row;
+			row.what = start.what;
+			out.running.push_back(row);
+		}
+		return out;
+	}
+}
+
+TEST_CASE("a filler is stopped on a worker that shrank, and started elsewhere only after its end was told", "[jobs]")
+{
+	scene it;
+	it.begin();
+	it.submit(first_job, task_and_filler());
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 2; }));
+	agent_standin other{it.io};
+	other.full_report = report_of("life-2");
+	stored::agent row;
+	row.address = to_string(other.where());
+	it.store.put(agent_partition, agents_table, "agent-2", encode_agent(row));
+	REQUIRE(it.run_until([&] { return !other.confirms.empty(); }));
+
+	const auto shrunk = running_report(it.agent.starts, 3'000);
+	it.agent.send(shrunk);
+	REQUIRE(it.run_until([&] { return !it.agent.stops.empty(); }));
+	const auto moved = it.agent.stops[0].what;
+	CHECK(moved.task.group == 1);
+	CHECK(other.starts.empty());
+
+	auto ended = shrunk;
+	std::erase_if(ended.running, [&](const wire::job_run& run) { return run.what == moved; });
+	wire::job_end end;
+	end.number = 1;
+	end.what = moved;
+	end.how = wire::run_end::end_stopped;
+	end.checkpoint = "saved";
+	ended.ended.push_back(end);
+	it.agent.send(ended);
+	REQUIRE(it.run_until([&] { return !other.starts.empty(); }));
+	CHECK(other.starts[0].what.task == moved.task);
+	CHECK(other.starts[0].what.run == 2);
+	CHECK(other.starts[0].checkpoint == "saved");
+	CHECK(it.agent.stops.size() == 1); // the other task stays
+}
