Room for callers: a forecast of the owner, told to the entries, which refuse at once what is certainly too late

Cause: job_gateway::submit took whatever came; entries knew counts of waiting jobs alone, and a refused caller was told one second whatever the room. Ruled out: dividing the room among entries (a refusal must be certain), refusing what no worker could hold (such jobs are to be shown as failed), shares between groups of callers (submissions do not name their entry). Change: forecast_room() from the table and the rooms; the owner's row carries it with the store's time; a new owner's first 3 s, rows of older builds and forecasts over 2 s old are unknown, and then all is taken. decide_admission() refuses what by the forecast less twice its spread ends later than three times its objective, with the time to come back. E460, job_admissions, and how far the forecast of waits was off.

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -86,6 +86,7 @@
 		task_cleared = 451,
 		task_given_up = 452,
 		room_changed = 453,
+		job_turned_away = 460,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -63,6 +63,7 @@
 			event::evacuation_withdrawn, event::task_suspected,
 			event::task_cleared,         event::task_given_up,
 			event::instance_suspended,   event::room_changed,
+			event::job_turned_away,
 		};
 	}
 
@@ -210,6 +211,8 @@
 			return "task_given_up";
 		case event::room_changed:
 			return "room_changed";
+		case event::job_turned_away:
+			return "job_turned_away";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/include/trailjunction/entry/job_gateway.hpp
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -4,6 +4,7 @@
 /// \brief Takes jobs, cancels them, and tells how they stand.
 #pragma once
 
+#include <trailjunction/jobs/admission.hpp>
 #include <trailjunction/jobs/job_configuration.hpp>
 #include <trailjunction/jobs/job_state.hpp>
 #include <trailjunction/net/process_metrics.hpp>
@@ -50,6 +51,7 @@
 	{
 		absl::flat_hash_map<queue_id, std::int64_t> waiting;
 		instant read_at{};
+		room_forecast room; ///< As the owner last made it.
 	};
 
 	/// \brief The calls that a client may make; lives on one io_context.
@@ -58,7 +60,8 @@
 	public:
 		job_gateway(boost::asio::io_context& io, row_store& store, process_metrics& metrics);
 
-		/// \brief Accepts a job: done once the store keeps it, also where it is kept already.
+		/// \brief Accepts a job: done once the store keeps it, also where it is kept already. Refused at once where the
+		/// forecast of room says that it can't be of use to its caller.
 		[[nodiscard]] boost::asio::awaitable<job_call_result> submit(queue_policy queue, job_id id, job_spec spec,
 																	 instant deadline);
 
@@ -86,6 +89,11 @@
 		[[nodiscard]] bool is_ready(instant now) const noexcept;
 
 	private:
+		/// Refuses a job that can't be of use to its caller any more; nothing: it is to be taken.
+		boost::asio::awaitable<std::optional<job_call_result>>
+		refuse_at_door(const queue_policy& queue, const job_id& id, const job_spec& spec, instant deadline);
+		/// Whether the store has the job's submission, as far as it says so promptly.
+		boost::asio::awaitable<bool> is_kept(job_id id, instant deadline);
 		boost::asio::awaitable<job_call_result> commit_until(row_change change, job_id id, instant deadline);
 		/// Whether the store answers a read of the job's rows.
 		boost::asio::awaitable<bool> answers(job_id id, instant deadline);
@@ -99,6 +107,7 @@
 		process_metrics& metrics_;
 		std::shared_ptr<const job_configuration> configuration_;
 		queue_depths depths_;
+		admission_state admission_;
 		store_contact contact_;
 		bool suspect_{}; ///< The latest call to the store was refused or got no answer.
 		/// Jobs whose row may still be written by an earlier call, by when that was told: they must not be called
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -122,7 +122,7 @@
 			co_return;
 		}
 		if (seen_.version != page->rows.front().version)
-			tell_depths(*row, now);
+			tell_depths(*row, page->store_ms, now);
 		seen_row_ = *row;
 		note_look(seen_, page->rows.front().version, {row->released, is_own(*row)}, now);
 	}
@@ -135,7 +135,7 @@
 			   row.address == to_string(*settings_.callers);
 	}
 
-	void job_owner::tell_depths(const stored::ownership& row, instant read_at)
+	void job_owner::tell_depths(const stored::ownership& row, std::int64_t store_ms, instant read_at)
 	{
 		if (!row.loaded)
 			return; // an owner that has just taken over knows of no job yet
@@ -143,6 +143,7 @@
 		for (const auto& depth : row.depths)
 			depths.waiting[queue_id{depth.name}] = depth.waiting;
 		depths.read_at = read_at;
+		depths.room = forecast_from(row.room, store_ms, read_at);
 		on_depths_(std::move(depths));
 	}
 
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -34,7 +34,8 @@
 	private:
 		boost::asio::awaitable<void> look();
 		boost::asio::awaitable<std::optional<owned_row>> take_over();
-		void tell_depths(const stored::ownership& row, instant read_at);
+		/// \param store_ms The store's clock when it gave the row out.
+		void tell_depths(const stored::ownership& row, std::int64_t store_ms, instant read_at);
 		/// Until the next look: a usual one, or sooner where the row becomes free before it.
 		[[nodiscard]] millis time_to_next_look(instant now) const;
 		/// Whether an earlier process at this process's address wrote the row, or this one itself.
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -38,6 +38,10 @@
 		constexpr std::size_t most_rows = 90;
 		/// Bytes of values in one transaction: the store takes 1 MB with base64 and names.
 		constexpr std::size_t most_bytes = 500'000;
+		/// A forecast costs a look at all that waits and runs; entries hear of it twice a second.
+		constexpr auto forecast_every = millis{250};
+		/// Until workers have told a new owner what room they have, its forecast would say that there is none.
+		constexpr auto forecast_after = millis{3'000};
 		constexpr auto sweep_every = millis{1'000};
 		/// A successor that goes on from figures of this age has lost one or two measurements of a pair.
 		constexpr auto store_pressures_every = millis{2'000};
@@ -166,9 +170,25 @@
 		if (loaded)
 			for (const auto& [queue, waiting] : waiting_jobs(table_))
 				owned_.row.depths.push_back(depth_row(queue, waiting));
+		forecast_if_due(loaded);
 		out.change.put.push_back({owner_row(), encode_ownership(owned_.row)});
 	}
 
+	void job_term::forecast_if_due(bool loaded)
+	{
+		const auto now = steady_now();
+		if (!loaded || now - began_ < forecast_after)
+		{
+			forecast_ = {};
+			owned_.row.room = {};
+			return;
+		}
+		if (forecast_.made_at && now - *forecast_.made_at < forecast_every)
+			return;
+		forecast_ = make_forecast(now);
+		owned_.row.room = forecast_row(forecast_, store_now_ms(now));
+	}
+
 	asio::awaitable<void> job_term::renew_while_loading()
 	{
 		while (loading_ && !over_)
@@ -366,6 +386,7 @@
 		for (const auto& depth : owned_.row.depths)
 			depths.waiting[queue_id{depth.name}] = depth.waiting;
 		depths.read_at = now;
+		depths.room = forecast_;
 		on_depths_(std::move(depths));
 	}
 }
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -14,6 +14,7 @@
 #include <trailjunction/jobs/job_placement.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_table.hpp>
+#include <trailjunction/jobs/room_forecast.hpp>
 #include <trailjunction/jobs/run_listing.hpp>
 #include <trailjunction/net/process_metrics.hpp>
 #include <trailjunction/store/row_store.hpp>
@@ -94,6 +95,13 @@
 		// job_term.cpp: the transactions
 		[[nodiscard]] batch make_batch(instant now);
 		void add_owner_row(batch& out, bool loaded);
+		/// Keeps the forecast in the owner's row young, and out of it while too little is known.
+		void forecast_if_due(bool loaded);
+		[[nodiscard]] room_forecast make_forecast(instant now);
+		/// Keeps what a new job was to wait by the forecast.
+		void note_foretold(const job_state& job);
+		/// Measures how far the forecast was off for a job that starts now, if it was new to this owner.
+		void measure_forecast(const job_id& id, instant now);
 		boost::asio::awaitable<void> renew_while_loading();
 		boost::asio::awaitable<absl::Status> read_state();
 		boost::asio::awaitable<absl::StatusOr<row_page>> read_with_retries(std::vector<row_range> ranges);
@@ -213,7 +221,9 @@
 		run_log ordered_log_{event::run_ordered};
 		run_log ended_log_{event::run_ended};
 		instant ends_logged_{};
-		std::size_t waiting_{}; ///< Tasks that the latest round found waiting.
+		room_forecast forecast_;                       ///< The latest; see forecast_if_due().
+		absl::flat_hash_map<job_id, millis> foretold_; ///< Waits of new jobs none of whose tasks has been placed.
+		std::size_t waiting_{};                        ///< Tasks that the latest round found waiting.
 		/// Jobs that ended long ago and whose submissions the store has no more; their progress goes next.
 		std::vector<job_id> removed_submissions_;
 		std::int64_t submissions_version_{};
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -208,6 +208,7 @@
 			}
 			log_taken_up(*job);
 			note_suspects(*job);
+			note_foretold(*job);
 			add_job(table_, *std::move(job));
 		}
 		wake();
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -3,7 +3,9 @@
 /// \brief The part of job_term that gives waiting tasks to workers.
 #include "job_term.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace trailjunction
@@ -15,6 +17,9 @@
 		/// Rooms for each agent before those of gone incarnations are dropped.
 		constexpr std::size_t most_rooms_each = 4;
 
+		/// Jobs whose forecast waits for its measure: more wait only where most do so for very long.
+		constexpr std::size_t most_foretold = 2'000;
+
 		/// For so long after a crash of a worker suspected tasks are rather started on others.
 		constexpr auto crashed_lately = millis{10'000};
 
@@ -83,7 +88,39 @@
 			const auto what = assign(table_, one.task, life, now);
 			undurable_starts_.insert(what);
 			ordered_log_.note(what, life);
+			measure_forecast(what.task.job, now);
 		}
 		ordered_log_.write();
 	}
+
+	void job_term::note_foretold(const job_state& job)
+	{
+		const auto& queues = forecast_.queues;
+		const auto found = std::find_if(queues.begin(), queues.end(),
+										[&](const queue_outlook& one) { return one.queue == job.queue.queue; });
+		if (found == queues.end() || job.status != job_status::queued)
+			return;
+		if (foretold_.size() >= most_foretold)
+			foretold_.clear(); // most were cancelled before they started
+		foretold_[job.id] = found->wait;
+	}
+
+	void job_term::measure_forecast(const job_id& id, instant now)
+	{
+		const auto found = foretold_.find(id);
+		if (found == foretold_.end())
+			return;
+		const std::chrono::duration<double> off = now - find_job(table_, id)->accepted - found->second;
+		metrics_
+			.histogram(off.count() < 0.0 ? "job_forecast_too_long" : "job_forecast_too_short",
+					   "How far the forecast of a job's wait was off.")
+			.Observe(std::abs(off.count()));
+		foretold_.erase(found);
+	}
+
+	room_forecast job_term::make_forecast(instant now)
+	{
+		refresh_rooms(now);
+		return forecast_room(table_, rooms_, {now, unix_now_ms()});
+	}
 }
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -15,6 +15,9 @@
 	{
 		/// For one answer of the store: some times what it takes when it is slow.
 		constexpr auto try_time = millis{700};
+		/// For the read before a refusal: some times what the store takes, and a quarter of the shortest aim of the
+		/// users, so that a slow store keeps no caller waiting for a refusal.
+		constexpr auto refusal_probe_time = millis{60};
 		/// For one answer to a read that only finds out whether the store answers at all.
 		constexpr auto probe_time = millis{400};
 		/// Between two tries after a refusal; each one is a call that the store counts.
@@ -99,6 +102,7 @@
 
 	void job_gateway::note_depths(queue_depths depths)
 	{
+		note_forecast(admission_, std::move(depths.room));
 		depths_ = std::move(depths);
 	}
 
@@ -184,9 +188,51 @@
 		in_doubt_[id] = now;
 	}
 
+	asio::awaitable<bool> job_gateway::is_kept(job_id id, instant deadline)
+	{
+		const auto until = std::min(deadline, steady_now() + refusal_probe_time);
+		const auto page = co_await store_.read(submission_of(id), until);
+		co_return page.ok() && find_row(page->rows, id.str()) != nullptr;
+	}
+
+	asio::awaitable<std::optional<job_call_result>>
+	job_gateway::refuse_at_door(const queue_policy& queue, const job_id& id, const job_spec& spec, instant deadline)
+	{
+		const auto now = steady_now();
+		const auto decision = decide_admission(admission_, queue, id, spec, now);
+		metrics_
+			.counter("job_admissions", "Decisions about new jobs by their reason.", "reason",
+					 std::string{to_string(decision.reason)})
+			.Increment();
+		if (!decision.taken && is_in_doubt(id, now))
+			co_return std::nullopt; // an earlier call may have put it in: the row decides
+		note_decision(admission_, queue, id, decision, now);
+		if (decision.taken)
+			co_return std::nullopt;
+		// Its client may send a job again that another entry has taken; only the row knows.
+		if (co_await is_kept(id, deadline))
+			co_return std::nullopt;
+		const std::chrono::duration<double> age = now - *admission_.forecast.made_at;
+		metrics_.histogram("job_refusal_forecast_age", "Age of the forecast by which a job was refused.")
+			.Observe(age.count());
+		log_event(
+			event::job_turned_away,
+			{{"job", id.str()},
+			 {"queue", queue.queue.str()},
+			 {"expected_wait_ms", decision.expected_wait.count()},
+			 {"retry_after_ms", decision.retry_after.count()},
+			 {"forecast_age_ms", std::chrono::duration_cast<millis>(now - *admission_.forecast.made_at).count()}});
+		co_return job_call_result{job_call_end::refused, decision.retry_after, "there is no room in time"};
+	}
+
 	asio::awaitable<job_call_result> job_gateway::submit(queue_policy queue, job_id id, job_spec spec, instant deadline)
 	{
 		const auto began = steady_now();
+		if (auto refused = co_await refuse_at_door(queue, id, spec, deadline - answer_reserve))
+		{
+			count("submit", refused->how, began);
+			co_return *std::move(refused);
+		}
 		row_change change;
 		change.partition = submission_partition(id);
 		change.expected.push_back({{submissions_table, id.str()}, 0});
--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -4,6 +4,7 @@
 /// \brief Jobs: graphs of groups of tasks, their states, and the decisions about them.
 #pragma once
 
+#include "jobs/admission.hpp"
 #include "jobs/crash_suspicion.hpp"
 #include "jobs/evacuation.hpp"
 #include "jobs/filler_pacing.hpp"
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -75,6 +75,43 @@
 	2: i64 waiting,
 }
 
+/** The room of one service's workers; see room_forecast.hpp. */
+struct service_forecast
+{
+	1: string name,
+	2: double free_cores,
+	3: i64 widest_cpu_milli,
+	4: i64 widest_memory_mib,
+	5: i64 widest_accelerators,
+	6: double cores_at_work,
+	7: double filler_cores_at_work,
+	8: double cores_per_second,
+}
+
+/** What a new job of one queue may expect, and what was learnt of the queue's run times. */
+struct queue_forecast
+{
+	1: string name,
+	2: string service_name,
+	3: bool filler,
+	4: double backlog_core_seconds,
+	5: i64 wait_ms,
+	6: i64 wait_spread_ms,
+	7: double groups,
+	8: double guess_mean,
+	9: double time_mean,
+	10: double guess_squares,
+	11: double products,
+}
+
+/** What room the owner expected at some time. */
+struct forecast
+{
+	1: i64 made_ms,             // of the store's clock, or 0: there is none
+	2: list<service_forecast> services,
+	3: list<queue_forecast> queues,
+}
+
 /** The one row that says who owns the shard; rewritten with each transaction of the owner. */
 struct ownership
 {
@@ -87,6 +124,7 @@
 	7: bool loaded,             // the owner knows all jobs, so depths are complete
 	8: string address,          // where the owner takes callers; held by one process at a time
 	9: i64 handed_on_ms,        // of the store's clock when an owner that was behind last gave the row up, or 0
+	10: forecast room,
 }
 
 /** The worker beside an agent, as an owner last heard of it; written by the owner of the shard. */
--- /dev/null
+++ b/packages/jobs/src/admission.cpp
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/admission.hpp>
+#include <trailjunction/jobs/job_merit.hpp>
+#include <trailjunction/jobs/job_state.hpp>
+#include <trailjunction/jobs/job_table.hpp>
+
+#include <algorithm>
+#include <span>
+#include <vector>
+
+namespace trailjunction
+{
+	namespace
+	{
+		/// A burst's refusals are spread over the time in which as much room comes as they ask for. Less than this
+		/// would be no rate to divide by.
+		constexpr double least_cores = 0.1;
+
+		bool has_objective(const queue_policy& queue, const job_spec& spec) noexcept
+		{
+			const bool lasts = std::any_of(spec.groups.begin(), spec.groups.end(),
+										   [](const task_group& group) { return group.long_running; });
+			return queue.latency_target.count() > 0 && queue.stretch > 0.0 && !lasts && !spec.repeated;
+		}
+
+		bool is_known(const room_forecast& forecast, instant now, const admission_policy& policy) noexcept
+		{
+			return forecast.made_at && now - *forecast.made_at <= policy.oldest_forecast;
+		}
+
+		/// Whether a worker may be free for a task of the job now. Fillers need more than free room, so by them nothing
+		/// is said.
+		bool may_fit_now(const service_room& room, const job_spec& spec) noexcept
+		{
+			return std::any_of(spec.groups.begin(), spec.groups.end(),
+							   [&](const task_group& group)
+							   { return !group.filler && group.after.empty() && group.claim.fits(room.widest); });
+		}
+
+		std::vector<millis> times_of(const queue_outlook& outlook, const job_spec& spec)
+		{
+			run_times learnt;
+			if (outlook.learnt.groups > 0.0)
+				learnt[outlook.queue] = outlook.learnt;
+			std::vector<millis> out;
+			out.reserve(spec.groups.size());
+			for (const auto& group : spec.groups)
+				out.push_back(expected_run_time(learnt, outlook.queue, group.estimate));
+			return out;
+		}
+
+		millis longest_chain(const job_spec& spec, std::span<const millis> times)
+		{
+			millis out{};
+			for (std::uint32_t group = 0; group < spec.groups.size(); ++group)
+				if (spec.groups[group].after.empty())
+					out = std::max(out, chain_from(spec, times, group));
+			return out;
+		}
+
+		double amount_of(const absl::flat_hash_map<queue_id, double>& amounts, const queue_id& queue)
+		{
+			const auto found = amounts.find(queue);
+			return found == amounts.end() ? 0.0 : found->second;
+		}
+
+		bool returns_on_time(const admission_state& known, const job_id& id, instant now,
+							 const admission_policy& policy)
+		{
+			const auto found = known.returns.find(id);
+			return found != known.returns.end() && now >= found->second && now - found->second <= policy.return_window;
+		}
+
+		millis time_for(double core_seconds, double cores) noexcept
+		{
+			return std::chrono::duration_cast<millis>(
+				std::chrono::duration<double>{core_seconds / std::max(least_cores, cores)});
+		}
+
+		double cores_for(const service_room& room, const queue_outlook& outlook) noexcept
+		{
+			constexpr double cpu_milli = 1'000.0;
+			return outlook.filler ? room.filler_cores_at_work
+								  : room.cores_at_work + static_cast<double>(room.free.cpu_milli) / cpu_milli;
+		}
+	}
+
+	std::string_view to_string(admission_reason reason) noexcept
+	{
+		switch (reason)
+		{
+		case admission_reason::no_objective:
+			return "no_objective";
+		case admission_reason::unknown_room:
+			return "unknown_room";
+		case admission_reason::room_is_free:
+			return "room_is_free";
+		case admission_reason::in_time:
+			return "in_time";
+		case admission_reason::too_late:
+			break;
+		}
+		return "too_late";
+	}
+
+	void note_forecast(admission_state& known, room_forecast forecast)
+	{
+		if (forecast.made_at && known.forecast.made_at && *forecast.made_at <= *known.forecast.made_at)
+			return;
+		known.forecast = std::move(forecast);
+		known.taken.clear();
+		known.refused.clear();
+	}
+
+	admission_decision decide_admission(const admission_state& known, const queue_policy& queue, const job_id& id,
+										const job_spec& spec, instant now, const admission_policy& policy)
+	{
+		admission_decision out;
+		out.reason = admission_reason::no_objective;
+		if (!has_objective(queue, spec))
+			return out;
+		out.reason = admission_reason::unknown_room;
+		const auto& queues = known.forecast.queues;
+		const auto outlook = std::find_if(queues.begin(), queues.end(),
+										  [&](const queue_outlook& one)
+										  { return one.queue == queue.queue && one.service == queue.service; });
+		const auto& rooms = known.forecast.services;
+		const auto room = std::find_if(rooms.begin(), rooms.end(),
+									   [&](const service_room& one) { return one.service == queue.service; });
+		if (!is_known(known.forecast, now, policy) || outlook == queues.end() || room == rooms.end())
+			return out;
+		const auto times = times_of(*outlook, spec);
+		out.core_seconds = whole_work(spec, times);
+		out.reason = admission_reason::room_is_free;
+		if (may_fit_now(*room, spec))
+			return out;
+		const auto cores = cores_for(*room, *outlook);
+		const auto age = std::chrono::duration_cast<millis>(now - *known.forecast.made_at);
+		const bool first = returns_on_time(known, id, now, policy);
+		const auto taken = first ? 0.0 : amount_of(known.taken, queue.queue);
+		out.expected_wait = std::max(millis{0}, outlook->wait + time_for(taken, cores) - age);
+		const auto chain = longest_chain(spec, times);
+		const auto objective = objective_of({millis{0}, chain, chain, queue.stretch, queue.latency_target});
+		const auto too_late_by = out.expected_wait + chain - policy.of_use * objective;
+		const auto margin = std::chrono::duration_cast<millis>(policy.margin * outlook->wait_spread);
+		out.reason = admission_reason::in_time;
+		if (too_late_by <= margin)
+			return out;
+		out.taken = false;
+		out.reason = admission_reason::too_late;
+		out.retry_after = std::clamp(too_late_by + time_for(amount_of(known.refused, queue.queue), cores),
+									 policy.shortest_wait, policy.longest_wait);
+		return out;
+	}
+
+	void note_decision(admission_state& known, const queue_policy& queue, const job_id& id,
+					   const admission_decision& decision, instant now, const admission_policy& policy)
+	{
+		(decision.taken ? known.taken : known.refused)[queue.queue] += decision.core_seconds;
+		known.returns.erase(id);
+		if (decision.taken)
+			return;
+		known.returns[id] = now + decision.retry_after;
+		known.refused_order.push_back(id);
+		while (known.refused_order.size() > policy.most_refused)
+		{
+			known.returns.erase(known.refused_order.front());
+			known.refused_order.pop_front();
+		}
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/room_forecast.cpp
@@ -0,0 +1,250 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/job_placement.hpp>
+#include <trailjunction/jobs/job_table.hpp>
+#include <trailjunction/jobs/placement_order.hpp>
+#include <trailjunction/jobs/room_forecast.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace trailjunction
+{
+	namespace
+	{
+		constexpr double cpu_milli = 1'000.0;
+		/// The least that a run is taken to go on for: ends come in reports some times a second.
+		constexpr double least_rest = 0.1; // seconds
+
+		/// Consecutive waiting tasks of one group, without those that last.
+		struct group_backlog
+		{
+			const job_state* job{};
+			bool filler{};
+			bool hopeless{};
+			double merit{};
+			double core_seconds{};
+		};
+
+		double seconds(std::chrono::nanoseconds time) noexcept
+		{
+			return std::chrono::duration<double>(time).count();
+		}
+
+		double cores_of(const task_group& group) noexcept
+		{
+			return static_cast<double>(group.claim.cpu_milli) / cpu_milli;
+		}
+
+		resources widest_of(const resources& left, const resources& right) noexcept
+		{
+			return {std::max(left.cpu_milli, right.cpu_milli), std::max(left.memory_mib, right.memory_mib),
+					std::max(left.accelerators, right.accelerators)};
+		}
+
+		service_room& room_of(std::vector<service_room>& rooms, const service_id& service)
+		{
+			const auto found = std::find_if(rooms.begin(), rooms.end(),
+											[&](const service_room& room) { return room.service == service; });
+			if (found != rooms.end())
+				return *found;
+			rooms.emplace_back().service = service;
+			return rooms.back();
+		}
+
+		void add_worker(service_room& room, const worker_room& worker)
+		{
+			const auto left = widest_of(worker.capacity - worker.claimed, {}); // a room that has shrunk has none left
+			room.capacity += worker.capacity;
+			room.free += left;
+			room.widest = widest_of(room.widest, left);
+		}
+
+		/// Puts what runs on the workers of its service: how much is at work, and when it sets its processors free.
+		void add_runs(room_forecast& out, const job_table& table, instant now)
+		{
+			absl::flat_hash_map<const job_state*, std::vector<millis>> times;
+			for (const auto& [life, keys] : table.placed)
+				for (const auto& key : keys)
+				{
+					const auto* job = find_job(table, key.job);
+					const auto* task = find_task(table, key);
+					if (job == nullptr || task == nullptr || job->spec.groups[key.group].long_running)
+						continue;
+					const auto& group = job->spec.groups[key.group];
+					const auto [known, is_new] = times.try_emplace(job);
+					if (is_new)
+						known->second = expected_times(table, *job);
+					auto& room = room_of(out.services, job->queue.service);
+					const auto rest = seconds(known->second[key.group]) - seconds(now - task->since);
+					room.cores_per_second += cores_of(group) / std::max(least_rest, rest);
+					(group.filler ? room.filler_cores_at_work : room.cores_at_work) += cores_of(group);
+				}
+		}
+
+		std::vector<group_backlog> backlog_of(const job_table& table, decision_time at)
+		{
+			std::vector<group_backlog> out;
+			const placement_wish* before = nullptr;
+			const auto wishes = order_wishes(table, waiting_tasks(table, at.unix_ms), at);
+			double each = 0.0;
+			for (const auto& wish : wishes)
+			{
+				if (wish.group->long_running)
+					continue;
+				if (before == nullptr || !same_group(before->key, wish.key))
+				{
+					each = task_work(*wish.group, expected_times(table, *wish.job)[wish.key.group]);
+					out.push_back({wish.job, wish.group->filler, wish.outlook == job_outlook::hopeless, wish.merit, 0});
+				}
+				before = &wish;
+				out.back().core_seconds += each;
+			}
+			return out;
+		}
+
+		/// What a job of the queue's usual size has when it is handed in; see merit_of().
+		double merit_when_new(const usual_work& usual)
+		{
+			const job_progress fresh{};
+			return merit_of(fresh, usual.core_seconds, usual.core_seconds, usual);
+		}
+
+		bool goes_before_new(const group_backlog& waiting, const queue_policy& queue, double merit_of_new) noexcept
+		{
+			if (waiting.job->queue.priority != queue.priority)
+				return waiting.job->queue.priority < queue.priority;
+			return !waiting.hopeless && waiting.merit >= merit_of_new;
+		}
+
+		/// Of whom most of the queue's work is.
+		bool is_of_fillers(const std::vector<group_backlog>& backlog, const queue_id& queue)
+		{
+			double fillers = 0.0;
+			for (const auto& waiting : backlog)
+				if (waiting.job->queue.queue == queue)
+					fillers += waiting.filler ? waiting.core_seconds : -waiting.core_seconds;
+			return fillers > 0.0;
+		}
+
+		/// \returns Nothing where no room is known that the queue's work could get.
+		std::optional<queue_outlook> outlook_of(const queue_policy& queue, const std::vector<group_backlog>& backlog,
+												const service_room& room, const job_table& table,
+												const forecast_policy& policy)
+		{
+			queue_outlook out{queue.queue, queue.service, is_of_fillers(backlog, queue.queue), 0, {}, {}, {}};
+			// Fillers take no processors from other tasks' claims, nor these from them.
+			const auto rate = out.filler ? room.filler_cores_at_work
+										 : room.cores_at_work + static_cast<double>(room.free.cpu_milli) / cpu_milli;
+			if (rate <= 0.0)
+				return std::nullopt;
+			const auto merit = merit_when_new(table.usual.at(queue.queue));
+			double variance = 0.0; // in core-seconds squared
+			for (const auto& waiting : backlog)
+			{
+				if (waiting.filler != out.filler || waiting.job->queue.service != queue.service ||
+					!goes_before_new(waiting, queue, merit))
+					continue;
+				out.backlog_core_seconds += waiting.core_seconds;
+				variance += std::pow(policy.work_spread * waiting.core_seconds, 2);
+			}
+			variance += std::pow(policy.rate_spread * out.backlog_core_seconds, 2);
+			const auto time = [&](double core_seconds)
+			{
+				return std::chrono::duration_cast<millis>(std::chrono::duration<double>{core_seconds / rate});
+			};
+			out.wait = time(out.backlog_core_seconds);
+			out.wait_spread = time(std::sqrt(variance));
+			if (const auto known = table.learnt.find(queue.queue); known != table.learnt.end())
+				out.learnt = known->second;
+			return out;
+		}
+
+		void add_queues(room_forecast& out, const job_table& table, decision_time at, const forecast_policy& policy)
+		{
+			const auto backlog = backlog_of(table, at);
+			absl::flat_hash_map<queue_id, const queue_policy*> queues;
+			for (const auto& waiting : backlog)
+				queues.try_emplace(waiting.job->queue.queue, &waiting.job->queue);
+			for (const auto& [id, queue] : queues)
+				if (auto outlook = outlook_of(*queue, backlog, room_of(out.services, queue->service), table, policy))
+					out.queues.push_back(*std::move(outlook));
+			std::sort(out.queues.begin(), out.queues.end(),
+					  [](const queue_outlook& left, const queue_outlook& right)
+					  { return left.wait != right.wait ? left.wait > right.wait : left.queue < right.queue; });
+			out.queues.resize(std::min(out.queues.size(), policy.most_queues));
+		}
+	}
+
+	room_forecast forecast_room(const job_table& table, std::span<const worker_room> workers, const decision_time& at,
+								const forecast_policy& policy)
+	{
+		room_forecast out;
+		out.made_at = at.now;
+		for (const auto& worker : workers)
+			if (worker.accepts)
+				add_worker(room_of(out.services, worker.service), worker);
+		add_runs(out, table, at.now);
+		add_queues(out, table, at, policy);
+		return out;
+	}
+
+	stored::forecast forecast_row(const room_forecast& forecast, std::int64_t made_ms)
+	{
+		stored::forecast out;
+		out.made_ms = made_ms;
+		for (const auto& room : forecast.services)
+		{
+			auto& to = out.services.emplace_back();
+			to.name = room.service.str();
+			to.free_cores = static_cast<double>(room.free.cpu_milli) / cpu_milli;
+			to.widest_cpu_milli = room.widest.cpu_milli;
+			to.widest_memory_mib = room.widest.memory_mib;
+			to.widest_accelerators = room.widest.accelerators;
+			to.cores_at_work = room.cores_at_work;
+			to.filler_cores_at_work = room.filler_cores_at_work;
+			to.cores_per_second = room.cores_per_second;
+		}
+		for (const auto& queue : forecast.queues)
+		{
+			auto& to = out.queues.emplace_back();
+			to.name = queue.queue.str();
+			to.service_name = queue.service.str();
+			to.filler = queue.filler;
+			to.backlog_core_seconds = queue.backlog_core_seconds;
+			to.wait_ms = queue.wait.count();
+			to.wait_spread_ms = queue.wait_spread.count();
+			to.groups = queue.learnt.groups;
+			to.guess_mean = queue.learnt.guess_mean;
+			to.time_mean = queue.learnt.time_mean;
+			to.guess_squares = queue.learnt.guess_squares;
+			to.products = queue.learnt.products;
+		}
+		return out;
+	}
+
+	room_forecast forecast_from(const stored::forecast& row, std::int64_t store_ms, instant read_at)
+	{
+		room_forecast out;
+		if (row.made_ms == 0)
+			return out;
+		out.made_at = read_at - millis{std::max<std::int64_t>(0, store_ms - row.made_ms)};
+		for (const auto& from : row.services)
+		{
+			auto& room = out.services.emplace_back();
+			room.service = service_id{from.name};
+			room.free.cpu_milli = static_cast<std::int64_t>(from.free_cores * cpu_milli);
+			room.widest = {from.widest_cpu_milli, from.widest_memory_mib, from.widest_accelerators};
+			room.cores_at_work = from.cores_at_work;
+			room.filler_cores_at_work = from.filler_cores_at_work;
+			room.cores_per_second = from.cores_per_second;
+		}
+		for (const auto& from : row.queues)
+			out.queues.push_back(
+				{queue_id{from.name}, service_id{from.service_name}, from.filler, from.backlog_core_seconds,
+				 millis{from.wait_ms}, millis{from.wait_spread_ms},
+				 run_time_record{from.groups, from.guess_mean, from.time_mean, from.guess_squares, from.products}});
+		return out;
+	}
+}
--- /dev/null
+++ b/tests/admission.cpp
@@ -0,0 +1,279 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Which jobs an entry takes by a forecast of room, and that its refusals are true.
+#include "job_fixtures.hpp"
+
+#include <trailjunction/entry/job_gateway.hpp>
+#include <trailjunction/testkit/memory_store.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+using namespace trailjunction;
+using namespace trailjunction::job_tests;
+
+namespace
+{
+	queue_policy some_queue()
+	{
+		return {queue_id{"q"}, tally, 0, 2, 1.5, millis{250}};
+	}
+
+	job_spec spec_of(std::uint32_t count = 4)
+	{
+		job_spec out;
+		out.groups = {group_of(count, 1'000)};
+		return out;
+	}
+
+	/// Eight processors, all at work, and a wait for the queue. A job of spec_of() is of use for three times 1.75 s, so
+	/// it may wait for 4.25 s.
+	room_forecast forecast_of(millis wait, millis spread = millis{0}, instant made = start)
+	{
+		room_forecast out;
+		out.made_at = made;
+		auto& room = out.services.emplace_back();
+		room.service = tally;
+		room.cores_at_work = 8.0;
+		auto& queue = out.queues.emplace_back();
+		queue.queue = some_queue().queue;
+		queue.service = tally;
+		queue.wait = wait;
+		queue.wait_spread = spread;
+		return out;
+	}
+
+	constexpr auto useless_wait = millis{10'000};
+
+	/// One entry that decides.
+	struct door
+	{
+		admission_decision ask(const std::string& id, const job_spec& spec = spec_of(), instant now = start)
+		{
+			const auto out = decide_admission(known, some_queue(), job_id{id}, spec, now);
+			note_decision(known, some_queue(), job_id{id}, out, now);
+			return out;
+		}
+
+		admission_state known;
+	};
+}
+
+TEST_CASE("a job is refused where by the forecast it ends later than anybody waits, with the time of its return",
+		  "[jobs]")
+{
+	door it;
+	note_forecast(it.known, forecast_of(useless_wait));
+	const auto out = it.ask("a");
+	CHECK_FALSE(out.taken);
+	CHECK(out.reason == admission_reason::too_late);
+	CHECK(out.retry_after == millis{5'750});
+	CHECK(it.ask("b").taken == false);
+	note_forecast(it.known, forecast_of(millis{4'000}, millis{0}, start + millis{1}));
+	CHECK(it.ask("c", spec_of(), start + millis{1}).taken); // late, and still of use
+}
+
+TEST_CASE("a forecast that may err by enough refuses nothing", "[jobs]")
+{
+	door it;
+	note_forecast(it.known, forecast_of(useless_wait, millis{3'000}));
+	CHECK(it.ask("a").taken);
+}
+
+TEST_CASE("without a forecast, by an old one, or after the owner is lost at the peak, all jobs are taken", "[jobs]")
+{
+	door it;
+	CHECK(it.ask("a").reason == admission_reason::unknown_room);
+	note_forecast(it.known, forecast_of(useless_wait));
+	CHECK_FALSE(it.ask("b", spec_of(), start + millis{2'000}).taken);
+	CHECK(it.ask("c", spec_of(), start + millis{2'001}).reason == admission_reason::unknown_room);
+	note_forecast(it.known, {}); // of a new owner that has not heard its workers yet
+	CHECK(it.ask("d").taken);
+	note_forecast(it.known, forecast_of(useless_wait, millis{0}, start + millis{5'000}));
+	CHECK_FALSE(it.ask("e", spec_of(), start + millis{5'000}).taken);
+}
+
+TEST_CASE("work for which a worker is free is taken whatever waits", "[jobs]")
+{
+	door it;
+	auto room = forecast_of(useless_wait);
+	room.services[0].widest = {1'000, 100, 0};
+	note_forecast(it.known, room);
+	CHECK(it.ask("fits").reason == admission_reason::room_is_free);
+	auto large = spec_of();
+	large.groups[0].claim.cpu_milli = 1'001;
+	CHECK_FALSE(it.ask("large", large).taken);
+}
+
+TEST_CASE("jobs that last, that have due times, and queues without an objective are never refused", "[jobs]")
+{
+	door it;
+	note_forecast(it.known, forecast_of(useless_wait));
+	auto lasting = spec_of();
+	lasting.groups[0].long_running = true;
+	CHECK(it.ask("lasting", lasting).reason == admission_reason::no_objective);
+	auto timed = spec_of();
+	timed.repeated = true;
+	CHECK(it.ask("timed", timed).reason == admission_reason::no_objective);
+	auto queue = some_queue();
+	queue.latency_target = millis{0};
+	CHECK(decide_admission(it.known, queue, job_id{"a"}, spec_of(), start).taken);
+}
+
+TEST_CASE("a burst of one queue is refused once this entry has filled the time in which its jobs are of use", "[jobs]")
+{
+	door it;
+	auto room = forecast_of(millis{1'000});
+	room.queues.push_back(room.queues[0]);
+	room.queues[1].queue = queue_id{"other"};
+	note_forecast(it.known, room);
+	int taken = 0;
+	for (int i = 0; i < 100; ++i)
+		taken += it.ask("burst" + std::to_string(i)).taken ? 1 : 0;
+	CHECK(taken == 7); // each is half a second of the eight processors
+	auto other = some_queue();
+	other.queue = queue_id{"other"};
+	CHECK(decide_admission(it.known, other, job_id{"x"}, spec_of(), start).taken);
+}
+
+TEST_CASE("several entries that decide from one forecast take no more each than fits by it", "[jobs]")
+{
+	// None knows what the others take; together they overrun by what one forecast's age lets each take.
+	std::vector<door> entries(4);
+	for (auto& entry : entries)
+	{
+		note_forecast(entry.known, forecast_of(millis{3'000}));
+		int taken = 0;
+		for (int i = 0; i < 20; ++i)
+			taken += entry.ask("job" + std::to_string(i)).taken ? 1 : 0;
+		CHECK(taken == 3);
+	}
+}
+
+TEST_CASE("callers are told to come back one after the other, and long jobs of one caller push their returns out",
+		  "[jobs]")
+{
+	door it;
+	note_forecast(it.known, forecast_of(useless_wait));
+	const auto first = it.ask("a").retry_after;
+	CHECK(it.ask("b").retry_after == first + millis{500});
+	CHECK(it.ask("c").retry_after == first + millis{1'000});
+	for (int i = 0; i < 100; ++i)
+		CHECK(it.ask("long" + std::to_string(i), spec_of(400)).retry_after <= admission_policy{}.longest_wait);
+}
+
+TEST_CASE("a caller who returns on time goes before newcomers, and is remembered within bounds", "[jobs]")
+{
+	door it;
+	note_forecast(it.known, forecast_of(useless_wait));
+	const auto back = start + it.ask("returns").retry_after;
+	note_forecast(it.known, forecast_of(millis{3'000}, millis{0}, back));
+	while (it.ask("newcomer", spec_of(), back).taken)
+	{
+	}
+	CHECK_FALSE(it.ask("other", spec_of(), back).taken);
+	CHECK(it.ask("returns", spec_of(), back).taken);
+	for (int i = 0; i < 3'000; ++i)
+		it.ask("many" + std::to_string(i), spec_of(), back);
+	CHECK(it.known.returns.size() <= admission_policy{}.most_refused);
+	CHECK(it.known.refused_order.size() <= admission_policy{}.most_refused);
+}
+
+TEST_CASE("an estimate counts as far as the queue's estimates were right", "[jobs]")
+{
+	door it;
+	auto room = forecast_of(millis{4'000});
+	for (int i = 0; i < 100; ++i)
+	{
+		run_times learnt{{some_queue().queue, room.queues[0].learnt}};
+		learn_run_time(learnt, some_queue().queue, millis{1'000 + 20 * i}, millis{100});
+		room.queues[0].learnt = learnt[some_queue().queue];
+	}
+	note_forecast(it.known, room);
+	CHECK_FALSE(it.ask("a").taken); // its tasks take 0.1 s, so it is of use for 1.2 s
+}
+
+namespace
+{
+	/// An entry with a store and a forecast by which nothing is of use any more.
+	struct full_entry
+	{
+		explicit full_entry(room_forecast room = forecast_of(useless_wait, millis{0}, steady_now()))
+		{
+			tell(std::move(room));
+		}
+
+		void tell(room_forecast room)
+		{
+			queue_depths depths;
+			depths.read_at = steady_now();
+			depths.room = std::move(room);
+			gateway.note_depths(std::move(depths));
+		}
+
+		job_call_result submit(const std::string& id, millis most = millis{1'000})
+		{
+			std::optional<job_call_result> out;
+			boost::asio::co_spawn(
+				io,
+				[&]() -> boost::asio::awaitable<void>
+				{ out = co_await gateway.submit(some_queue(), job_id{id}, spec_of(), steady_now() + most); },
+				boost::asio::detached);
+			io.restart();
+			while (!out)
+				io.run_one_for(millis{10});
+			return *out;
+		}
+
+		[[nodiscard]] bool keeps(const std::string& id) const
+		{
+			return !store.value(submission_partition(job_id{id}), submissions_table, id).empty();
+		}
+
+		boost::asio::io_context io{1};
+		testkit::memory_store store{io};
+		process_metrics metrics;
+		job_gateway gateway{io, store, metrics};
+	};
+
+	constexpr const char* some_job = "00000000000000a1";
+}
+
+TEST_CASE("an entry refuses without a write, says when to come back, and keeps nothing of the job", "[jobs]")
+{
+	full_entry it;
+	const auto out = it.submit(some_job);
+	CHECK(out.how == job_call_end::refused);
+	CHECK(out.retry_after > millis{5'000});
+	CHECK(it.store.asked.empty());
+	CHECK_FALSE(it.keeps(some_job));
+	CHECK(it.metrics.expose().find("trailjunction_job_admissions_total{reason=\"too_late\"} 1") != std::string::npos);
+}
+
+TEST_CASE("the same job at two entries, one taking and one refusing: the row decides", "[jobs]")
+{
+	full_entry it;
+	it.store.put(submission_partition(job_id{some_job}), submissions_table, some_job,
+				 encode_submission(some_queue(), spec_of())); // by the other entry
+	CHECK(it.submit(some_job).how == job_call_end::done);
+}
+
+TEST_CASE("a job that an earlier call may have put in is not refused for want of room", "[jobs]")
+{
+	full_entry it{room_forecast{}};
+	it.store.faults.hold_commits = true;
+	CHECK(it.submit(some_job, millis{400}).how == job_call_end::unknown);
+	it.tell(forecast_of(useless_wait, millis{0}, steady_now()));
+	CHECK(it.submit(some_job, millis{400}).how == job_call_end::unknown);
+	it.store.faults = {};
+	CHECK(it.submit(some_job).how == job_call_end::done);
+}
+
+TEST_CASE("a refusal goes out also while the store answers no read", "[jobs]")
+{
+	full_entry it;
+	it.store.faults.read_time = std::chrono::seconds{30};
+	CHECK(it.submit(some_job).how == job_call_end::refused);
+	CHECK(it.store.asked.empty());
+}
--- /dev/null
+++ b/tests/room_forecast.cpp
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief What room the owner expects, and how the owner's row carries it.
+#include "job_fixtures.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace trailjunction;
+using namespace trailjunction::job_tests;
+
+namespace
+{
+	/// One worker of 8 processors, full of tasks that end, and jobs that wait.
+	struct full_fleet
+	{
+		full_fleet()
+		{
+			add_job(table, job_of("running", {group_of(8, 1'000)}));
+			for (std::uint32_t i = 0; i < 8; ++i)
+				confirm_run(table, assign(table, {job_id{"running"}, 0, 0, i}, rooms[0].life, start), start);
+			charge_workers(rooms, table, {}, {});
+		}
+
+		[[nodiscard]] room_forecast forecast() const
+		{
+			return forecast_room(table, rooms, {start, 0});
+		}
+
+		job_table table;
+		std::vector<worker_room> rooms{room_of("a")};
+	};
+}
+
+TEST_CASE("a forecast tells what is free and how fast more becomes free", "[jobs]")
+{
+	full_fleet it;
+	it.rooms.push_back(room_of("b", 4'000));
+	it.rooms.push_back(room_of("leaving"));
+	it.rooms.back().accepts = false;
+	const auto out = it.forecast();
+	REQUIRE(out.made_at == start);
+	REQUIRE(out.services.size() == 1);
+	CHECK(out.services[0].capacity.cpu_milli == 12'000);
+	CHECK(out.services[0].free.cpu_milli == 4'000);
+	CHECK(out.services[0].widest.cpu_milli == 4'000);
+	CHECK(out.services[0].cores_at_work == Approx(8.0));
+	CHECK(out.services[0].cores_per_second == Approx(8.0)); // each is expected to go on for a second
+	CHECK(out.queues.empty());                              // nothing waits
+}
+
+TEST_CASE("a worker whose room has shrunk below its claims has none, and takes none from others", "[jobs]")
+{
+	full_fleet it;
+	it.rooms[0].capacity.cpu_milli = 2'000;
+	it.rooms.push_back(room_of("b", 4'000));
+	CHECK(it.forecast().services[0].free.cpu_milli == 4'000);
+}
+
+TEST_CASE("a new job waits for the work that goes before it, longer the more of it there is", "[jobs]")
+{
+	full_fleet it;
+	for (int i = 0; i < 10; ++i)
+		add_job(it.table, job_of("waiting" + std::to_string(i), {group_of(4, 1'000)}));
+	const auto some = it.forecast();
+	REQUIRE(some.queues.size() == 1);
+	CHECK(some.queues[0].backlog_core_seconds == Approx(40.0));
+	CHECK(some.queues[0].wait == millis{5'000}); // 40 core-seconds on 8 processors
+	CHECK(some.queues[0].wait_spread > millis{1'000});
+	for (int i = 10; i < 20; ++i)
+		add_job(it.table, job_of("waiting" + std::to_string(i), {group_of(4, 1'000)}));
+	CHECK(it.forecast().queues[0].wait == millis{10'000});
+}
+
+TEST_CASE("a forecast counts what goes before a queue, not what goes after it or lives on other room", "[jobs]")
+{
+	full_fleet it;
+	auto first = job_of("first", {group_of(16, 1'000)});
+	first.queue.queue = queue_id{"first"};
+	add_job(it.table, first);
+	auto last = job_of("last", {group_of(8, 1'000)});
+	last.queue.queue = queue_id{"last"};
+	last.queue.priority = 1;
+	add_job(it.table, last);
+	auto filler = group_of(100, 1'000);
+	filler.filler = true;
+	auto filling = job_of("filling", {filler});
+	filling.queue.queue = queue_id{"filling"};
+	add_job(it.table, filling);
+	const auto out = it.forecast();
+	const auto wait_of = [&](const char* queue)
+	{
+		const auto found = std::find_if(out.queues.begin(), out.queues.end(),
+										[&](const queue_outlook& one) { return one.queue == queue_id{queue}; });
+		return found == out.queues.end() ? millis{-1} : found->wait;
+	};
+	CHECK(wait_of("first") == millis{2'000});
+	CHECK(wait_of("last") == millis{3'000});
+	CHECK(wait_of("filling") == millis{-1}); // no filler is at work, so nobody knows at what rate they end
+}
+
+TEST_CASE("after a power loss with a full backlog a forecast names no wait that rests on no run", "[jobs]")
+{
+	job_table table;
+	for (int i = 0; i < 50; ++i)
+		add_job(table, job_of("waiting" + std::to_string(i), {group_of(4, 1'000)}));
+	const auto out = forecast_room(table, {}, {start, 0});
+	CHECK(out.queues.empty());
+}
+
+TEST_CASE("a forecast keeps a bounded number of queues, those with the longest waits", "[jobs]")
+{
+	full_fleet it;
+	for (int i = 0; i < 40; ++i)
+	{
+		auto job = job_of("waiting" + std::to_string(i), {group_of(4, 1'000)});
+		job.queue.queue = queue_id{"queue" + std::to_string(i)};
+		job.queue.priority = i;
+		add_job(it.table, job);
+	}
+	const auto out = it.forecast();
+	REQUIRE(out.queues.size() == forecast_policy{}.most_queues);
+	CHECK(out.queues[0].queue == queue_id{"queue39"});
+}
+
+TEST_CASE("the owner's row carries a forecast with its age", "[jobs]")
+{
+	full_fleet it;
+	add_job(it.table, job_of("waiting", {group_of(16, 1'000)}));
+	learn_run_time(it.table.learnt, queue_id{"q"}, millis{1'000}, millis{3'000});
+	const auto made = it.forecast();
+	stored::ownership row;
+	row.room = forecast_row(made, 7'000);
+	const auto read = decode_ownership(encode_ownership(row));
+	REQUIRE(read.ok());
+	const auto out = forecast_from(read->room, 7'400, start + millis{60'000});
+	CHECK(out.made_at == start + millis{59'600});
+	REQUIRE(out.queues.size() == 1);
+	CHECK(out.queues[0].wait == made.queues[0].wait);
+	CHECK(out.queues[0].wait_spread == made.queues[0].wait_spread);
+	CHECK(out.queues[0].learnt.time_mean == Approx(made.queues[0].learnt.time_mean));
+	REQUIRE(out.services.size() == 1);
+	CHECK(out.services[0].widest == made.services[0].widest);
+	CHECK(out.services[0].cores_at_work == Approx(8.0));
+}
+
+TEST_CASE("the row of an older build tells no forecast", "[jobs]")
+{
+	CHECK_FALSE(forecast_from(stored::ownership{}.room, 7'000, start).made_at);
+	// Its bytes lack the field: a struct that is not set is not needed to read the others.
+	stored::ownership row;
+	row.epoch = 5;
+	const auto read = decode_ownership(encode_ownership(row));
+	REQUIRE(read.ok());
+	CHECK(read->epoch == 5);
+	CHECK_FALSE(forecast_from(read->room, 7'000, start).made_at);
+}
