--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include <trailjunction/jobs/placement_order.hpp>
+#include "waiting_groups.hpp"
 
 #include <algorithm>
 #include <span>
@@ -175,4 +175,27 @@
 		}
 		return out;
 	}
+
+	std::vector<group_wish> waiting_groups(const job_table& table, decision_time at)
+	{
+		std::vector<group_wish> out;
+		for (const auto& [id, job] : table.jobs)
+		{
+			if (has_ended(job->status))
+				continue;
+			auto begin = job->tasks.begin();
+			for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences; ++occurrence)
+				for (std::uint32_t group = 0; group < job->spec.groups.size(); ++group)
+				{
+					const auto end = begin + job->spec.groups[group].count;
+					const auto waiting = std::count_if(
+						begin, end, [](const job_task& task) { return task.phase == task_stage::waiting; });
+					begin = end;
+					if (waiting > 0 && is_due(*job, occurrence, group, at.unix_ms))
+						out.push_back({first_wish(table, {id, occurrence, group, 0}, nullptr, at),
+									   static_cast<std::size_t>(waiting)});
+				}
+		}
+		return out;
+	}
 }
--- a/packages/jobs/src/room_forecast.cpp
+++ b/packages/jobs/src/room_forecast.cpp
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: MIT
+#include "waiting_groups.hpp"
+
 #include <trailjunction/jobs/job_placement.hpp>
 #include <trailjunction/jobs/job_table.hpp>
-#include <trailjunction/jobs/placement_order.hpp>
 #include <trailjunction/jobs/room_forecast.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -17,7 +18,7 @@
 		/// The least that a run is taken to go on for: ends come in reports some times a second.
 		constexpr double least_rest = 0.1; // seconds
 
-		/// Consecutive waiting tasks of one group, without those that last.
+		/// Waiting tasks of one group that ends.
 		struct group_backlog
 		{
 			const job_state* job{};
@@ -62,44 +63,35 @@
 		}
 
 		/// Puts what runs on the workers of its service: how much is at work, and when it sets its processors free.
-		void add_runs(room_forecast& out, const job_table& table, instant now)
+		void add_runs(service_room& room, const job_state& job, std::span<const millis> times, instant now)
 		{
-			absl::flat_hash_map<const job_state*, std::vector<millis>> times;
-			for (const auto& [life, keys] : table.placed)
-				for (const auto& key : keys)
+			auto task = job.tasks.begin();
+			for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences; ++occurrence)
+				for (std::size_t i = 0; i < job.spec.groups.size(); ++i)
 				{
-					const auto* job = find_job(table, key.job);
-					const auto* task = find_task(table, key);
-					if (job == nullptr || task == nullptr || job->spec.groups[key.group].long_running)
-						continue;
-					const auto& group = job->spec.groups[key.group];
-					const auto [known, is_new] = times.try_emplace(job);
-					if (is_new)
-						known->second = expected_times(table, *job);
-					auto& room = room_of(out.services, job->queue.service);
-					const auto rest = seconds(known->second[key.group]) - seconds(now - task->since);
-					room.cores_per_second += cores_of(group) / std::max(least_rest, rest);
-					(group.filler ? room.filler_cores_at_work : room.cores_at_work) += cores_of(group);
+					const auto& group = job.spec.groups[i];
+					for (const auto end = task + group.count; task != end; ++task)
+					{
+						if (group.long_running ||
+							(task->phase != task_stage::ordered && task->phase != task_stage::running))
+							continue;
+						const auto rest = seconds(times[i]) - seconds(now - task->since);
+						room.cores_per_second += cores_of(group) / std::max(least_rest, rest);
+						(group.filler ? room.filler_cores_at_work : room.cores_at_work) += cores_of(group);
+					}
 				}
 		}
 
 		std::vector<group_backlog> backlog_of(const job_table& table, decision_time at)
 		{
 			std::vector<group_backlog> out;
-			const placement_wish* before = nullptr;
-			const auto wishes = order_wishes(table, waiting_tasks(table, at.unix_ms), at);
-			double each = 0.0;
-			for (const auto& wish : wishes)
+			for (const auto& [first, tasks] : waiting_groups(table, at))
 			{
-				if (wish.group->long_running)
+				if (first.group->long_running)
 					continue;
-				if (before == nullptr || !same_group(before->key, wish.key))
-				{
-					each = task_work(*wish.group, expected_times(table, *wish.job)[wish.key.group]);
-					out.push_back({wish.job, wish.group->filler, wish.outlook == job_outlook::hopeless, wish.merit, 0});
-				}
-				before = &wish;
-				out.back().core_seconds += each;
+				const auto each = task_work(*first.group, expected_times(table, *first.job)[first.key.group]);
+				out.push_back({first.job, first.group->filler, first.outlook == job_outlook::hopeless, first.merit,
+							   each * static_cast<double>(tasks)});
 			}
 			return out;
 		}
@@ -185,7 +177,9 @@
 		for (const auto& worker : workers)
 			if (worker.accepts)
 				add_worker(room_of(out.services, worker.service), worker);
-		add_runs(out, table, at.now);
+		for (const auto& [id, job] : table.jobs)
+			if (job->status == job_status::running)
+				add_runs(room_of(out.services, job->queue.service), *job, expected_times(table, *job), at.now);
 		add_queues(out, table, at, policy);
 		return out;
 	}
