--- a/tests/room_forecast.cpp
+++ b/tests/room_forecast.cpp
@@ -2,6 +2,7 @@
 /// \file
 /// \brief What room the owner expects, and how the owner's row carries it.
 #include "job_fixtures.hpp"
+#include "job_term_scene.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -156,3 +157,19 @@
 	CHECK(read->epoch == 5);
 	CHECK_FALSE(forecast_from(read->room, 7'000, start).made_at);
 }
+
+TEST_CASE("a new owner tells no forecast before it has heard its workers, and then one by what they told", "[jobs]")
+{
+	job_term_scene::scene it;
+	it.begin();
+	const auto told = [&]
+	{
+		const auto row = decode_ownership(it.store.value(job_partition, owner_table, owner_key));
+		return row.ok() ? row->room : stored::forecast{};
+	};
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	CHECK(told().made_ms == 0); // a forecast of now would say that there is no room
+	REQUIRE(it.run_until([&] { return told().made_ms > 0; }));
+	REQUIRE(told().services.size() == 1);
+	CHECK(told().services[0].free_cores == Approx(8.0));
+}
