--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -88,6 +88,7 @@
 		room_changed = 453,
 		suspect_started = 454,
 		blame_lifted = 455,
+		job_turned_away = 460,
 		// 5xx: configuration and operators
 		config_applied = 500,
 		config_refused = 501,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -64,6 +64,7 @@
 			event::task_cleared,         event::task_given_up,
 			event::instance_suspended,   event::room_changed,
 			event::suspect_started,      event::blame_lifted,
+			event::job_turned_away,
 		};
 	}
 
@@ -215,6 +216,8 @@
 			return "suspect_started";
 		case event::blame_lifted:
 			return "blame_lifted";
+		case event::job_turned_away:
+			return "job_turned_away";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -15,6 +15,7 @@
 #include <trailjunction/jobs/job_placement.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_table.hpp>
+#include <trailjunction/jobs/room_forecast.hpp>
 #include <trailjunction/jobs/run_listing.hpp>
 #include <trailjunction/jobs/shrunk_rooms.hpp>
 #include <trailjunction/net/process_metrics.hpp>
@@ -96,6 +97,13 @@
 		// job_term.cpp: the transactions
 		[[nodiscard]] batch make_batch(instant now);
 		void add_owner_row(batch& out, bool loaded);
+		/// Keeps the forecast in the owner's row young, and out of it while too little is known.
+		void forecast_if_due(bool loaded);
+		[[nodiscard]] room_forecast make_forecast(instant now);
+		/// Keeps what a new job was to wait by the forecast.
+		void note_foretold(const job_state& job);
+		/// Measures how far the forecast was off for a job that starts now, if it was new to this owner.
+		void measure_forecast(const job_id& id, instant now);
 		boost::asio::awaitable<void> renew_while_loading();
 		boost::asio::awaitable<absl::Status> read_state();
 		boost::asio::awaitable<absl::StatusOr<row_page>> read_with_retries(std::vector<row_range> ranges);
@@ -204,7 +212,7 @@
 		std::vector<worker_room> rooms_;
 		absl::flat_hash_map<worker_life, std::size_t> room_places_; ///< Indexes into rooms_.
 		shrunk_rooms shrunk_;
-		absl::flat_hash_set<task_run> undurable_starts_;            ///< Not ordered before the store keeps them.
+		absl::flat_hash_set<task_run> undurable_starts_; ///< Not ordered before the store keeps them.
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_life, instant> confirmed_; ///< When a worker's runs were last confirmed.
 		/// The agent beside each worker that was ever heard of in this term or just before it.
@@ -219,7 +227,9 @@
 		run_log ordered_log_{event::run_ordered};
 		run_log ended_log_{event::run_ended};
 		instant ends_logged_{};
-		std::size_t waiting_{}; ///< Tasks that the latest round found waiting.
+		room_forecast forecast_;                       ///< The latest; see forecast_if_due().
+		absl::flat_hash_map<job_id, millis> foretold_; ///< Waits of new jobs none of whose tasks has been placed.
+		std::size_t waiting_{};                        ///< Tasks that the latest round found waiting.
 		/// Jobs that ended long ago and whose submissions the store has no more; their progress goes next.
 		std::vector<job_id> removed_submissions_;
 		std::int64_t submissions_version_{};
