--- a/tests/crash_blame.cpp
+++ b/tests/crash_blame.cpp
@@ -27,7 +27,7 @@
 	std::vector<lost_run> crash(job_table& table, const std::string& life, std::optional<instant> heard, instant now)
 	{
 		const lost_worker worker{worker_life{life}, heard};
-		const auto lost = runs_lost_with(table, worker, true, policy);
+		auto lost = runs_lost_with(table, worker, true, policy);
 		for (const auto& run : lost)
 			(void)lose_run(table, run, worker.life, policy, now);
 		return lost;
