Room for callers is on only where the settings say so

Change: forecast_room in an entry's settings, off by default; without it no forecast is made, and entries take everything.

--- a/packages/entry/src/job_entry_settings.cpp
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -61,6 +61,7 @@
 		reader.read("evacuate_within_ms", out.evacuate_within, time_range);
 		reader.read("status_kept_ms", out.status_kept, time_range);
 		reader.read("stop_within_ms", out.stop_within, time_range);
+		reader.read("forecast_room", out.forecast_room);
 		reader.finish();
 		if (!faults.empty())
 			return to_status(faults);
@@ -72,7 +73,7 @@
 		return left.member == right.member && left.data_centre == right.data_centre && left.callers == right.callers &&
 			   left.readiness == right.readiness && left.metrics == right.metrics && left.store == right.store &&
 			   left.contact == right.contact && left.longest_run_lease == right.longest_run_lease &&
-			   left.evacuate_within == right.evacuate_within;
+			   left.evacuate_within == right.evacuate_within && left.forecast_room == right.forecast_room;
 	}
 
 	ownership_times ownership_times_of(const job_entry_settings& settings) noexcept
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -180,7 +180,7 @@
 	void job_term::forecast_if_due(bool loaded)
 	{
 		const auto now = steady_now();
-		if (!loaded || now - began_ < forecast_after)
+		if (!settings_.forecast_room || !loaded || now - began_ < forecast_after)
 		{
 			forecast_ = {};
 			owned_.row.room = {};
