--- a/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
@@ -33,7 +33,8 @@
 		millis evacuate_within{5'000};
 		millis status_kept{120'000}; ///< How long an ended job can be asked for.
 		millis stop_within{6'000};   ///< The longest that a planned stop takes.
-		/// The owner forecasts its workers' room, and entries refuse jobs that by it certainly end too late to be of use.
+		/// The owner forecasts its workers' room, and entries refuse jobs that by it certainly end too late to be of
+		/// use.
 		bool forecast_room{};
 	};
 
--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -34,6 +34,9 @@
 		std::size_t most_crashes{4};
 		/// The same where each crash came promptly after the start, which is rarely so by chance.
 		std::size_t most_prompt_crashes{3};
+		/// However its runs were started, a task under which so many workers have crashed in a row is given up: users
+		/// bear two starts more after three workers have crashed.
+		std::size_t most_crashes_beside_others{5};
 		/// A start and its crash are seen this much apart at the most where the one follows on the other: a worker
 		/// answers its agent every 0.4 s.
 		millis prompt{500};
@@ -132,5 +135,7 @@
 	[[nodiscard]] bool clears(const crash_record& record, millis running, const crash_policy& policy) noexcept;
 
 	/// \brief Whether the task is not to be started again.
-	[[nodiscard]] bool is_given_up(const crash_record& record, const crash_policy& policy) noexcept;
+	/// \param alone Whether the latest run was started alone, so that the crash was its own. A run that had to start
+	/// beside others since it had waited for long may have been there by chance: it is tried once or twice more.
+	[[nodiscard]] bool is_given_up(const crash_record& record, bool alone, const crash_policy& policy) noexcept;
 }
--- a/packages/jobs/src/crash_suspicion.cpp
+++ b/packages/jobs/src/crash_suspicion.cpp
@@ -83,8 +83,8 @@
 		return running >= std::min(needed, policy.longest_age);
 	}
 
-	bool is_given_up(const crash_record& record, const crash_policy& policy) noexcept
+	bool is_given_up(const crash_record& record, bool alone, const crash_policy& policy) noexcept
 	{
-		return record.workers.size() >= bound_of(record, policy);
+		return record.workers.size() >= (alone ? bound_of(record, policy) : policy.most_crashes_beside_others);
 	}
 }
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -195,7 +195,9 @@
 		if (lost.age)
 			count_crash(job, *task, worker, lost);
 		const auto effect = end_run(table, lost.what, run_outcome::lapsed, "", now);
-		if (has_ended(job.status) || !is_given_up(task->crashes, policy))
+		// Members of a gang never start alone, and are judged together.
+		const bool alone = lost.before == suspicion::likely || group_of(job, lost.what.task).gang;
+		if (has_ended(job.status) || !is_given_up(task->crashes, alone, policy))
 			return effect;
 		task->phase = task_stage::failed;
 		job.status = job_status::failed;
--- a/tests/crash_blame.cpp
+++ b/tests/crash_blame.cpp
@@ -192,55 +192,70 @@
 		CHECK(start_suspicion(*find_job(table, run.what.task.job), run.what.task) == suspicion::none);
 }
 
-TEST_CASE("lasting tasks under which 30 % of the workers crash three times, 4 s apart, start within their patience",
-		  "[jobs]")
+namespace
 {
-	constexpr std::uint32_t workers = 10;
-	constexpr std::uint32_t count = 40;
-	const bool new_owner = GENERATE(false, true); // between each two crashes
-	job_table table;
-	add_job(table, job_of("a", {lasting_group(count)}));
-	std::vector<int> lives(workers);
-	std::vector<instant> crashed(workers);
-	const auto life_of = [&](std::size_t i)
+	/// Crashes three of ten workers every 4 s under lasting tasks, and checks that each task starts within its
+	/// patience. \param new_owner Whether the owner changes between each two crashes.
+	void crash_every_4_s(std::uint32_t waves, bool new_owner)
 	{
-		return "w" + std::to_string(i) + "+" + std::to_string(lives[i]);
-	};
-	auto now = start;
-	for (std::uint32_t wave = 0; wave < 3; ++wave, now += millis{4'000})
-	{
-		for (const auto at : {now, now + policy.patience})
+		constexpr std::uint32_t workers = 10;
+		constexpr std::uint32_t count = 40;
+		job_table table;
+		add_job(table, job_of("a", {lasting_group(count)}));
+		std::vector<int> lives(workers);
+		std::vector<instant> crashed(workers);
+		const auto life_of = [&](std::size_t i)
+		{
+			return "w" + std::to_string(i) + "+" + std::to_string(lives[i]);
+		};
+		auto now = start;
+		for (std::uint32_t wave = 0; wave < waves; ++wave, now += millis{4'000})
 		{
-			std::vector<worker_room> rooms;
-			for (std::size_t i = 0; i < workers; ++i)
+			for (const auto at : {now, now + policy.patience})
 			{
-				rooms.push_back(room_of(life_of(i)));
-				rooms.back().crashed_lately = lives[i] > 0 && at - crashed[i] < millis{10'000};
+				std::vector<worker_room> rooms;
+				for (std::size_t i = 0; i < workers; ++i)
+				{
+					rooms.push_back(room_of(life_of(i)));
+					rooms.back().crashed_lately = lives[i] > 0 && at - crashed[i] < millis{10'000};
+				}
+				for (const auto& one : place_at(rooms, table, at))
+					confirm_run(table, assign(table, one.task, rooms[one.worker].life, at), at);
 			}
-			for (const auto& one : place_at(rooms, table, at))
-				confirm_run(table, assign(table, one.task, rooms[one.worker].life, at), at);
-		}
-		for (std::uint32_t i = 0; i < count; ++i)
-			CHECK_FALSE(is_waiting(table, {job_id{"a"}, 0, 0, i}));
-		if (new_owner)
-			table = successor_of(table, now + millis{1'000});
-		const auto heard = now + millis{4'000};
-		for (const auto& [life, keys] : absl::flat_hash_map{table.placed})
-			for (const auto& key : keys)
+			for (std::uint32_t i = 0; i < count; ++i)
+				CHECK_FALSE(is_waiting(table, {job_id{"a"}, 0, 0, i}));
+			if (new_owner)
+				table = successor_of(table, now + millis{1'000});
+			const auto heard = now + millis{4'000};
+			for (const auto& [life, keys] : absl::flat_hash_map{table.placed})
+				for (const auto& key : keys)
+				{
+					const task_run what{key, find_task(table, key)->run};
+					confirm_run(table, what, now + millis{1'000});
+					(void)clear_crashes(table, what, policy, heard);
+				}
+			for (std::uint32_t i = 0; i < 3; ++i)
 			{
-				const task_run what{key, find_task(table, key)->run};
-				confirm_run(table, what, now + millis{1'000});
-				(void)clear_crashes(table, what, policy, heard);
+				const auto down = (wave * 3 + i) % workers;
+				(void)crash(table, life_of(down), heard, heard);
+				++lives[down];
+				crashed[down] = heard;
 			}
-		for (std::uint32_t i = 0; i < 3; ++i)
-		{
-			const auto down = (wave * 3 + i) % workers;
-			(void)crash(table, life_of(down), heard, heard);
-			++lives[down];
-			crashed[down] = heard;
 		}
+		CHECK_FALSE(has_ended(find_job(table, job_id{"a"})->status));
 	}
-	CHECK_FALSE(has_ended(find_job(table, job_id{"a"})->status));
+}
+
+TEST_CASE("lasting tasks under which 30 % of the workers crash three times, 4 s apart, start within their patience",
+		  "[jobs]")
+{
+	crash_every_4_s(3, GENERATE(false, true));
+}
+
+TEST_CASE("lasting tasks under which 30 % of the workers crash eight times, 4 s apart, start within their patience",
+		  "[jobs]")
+{
+	crash_every_4_s(8, GENERATE(false, true));
 }
 
 TEST_CASE("a run that goes on takes the blame off its task before its crashes are forgotten", "[jobs]")
@@ -292,3 +307,19 @@
 	}
 	CHECK(starts == static_cast<int>(policy.most_prompt_crashes));
 }
+
+TEST_CASE("a crash beside others gives no task up that had waited in vain to start alone, but five do", "[jobs]")
+{
+	job_table table;
+	add_job(table, job_of("a", {group_of(1, 100)}));
+	const task_key key{job_id{"a"}, 0, 0, 0};
+	int starts = 0;
+	for (auto now = start; starts < 10 && !has_ended(find_job(table, key.job)->status); ++starts)
+	{
+		now += policy.patience_ending; // it finds no worker for itself, and starts beside others
+		const auto life = "w" + std::to_string(starts);
+		(void)assign(table, key, worker_life{life}, now);
+		(void)crash(table, life, now, now);
+	}
+	CHECK(starts == static_cast<int>(policy.most_crashes_beside_others));
+}
