--- /dev/null
+++ b/packages/jobs/src/upkeep_rows.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The rows that keep how far waves of upkeep are. As JSON: operators may have to read them when a wave is late.
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/jobs/upkeep_wave.hpp>
+
+namespace trailjunction
+{
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr std::size_t fields_of_instance = 4;
+
+		/// [instance, stage, worker, dropped]
+		json::array row_of(const instance_upkeep& one)
+		{
+			return {one.instance.str(), static_cast<int>(one.stage), one.worker.str(), one.dropped};
+		}
+
+		bool read_instance(const json::value& value, instance_upkeep& out)
+		{
+			if (!value.is_array() || value.get_array().size() != fields_of_instance)
+				return false;
+			const auto& row = value.get_array();
+			if (!row[0].is_string() || !row[1].is_int64() || !row[2].is_string() || !row[3].is_bool())
+				return false;
+			const auto stage = row[1].get_int64();
+			if (stage < 0 || stage > static_cast<std::int64_t>(upkeep_stage::gone))
+				return false;
+			out.instance = instance_id{std::string{row[0].get_string()}};
+			out.stage = static_cast<upkeep_stage>(stage);
+			out.worker = worker_life{std::string{row[2].get_string()}};
+			out.dropped = row[3].get_bool();
+			return true;
+		}
+	}
+
+	std::string encode_wave_progress(const wave_progress& progress)
+	{
+		json::array instances;
+		for (const auto& one : progress.instances)
+			instances.push_back(row_of(one));
+		return json::serialize(json::object{{"asked_ms", progress.asked_ms},
+											{"within_ms", progress.wave.within.count()},
+											{"most_at_once", progress.wave.most_at_once},
+											{"withdrawn", progress.withdrawn},
+											{"completed", progress.completed},
+											{"instances", std::move(instances)}});
+	}
+
+	absl::StatusOr<wave_progress> decode_wave_progress(const wave_id& id, std::string_view row,
+													   const upkeep_policy& policy, instant now)
+	{
+		const auto parsed = parse_json(row);
+		const auto* object = parsed.ok() ? parsed->if_object() : nullptr;
+		const auto* instances = object == nullptr ? nullptr : object->if_contains("instances");
+		if (instances == nullptr || !instances->is_array())
+			return absl::DataLossError("no progress of a wave");
+		wave_progress out;
+		out.wave.id = id;
+		out.wave.within = millis{number_or(*object, "within_ms")};
+		out.wave.most_at_once = static_cast<std::uint32_t>(number_or(*object, "most_at_once"));
+		out.asked_ms = number_or(*object, "asked_ms");
+		out.withdrawn = flag_or(*object, "withdrawn");
+		out.completed = flag_or(*object, "completed");
+		for (const auto& value : instances->get_array())
+		{
+			instance_upkeep one;
+			if (!read_instance(value, one))
+				return absl::DataLossError("an instance that cannot be read");
+			one.since = now;
+			one.doubt_until = now + policy.late_orders;
+			if (!one.dropped)
+				out.wave.instances.push_back(one.instance);
+			out.instances.push_back(std::move(one));
+		}
+		return out;
+	}
+}
