Waves of upkeep are served by the owner of the jobs

Cause: operators' rows `wave/N` were read by nothing, `status/wave/N` was never written. Change: platform/ reads the rows and speaks to the service that runs machines; the owner's new duty (entry/src/upkeep) keeps progress in the owner's own transactions and orders after them; workers of instances that are about to go down get nothing new and are emptied within the budget of absences; one that went down is not held against what ran there. Ruled out: a co_await behind && in a condition: GCC 12 lets the entry crash there (seen in the first run with processes), so results have names.

--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -63,6 +63,11 @@
 			event::evacuation_withdrawn, event::task_suspected,
 			event::task_cleared,         event::task_given_up,
 			event::instance_suspended,   event::room_changed,
+			event::wave_begun,           event::wave_refused,
+			event::wave_changed,         event::upkeep_ordered,
+			event::upkeep_answered,      event::upkeep_moved_on,
+			event::wave_completed,       event::wave_overdue,
+			event::waves_not_served,     event::instances_unknown,
 		};
 	}
 
@@ -210,6 +215,26 @@
 			return "task_given_up";
 		case event::room_changed:
 			return "room_changed";
+		case event::wave_begun:
+			return "wave_begun";
+		case event::wave_refused:
+			return "wave_refused";
+		case event::wave_changed:
+			return "wave_changed";
+		case event::upkeep_ordered:
+			return "upkeep_ordered";
+		case event::upkeep_answered:
+			return "upkeep_answered";
+		case event::upkeep_moved_on:
+			return "upkeep_moved_on";
+		case event::wave_completed:
+			return "wave_completed";
+		case event::wave_overdue:
+			return "wave_overdue";
+		case event::waves_not_served:
+			return "waves_not_served";
+		case event::instances_unknown:
+			return "instances_unknown";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/include/trailjunction/entry/job_entry_process.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_process.hpp
@@ -7,6 +7,7 @@
 #include "evacuation_rows.hpp"
 #include "job_entry_settings.hpp"
 #include "job_gateway.hpp"
+#include "upkeep_port.hpp"
 
 #include <trailjunction/net/http_server.hpp>
 #include <trailjunction/net/program.hpp>
@@ -28,6 +29,7 @@
 		row_name configuration_row;
 		std::function<absl::StatusOr<job_configuration>(std::string_view)> decode_configuration;
 		evacuation_rows evacuations;
+		upkeep_carrier upkeep;
 	};
 
 	/// \brief Where the settings come from, for a process that reads them again when they change.
--- a/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
@@ -4,6 +4,8 @@
 /// \brief Settings of an entry that takes and owns jobs.
 #pragma once
 
+#include "upkeep_port.hpp"
+
 #include <trailjunction/core/ids.hpp>
 #include <trailjunction/jobs/ownership.hpp>
 #include <trailjunction/jobs/run_lease.hpp>
@@ -31,8 +33,9 @@
 		millis longest_run_lease{6'000}; ///< Workers cut longer leases down.
 		/// Nothing starts in a data centre so long after operators have asked to empty it; from the users' bounds.
 		millis evacuate_within{5'000};
-		millis status_kept{120'000}; ///< How long an ended job can be asked for.
-		millis stop_within{6'000};   ///< The longest that a planned stop takes.
+		millis status_kept{120'000};           ///< How long an ended job can be asked for.
+		millis stop_within{6'000};             ///< The longest that a planned stop takes.
+		std::optional<upkeep_settings> upkeep; ///< Nothing: waves of upkeep are not served.
 	};
 
 	/// \brief Checks everything and names every fault.
--- a/packages/entry/src/job_entry_settings.cpp
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -22,6 +22,29 @@
 		constexpr int contacts_in_run_lease = 2;
 		constexpr int renewals_in_lease = 4;
 		constexpr int looks_in_lease = 4;
+
+		constexpr double least_calls = 0.1;
+		constexpr double most_calls = 10'000.0;
+		constexpr double shortest_upkeep_s = 0.1;
+		constexpr double longest_upkeep_s = 86'400.0;
+
+		void read_upkeep(field_reader& reader, upkeep_settings& out)
+		{
+			reader.require("service");
+			read_endpoint(reader, "service", out.service);
+			reader.read("calls_per_s", out.calls_per_s, least_calls, most_calls);
+			reader.read("reads_per_s", out.reads_per_s, least_calls, most_calls);
+			reader.read("lasts_s", out.lasts_s, shortest_upkeep_s, longest_upkeep_s);
+			reader.read("fences_checked", out.fences_checked);
+		}
+
+		bool same_service(const job_entry_settings& left, const job_entry_settings& right)
+		{
+			if (!left.upkeep || !right.upkeep)
+				return left.upkeep.has_value() == right.upkeep.has_value();
+			return left.upkeep->service == right.upkeep->service &&
+				   left.upkeep->fences_checked == right.upkeep->fences_checked;
+		}
 	}
 
 	absl::StatusOr<job_entry_settings> read_job_entry_settings(const boost::json::value& value)
@@ -61,6 +84,8 @@
 		reader.read("evacuate_within_ms", out.evacuate_within, time_range);
 		reader.read("status_kept_ms", out.status_kept, time_range);
 		reader.read("stop_within_ms", out.stop_within, time_range);
+		if (value.is_object() && value.get_object().contains("upkeep"))
+			reader.read_object("upkeep", [&](field_reader& upkeep) { read_upkeep(upkeep, out.upkeep.emplace()); });
 		reader.finish();
 		if (!faults.empty())
 			return to_status(faults);
@@ -72,7 +97,7 @@
 		return left.member == right.member && left.data_centre == right.data_centre && left.callers == right.callers &&
 			   left.readiness == right.readiness && left.metrics == right.metrics && left.store == right.store &&
 			   left.contact == right.contact && left.longest_run_lease == right.longest_run_lease &&
-			   left.evacuate_within == right.evacuate_within;
+			   left.evacuate_within == right.evacuate_within && same_service(left, right);
 	}
 
 	ownership_times ownership_times_of(const job_entry_settings& settings) noexcept
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -131,7 +131,10 @@
 						{
 							// A full ring means that newer depths than these wait already.
 							(void)depths.push(std::move(value));
-						}};
+						},
+						&carriers.upkeep};
+		if (!settings.upkeep)
+			log_event(event::waves_not_served, {{"reason", "the settings name no service that runs instances"}});
 		std::atomic<bool> owner_left{false};
 		asio::co_spawn(
 			owner_io,
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -36,13 +36,14 @@
 
 	job_owner::job_owner(asio::io_context& io, const job_entry_settings& settings, row_store& store,
 						 const evacuation_rows& evacuations, process_metrics& metrics,
-						 job_term::depth_handler on_depths)
+						 job_term::depth_handler on_depths, const upkeep_carrier* upkeep)
 		: io_{io},
 		  settings_{settings},
 		  store_{store},
 		  evacuations_{evacuations},
 		  metrics_{metrics},
 		  on_depths_{std::move(on_depths)},
+		  upkeep_{upkeep},
 		  times_{ownership_times_of(settings)},
 		  incarnation_{static_cast<std::int64_t>(random_u64() >> 1U)}
 	{
@@ -70,7 +71,7 @@
 			if (!owned)
 				continue;
 			term_ = std::make_shared<job_term>(io_, settings_, store_, evacuations_, metrics_, *std::move(owned),
-											   on_depths_);
+											   on_depths_, upkeep_);
 			const auto loaded = co_await term_->load();
 			if (!loaded.ok())
 				watch_.note_failure("load jobs", loaded.ToString());
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -17,7 +17,8 @@
 	{
 	public:
 		job_owner(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store,
-				  const evacuation_rows& evacuations, process_metrics& metrics, job_term::depth_handler on_depths);
+				  const evacuation_rows& evacuations, process_metrics& metrics, job_term::depth_handler on_depths,
+				  const upkeep_carrier* upkeep = nullptr);
 
 		/// \brief Stands by and owns in turns, until leave().
 		[[nodiscard]] boost::asio::awaitable<void> run();
@@ -47,6 +48,7 @@
 		store_watch watch_;
 		process_metrics& metrics_;
 		job_term::depth_handler on_depths_;
+		const upkeep_carrier* upkeep_; ///< Nothing where waves are not served.
 		ownership_times times_;
 		ownership_sighting seen_;
 		stored::ownership seen_row_;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "job_term.hpp"
 
+#include "../upkeep/upkeep_duty.hpp"
+
 #include <trailjunction/core/event.hpp>
 #include <trailjunction/jobs/job_tables.hpp>
 #include <trailjunction/net/coroutines.hpp>
@@ -36,6 +38,8 @@
 		constexpr auto log_ends_every = millis{250};
 		/// Rows of jobs in one transaction; the store takes 100 entries, two are the owner's row and its condition.
 		constexpr std::size_t most_rows = 90;
+		/// Rows of waves in one transaction, beside all others; each holds 64 KiB at the most.
+		constexpr std::size_t most_waves = 4;
 		/// Bytes of values in one transaction: the store takes 1 MB with base64 and names.
 		constexpr std::size_t most_bytes = 500'000;
 		constexpr auto sweep_every = millis{1'000};
@@ -58,7 +62,7 @@
 
 	job_term::job_term(asio::io_context& io, const job_entry_settings& settings, row_store& store,
 					   const evacuation_rows& evacuations, process_metrics& metrics, owned_row owned,
-					   depth_handler on_depths)
+					   depth_handler on_depths, const upkeep_carrier* upkeep)
 		: io_{io},
 		  settings_{settings},
 		  store_{store},
@@ -78,8 +82,12 @@
 		  meter_{metrics, began_},
 		  work_{io}
 	{
+		if (upkeep != nullptr && settings_.upkeep)
+			make_upkeep(*upkeep);
 	}
 
+	job_term::~job_term() = default;
+
 	std::int64_t job_term::store_now_ms(instant now) const noexcept
 	{
 		return owned_.store_ms + std::chrono::duration_cast<millis>(now - owned_.renewal_sent).count();
@@ -125,6 +133,8 @@
 			io_, [self]() -> asio::awaitable<void> { co_await self->follow_agents(); }, asio::detached);
 		asio::co_spawn(
 			io_, [self]() -> asio::awaitable<void> { co_await self->follow_evacuations(); }, asio::detached);
+		asio::co_spawn(
+			io_, [self]() -> asio::awaitable<void> { co_await self->follow_upkeep(); }, asio::detached);
 		asio::co_spawn(
 			io_, [self]() -> asio::awaitable<void> { co_await self->remove_old_submissions(); }, asio::detached);
 		asio::co_spawn(
@@ -135,6 +145,7 @@
 			const auto now = steady_now();
 			placing_wanted_ = false;
 			lose_lapsed(now);
+			empty_workers(now);
 			if (may_act(now) && !releasing_ && !is_behind(now))
 				place_waiting(now);
 			auto next = make_batch(now);
@@ -221,6 +232,8 @@
 					out.ends.push_back({peer, peer->worker.life, peer->worker.ends_seen});
 		add_workers(out);
 		add_pressures(out, now);
+		if (upkeep_)
+			upkeep_->add_rows(out.change, most_waves);
 		add_forgotten(out);
 		return out;
 	}
@@ -347,6 +360,8 @@
 	void job_term::act_on(const batch& done, instant now)
 	{
 		const busy_scope scope{meter_, owner_duty::acting};
+		if (upkeep_)
+			upkeep_->note_kept();
 		meter_.load.ordered += done.starts.size();
 		++meter_.load.commits;
 		for (const auto& ends : done.ends)
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -32,6 +32,10 @@
 
 namespace trailjunction
 {
+	class upkeep_duty;
+	struct upkeep_carrier;
+	struct worker_stake;
+
 	/// \brief The row by which a member owns the jobs, and when it was last renewed.
 	struct owned_row
 	{
@@ -50,8 +54,11 @@
 		using depth_handler = std::function<void(queue_depths)>;
 
 		job_term(boost::asio::io_context& io, const job_entry_settings& settings, row_store& store,
-				 const evacuation_rows& evacuations, process_metrics& metrics, owned_row owned,
-				 depth_handler on_depths);
+				 const evacuation_rows& evacuations, process_metrics& metrics, owned_row owned, depth_handler on_depths,
+				 const upkeep_carrier* upkeep = nullptr);
+		~job_term();
+		job_term(const job_term&) = delete;
+		job_term& operator=(const job_term&) = delete;
 
 		/// \brief Reads all jobs and agents, and renews the row meanwhile.
 		/// \returns Unavailable where the store did not let it, aborted where another member has taken the row over.
@@ -167,6 +174,15 @@
 		[[nodiscard]] bool may_start_on(const worker_life& life, instant now) const;
 		void refresh_rooms(instant now);
 
+		// job_term_upkeep.cpp: instances that get their upkeep
+		void make_upkeep(const upkeep_carrier& carrier);
+		boost::asio::awaitable<void> follow_upkeep();
+		[[nodiscard]] worker_stake stake_of(const worker_life& worker, const absl::flat_hash_set<task_key>& keys,
+											instant now) const;
+		[[nodiscard]] absl::flat_hash_map<worker_life, worker_stake> stakes_of_workers(instant now) const;
+		/// Stops what may go on elsewhere on workers whose instances are about to go down.
+		void empty_workers(instant now);
+
 		// job_term_crashes.cpp: workers that are no more, and the tasks that may have crashed them
 		void lose_worker(const lost_worker& worker, bool crashed, std::string_view why, instant now);
 		/// \param before What was known of the worker beside the agent until now.
@@ -184,6 +200,7 @@
 		const job_entry_settings& settings_;
 		row_store& store_;
 		evacuation_follower evacuations_;
+		std::unique_ptr<upkeep_duty> upkeep_; ///< Nothing where waves are not served.
 		store_watch watch_;
 		process_metrics& metrics_;
 		owned_row owned_;
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -6,6 +6,8 @@
 /// what ran there; nor where the worker had said that it leaves. See crash_suspicion.hpp for what follows.
 #include "job_term.hpp"
 
+#include "../upkeep/upkeep_duty.hpp"
+
 #include <trailjunction/core/event.hpp>
 
 #include <absl/strings/str_join.h>
@@ -25,6 +27,8 @@
 
 	void job_term::lose_worker(const lost_worker& worker, bool crashed, std::string_view why, instant now)
 	{
+		// One that went down for its instance's upkeep, or may have, has not crashed.
+		crashed = crashed && (!upkeep_ || !upkeep_->may_have_gone_down(worker.life));
 		auto lost = runs_lost_with(table_, worker, crashed, crashing);
 		if (lost.empty())
 			return;
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "job_term.hpp"
 
+#include "../upkeep/upkeep_duty.hpp"
+
 #include <trailjunction/core/event.hpp>
 #include <trailjunction/jobs/job_tables.hpp>
 #include <trailjunction/net/coroutines.hpp>
@@ -114,6 +116,8 @@
 								   whole_table(workers_table, job_partition),
 								   whole_table(pressures_table, job_partition),
 								   whole_table(agents_table, agent_partition), evacuations_.range()};
+		if (upkeep_)
+			own.push_back(upkeep_duty::progress_range());
 		const auto known_asked = steady_now();
 		const auto known = co_await read_with_retries(std::move(own));
 		if (!known.ok())
@@ -122,6 +126,8 @@
 		take_workers(rows_of(known->rows, workers_table));
 		take_pressures(rows_of(known->rows, pressures_table));
 		evacuations_.take_all(rows_of(known->rows, evacuations_.range().table), known->version, known_asked);
+		if (upkeep_)
+			upkeep_->take_progress(rows_of(known->rows, upkeep_duty::progress_range().table));
 		auto ranges = all_submissions();
 		const auto asked = steady_now();
 		const auto submissions = co_await read_with_retries(std::move(ranges));
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -3,6 +3,8 @@
 /// \brief The part of job_term that gives waiting tasks to workers.
 #include "job_term.hpp"
 
+#include "../upkeep/upkeep_duty.hpp"
+
 #include <chrono>
 #include <utility>
 
@@ -63,7 +65,8 @@
 			room.crashed_lately = worker.crashed && now - *worker.crashed < crashed_lately;
 			room.accepts = accepted || (peer->has_reported() && may_start_on(worker.life, now) && worker.responsive &&
 										!worker.draining && now >= worker.trust.avoided_until &&
-										permission_at(*peer, now) == start_permission::allowed);
+										permission_at(*peer, now) == start_permission::allowed &&
+										!(upkeep_ && upkeep_->is_leaving(worker.life)));
 		}
 		table_.changed.clear();
 	}
--- /dev/null
+++ b/packages/entry/src/process/job_term_upkeep.cpp
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The part of job_term that empties workers whose instances are about to get their upkeep.
+#include "job_term.hpp"
+
+#include "../upkeep/upkeep_duty.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace trailjunction
+{
+	namespace asio = boost::asio;
+
+	namespace
+	{
+		constexpr double cpu_milli = 1'000.0;
+	}
+
+	void job_term::make_upkeep(const upkeep_carrier& carrier)
+	{
+		upkeep_host host;
+		host.is_over = [this]
+		{
+			return over_;
+		};
+		host.may_act = [this]
+		{
+			return may_act(steady_now()) && !releasing_;
+		};
+		host.store_ms = [this](instant now)
+		{
+			return store_now_ms(now);
+		};
+		host.time_of = [this](std::int64_t store_ms)
+		{
+			return owned_.renewal_sent + millis{store_ms - owned_.store_ms};
+		};
+		host.stakes = [this]
+		{
+			return stakes_of_workers(steady_now());
+		};
+		host.work_waits = [this]
+		{
+			return waiting_ > 0;
+		};
+		host.lost = [this](const worker_life& worker)
+		{
+			lose_worker({worker, std::nullopt}, false, "upkeep", steady_now());
+			wake();
+		};
+		host.wake = [this]
+		{
+			wake();
+		};
+		upkeep_ = std::make_unique<upkeep_duty>(io_, *settings_.upkeep, carrier, store_, metrics_,
+												upkeep_authority{settings_.member, owned_.row.epoch}, std::move(host));
+	}
+
+	asio::awaitable<void> job_term::follow_upkeep()
+	{
+		const auto self = shared_from_this();
+		if (upkeep_)
+			co_await upkeep_->work();
+	}
+
+	worker_stake job_term::stake_of(const worker_life& worker, const absl::flat_hash_set<task_key>& keys,
+									instant now) const
+	{
+		worker_stake out;
+		out.runs = keys.size();
+		out.absences_left = std::numeric_limits<std::uint32_t>::max();
+		out.suspected = suspects_.contains(worker);
+		for (const auto& key : keys)
+		{
+			const auto& job = *find_job(table_, key.job);
+			const auto& group = job.spec.groups[key.group];
+			const auto& task = *find_task(table_, key);
+			if (!group.long_running && !group.checkpointing && task.since != instant{})
+			{
+				const std::chrono::duration<double> worked = now - task.since;
+				out.unsaved += worked.count() * static_cast<double>(group.claim.cpu_milli) / cpu_milli;
+			}
+			if (!group.long_running || group.may_be_away == 0)
+				continue;
+			const auto away = absent_tasks(job, key.occurrence, key.group);
+			out.absences_left = std::min(out.absences_left, group.may_be_away - std::min(away, group.may_be_away));
+			// One that is being stopped is away already; one that does not serve yet may do so when the order comes.
+			if (!table_.moves.contains(task_run{key, task.run}))
+				++out.kept_by_callers;
+		}
+		return out;
+	}
+
+	absl::flat_hash_map<worker_life, worker_stake> job_term::stakes_of_workers(instant now) const
+	{
+		absl::flat_hash_map<worker_life, worker_stake> out;
+		for (const auto& [worker, keys] : table_.placed)
+			if (!keys.empty())
+				out.emplace(worker, stake_of(worker, keys, now));
+		return out;
+	}
+
+	void job_term::empty_workers(instant now)
+	{
+		if (!upkeep_)
+			return;
+		for (const auto& worker : upkeep_->to_be_emptied())
+		{
+			const auto placed = table_.placed.find(worker);
+			if (placed == table_.placed.end())
+				continue;
+			const std::vector<task_key> keys{placed->second.begin(), placed->second.end()};
+			for (const auto& key : keys)
+				(void)begin_move(table_, key, move_reason::upkeep, now); // what may not move stays for now
+		}
+	}
+}
--- a/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
@@ -7,6 +7,7 @@
 #include "address_picker.hpp"
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
+#include "instances_standin.hpp"
 #include "rows_standin.hpp"
 #include "standin_thread.hpp"
 #include "worker_standin.hpp"
@@ -28,6 +29,7 @@
 		int workers{2};
 		int data_centres{1}; ///< Workers stand in them by turns: `dc1`, `dc2` and so on.
 		millis contact{3'000};
+		bool waves{};   ///< Whether entries know the service that runs instances: `machine-1` and so on.
 		bool proxies{}; ///< Whether connections pass through a fault_proxy, see #cable.
 	};
 
@@ -91,6 +93,12 @@
 		{
 			return thread_.run([&] { return work(platform_->store); });
 		}
+		/// \brief Safe access to the service that runs instances.
+		template <typename Work>
+		auto with_instances(Work work)
+		{
+			return thread_.run([&] { return work(*instances_); });
+		}
 		/// \brief Safe access to the proxy of an agent or an entry. Only with job_cluster_options::proxies.
 		template <typename Work>
 		auto with_proxy(cable kind, int index, Work work)
@@ -130,6 +138,8 @@
 		address_picker addresses_;
 		standin_thread thread_;
 		std::unique_ptr<rows_standin> platform_;
+		std::unique_ptr<instances_standin> instances_;
+		endpoint instances_at_;
 		endpoint store_;
 		std::map<std::pair<cable, int>, std::unique_ptr<fault_proxy>> proxies_;
 		std::map<std::string, std::string> link_rows_; ///< By agent: its row with the proxy's address.
--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -87,6 +87,11 @@
 			std::string what; ///< The call and its answer.
 		};
 
+		/// \brief Of the present incarnation.
+		[[nodiscard]] const std::string& id() const noexcept
+		{
+			return id_;
+		}
 		/// \brief How much longer its runs may go on without a word.
 		[[nodiscard]] millis lease_left() const
 		{
--- /dev/null
+++ b/packages/testkit/src/instances_standin.cpp
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: MIT
+#include <trailjunction/core/json.hpp>
+#include <trailjunction/net/coroutines.hpp>
+#include <trailjunction/testkit/instances_standin.hpp>
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace trailjunction::testkit
+{
+	namespace asio = boost::asio;
+	namespace json = boost::json;
+
+	namespace
+	{
+		constexpr auto never = std::chrono::hours{24};
+		constexpr std::string_view token_field = "pageToken=";
+		constexpr int no_answer = 0;
+
+		bool take_one(int& left)
+		{
+			if (left == 0)
+				return false;
+			--left;
+			return true;
+		}
+
+		http_response refusal(const char* reason)
+		{
+			return json_response(409, json::serialize(json::object{{"reason", reason}}));
+		}
+	}
+
+	instances_standin::instances_standin(asio::io_context& io)
+		: io_{io},
+		  server_{io, http_limits{},
+				  [this](http_request request)
+				  {
+					  return answer(std::move(request));
+				  }}
+	{
+	}
+
+	endpoint instances_standin::listen()
+	{
+		return server_.listen(endpoint{asio::ip::address_v4::loopback(), 0}).value();
+	}
+
+	void instances_standin::add(const std::string& name, worker_standin& worker)
+	{
+		machines_[name].worker = &worker;
+	}
+
+	int instances_standin::down(std::int64_t wave) const
+	{
+		const auto now = steady_now();
+		return static_cast<int>(std::count_if(machines_.begin(), machines_.end(),
+											  [&](const auto& entry)
+											  { return entry.second.wave == wave && now < entry.second.back; }));
+	}
+
+	asio::awaitable<http_response> instances_standin::answer(http_request request)
+	{
+		if (faults.slow.count() > 0)
+			co_await pause_for(io_, faults.slow);
+		if (take_one(faults.too_many))
+			co_return json_response(429, "{}");
+		if (request.method == "GET")
+			co_return take_one(faults.refuse_lists) ? json_response(503, "{}") : list(request.target);
+		co_return order(request);
+	}
+
+	http_response instances_standin::list(const std::string& target) const
+	{
+		const auto at = target.find(token_field);
+		const auto from = at == std::string::npos ? std::string{} : target.substr(at + token_field.size());
+		json::array rows;
+		std::string next;
+		for (auto it = machines_.lower_bound(from); it != machines_.end(); ++it)
+		{
+			if (rows.size() == page)
+			{
+				next = it->first;
+				break;
+			}
+			const bool away = steady_now() < it->second.back;
+			rows.push_back(json::object{{"machine", it->first},
+										{"state", away ? "upkeep" : "up"},
+										{"id", away ? std::string{} : it->second.worker->id()}});
+		}
+		json::object body{{"machines", std::move(rows)}};
+		body["nextToken"] = next.empty() ? json::value{} : json::value(next);
+		return json_response(200, json::serialize(body));
+	}
+
+	http_response instances_standin::order(const http_request& request)
+	{
+		const auto body = parse_json(request.body);
+		if (!body.ok() || !body->is_object())
+			return json_response(400, "{}");
+		const auto name = text_or(body->get_object(), "machine");
+		const auto wave = number_or(body->get_object(), "wave");
+		const auto found = machines_.find(name);
+		if (found == machines_.end())
+			return json_response(400, "{}");
+		std::int64_t token{};
+		if (!absl::SimpleAtoi(std::string{find_header(request.headers, "Fencing-Token")}, &token) ||
+			token < found->second.token)
+			return refusal("fence");
+		found->second.token = token;
+		tokens.push_back(token);
+		holders.emplace(find_header(request.headers, "Lease-Holder"));
+		if (take_one(faults.busy))
+			return refusal("busy");
+		if (take_one(faults.not_of_wave))
+			return refusal("wave");
+		if (take_one(faults.lose_orders))
+			return http_response{no_answer, {}, {}};
+		if (take_one(faults.late_orders))
+		{
+			asio::co_spawn(io_, carry_out_late(name, wave), asio::detached);
+			return http_response{no_answer, {}, {}};
+		}
+		auto out = carry_out(name, wave);
+		return take_one(faults.lose_answers) ? http_response{no_answer, {}, {}} : out;
+	}
+
+	asio::awaitable<void> instances_standin::carry_out_late(std::string name, std::int64_t wave)
+	{
+		co_await pause_for(io_, faults.late_by);
+		(void)carry_out(name, wave);
+	}
+
+	http_response instances_standin::carry_out(const std::string& name, std::int64_t wave)
+	{
+		auto& one = machines_[name];
+		if (had[wave].contains(name))
+			return json_response(200, "{}");
+		if (steady_now() < one.back)
+			return refusal("busy");
+		had[wave].insert(name);
+		one.wave = wave;
+		one.back = steady_now() + (name == faults.no_return ? millis{never} : lasts);
+		one.worker->away = std::chrono::duration_cast<millis>(one.back - steady_now());
+		one.worker->crash();
+		most_down[wave] = std::max(most_down[wave], down(wave));
+		return json_response(200, "{}");
+	}
+}
--- a/packages/testkit/src/job_cluster.cpp
+++ b/packages/testkit/src/job_cluster.cpp
@@ -58,6 +58,8 @@
 				platform_ = std::make_unique<rows_standin>(thread_.io());
 				store_ = platform_->listen();
 				platform_->store.put("", "op", "config", configuration);
+				instances_ = std::make_unique<instances_standin>(thread_.io());
+				instances_at_ = instances_->listen();
 			});
 		for (int i = 0; i < options_.workers; ++i)
 			make_worker(i);
@@ -133,6 +135,7 @@
 			{
 				workers_.push_back(std::make_unique<worker_standin>(thread_.io(), absl::StrCat("life-", index + 1),
 																	"tally", heartbeats));
+				instances_->add(absl::StrCat("machine-", index + 1), *workers_.back());
 				return workers_.back()->listen();
 			});
 		const auto announced = through_proxy(cable::worker_calls, index, where);
@@ -154,6 +157,8 @@
 		settings["listen"] = {{"callers", to_string(entry.callers)},
 							  {"readiness", to_string(addresses_.pick())},
 							  {"metrics", to_string(addresses_.pick())}};
+		if (options_.waves)
+			settings["upkeep"] = {{"service", to_string(instances_at_)}, {"lasts_s", 0.8}, {"reads_per_s", 40.0}};
 		write_file(entry.settings, settings);
 		entry.words = {options_.programs + "/packages/entry/trailjunction", "entry", "--settings", entry.settings};
 		entries_.push_back(std::move(entry));
--- a/tests/upkeep_wave.cpp
+++ b/tests/upkeep_wave.cpp
@@ -275,6 +275,32 @@
 	CHECK(it.completed_with == 1);
 }
 
+TEST_CASE("a list that was asked for before the answer does not say that an upkeep is over", "[jobs][upkeep]")
+{
+	fleet it{1, 1};
+	it.round();
+	it.read_list();
+	it.work();
+	REQUIRE(it.waves[0].instances[0].stage == upkeep_stage::down);
+	auto early = it.list;
+	early.instances[instance_id{"m0"}] = {instance_state::up, worker_life{"m0-9"}};
+	CHECK_FALSE(note_list(it.waves[0], early, upkeep, it.now));
+	CHECK(may_be_down(it.waves[0]) == 1);
+}
+
+TEST_CASE("a successor takes an order that it finds for one that may be carried out yet", "[jobs][upkeep]")
+{
+	fleet it{1, 1};
+	it.lost_percent = 200;
+	it.round();
+	it.round();
+	it.take_over();
+	REQUIRE(it.waves[0].instances[0].stage == upkeep_stage::ordered);
+	const instance_id first{"m0"};
+	CHECK_FALSE(note_answer(it.waves[0], first, upkeep_answer::busy, it.now, upkeep, it.now));
+	CHECK(may_be_down(it.waves[0]) == 1);
+}
+
 TEST_CASE("the worker of an instance that went down is told once", "[jobs][upkeep]")
 {
 	fleet it{1, 1};
