Merge waves of upkeep: served by the owner of the jobs

# Conflicts: # docs/EVENTS.md # packages/core/include/trailjunction/core/event.hpp # packages/core/src/event.cpp # packages/entry/include/trailjunction/entry/job_entry_settings.hpp # packages/entry/src/job_entry_settings.cpp # packages/entry/src/process/job_term.hpp # packages/entry/src/process/job_term_placing.cpp

--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -64,7 +64,12 @@
 			event::task_cleared,         event::task_given_up,
 			event::instance_suspended,   event::room_changed,
 			event::suspect_started,      event::blame_lifted,
-			event::job_turned_away,
+			event::job_turned_away,      event::wave_begun,
+			event::wave_refused,         event::wave_changed,
+			event::upkeep_ordered,       event::upkeep_answered,
+			event::upkeep_moved_on,      event::wave_completed,
+			event::wave_overdue,         event::waves_not_served,
+			event::instances_unknown,
 		};
 	}
 
@@ -218,6 +223,26 @@
 			return "blame_lifted";
 		case event::job_turned_away:
 			return "job_turned_away";
+		case event::wave_begun:
+			return "wave_begun";
+		case event::wave_refused:
+			return "wave_refused";
+		case event::wave_changed:
+			return "wave_changed";
+		case event::upkeep_ordered:
+			return "upkeep_ordered";
+		case event::upkeep_answered:
+			return "upkeep_answered";
+		case event::upkeep_moved_on:
+			return "upkeep_moved_on";
+		case event::wave_completed:
+			return "wave_completed";
+		case event::wave_overdue:
+			return "wave_overdue";
+		case event::waves_not_served:
+			return "waves_not_served";
+		case event::instances_unknown:
+			return "instances_unknown";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
@@ -4,6 +4,8 @@
 /// \brief Settings of an entry that takes and owns jobs.
 #pragma once
 
+#include "upkeep_port.hpp"
+
 #include <trailjunction/core/ids.hpp>
 #include <trailjunction/jobs/ownership.hpp>
 #include <trailjunction/jobs/run_lease.hpp>
@@ -36,6 +38,7 @@
 		/// The owner forecasts its workers' room, and entries refuse jobs that by it certainly end too late to be of
 		/// use.
 		bool forecast_room{};
+		std::optional<upkeep_settings> upkeep; ///< Nothing: waves of upkeep are not served.
 	};
 
 	/// \brief Checks everything and names every fault.
