--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: MIT
+#include "job_tasks.hpp"
+
 #include <trailjunction/jobs/job_crashes.hpp>
 
 #include <algorithm>
@@ -8,23 +10,6 @@
 {
 	namespace
 	{
-		const task_group& group_of(const job_state& job, const task_key& key)
-		{
-			return job.spec.groups[key.group];
-		}
-
-		bool is_placed(const job_task& task) noexcept
-		{
-			return task.phase == task_stage::ordered || task.phase == task_stage::running;
-		}
-
-		/// The latest run of the task, if it is the one named and still counts as placed.
-		job_task* placed_run(const job_table& table, const task_run& what)
-		{
-			auto* task = find_task(table, what.task);
-			return task != nullptr && task->run == what.run && is_placed(*task) ? task : nullptr;
-		}
-
 		/// The run of a task with something against it that its worker has confirmed.
 		job_task* suspected_run(const job_table& table, const task_run& what)
 		{
@@ -33,14 +18,6 @@
 																										  : task;
 		}
 
-		/// All tasks of a task's group and occurrence.
-		template <typename Job>
-		auto siblings_of(Job& job, const task_key& key)
-		{
-			const auto first = place_of(job, {key.job, key.occurrence, key.group, 0});
-			return std::span{job.tasks}.subspan(first, group_of(job, key).count);
-		}
-
 		/// The tasks that are judged together with one: the members of its gang, or it alone.
 		std::span<job_task> judged_with(job_state& job, const task_key& key, job_task& task)
 		{
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: MIT
+#include "job_tasks.hpp"
+
 #include <trailjunction/jobs/job_crashes.hpp>
 
 #include <algorithm>
@@ -8,16 +10,6 @@
 {
 	namespace
 	{
-		const task_group& group_of(const job_state& job, const task_key& key)
-		{
-			return job.spec.groups[key.group];
-		}
-
-		bool is_placed(const job_task& task) noexcept
-		{
-			return task.phase == task_stage::ordered || task.phase == task_stage::running;
-		}
-
 		void take_off_worker(job_table& table, const task_key& key, job_task& task)
 		{
 			const auto found = table.placed.find(task.worker);
@@ -35,20 +27,6 @@
 			task.figure = 0;
 		}
 
-		/// The latest run of the task, if it is the one named and still counts as placed.
-		job_task* placed_run(job_table& table, const task_run& what)
-		{
-			auto* task = find_task(table, what.task);
-			return task != nullptr && task->run == what.run && is_placed(*task) ? task : nullptr;
-		}
-
-		/// All tasks of a task's group and occurrence: if the group is a gang, the members.
-		std::span<job_task> siblings_of(job_state& job, const task_key& key)
-		{
-			const auto first = place_of(job, {key.job, key.occurrence, key.group, 0});
-			return std::span{job.tasks}.subspan(first, group_of(job, key).count);
-		}
-
 		/// The run number of a task that is about to be placed. Members of a gang are placed one after the other: the
 		/// first begins a run, the others join it.
 		std::uint32_t next_run(job_state& job, const task_key& key, const job_task& task)
--- a/packages/jobs/src/planned_moves.cpp
+++ b/packages/jobs/src/planned_moves.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: MIT
-#include <trailjunction/jobs/job_table.hpp>
+#include "job_tasks.hpp"
+
 #include <trailjunction/jobs/planned_moves.hpp>
 
 #include <algorithm>
-#include <span>
 
 namespace trailjunction
 {
@@ -23,15 +23,14 @@
 
 	std::uint32_t absent_tasks(const job_state& job, std::uint32_t occurrence, std::uint32_t group)
 	{
-		const auto first = place_of(job, {job.id, occurrence, group, 0});
-		const auto tasks = std::span{job.tasks}.subspan(first, job.spec.groups[group].count);
+		const auto tasks = siblings_of(job, {job.id, occurrence, group, 0});
 		const auto away = std::count_if(tasks.begin(), tasks.end(), [](const job_task& task) { return !task.at_work; });
 		return static_cast<std::uint32_t>(away);
 	}
 
 	bool may_take_away(const job_state& job, const task_key& key)
 	{
-		const auto& group = job.spec.groups[key.group];
+		const auto& group = group_of(job, key);
 		if (group.gang)
 			return false;
 		if (!group.long_running)
