--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -9,8 +9,8 @@
 /// other, apart from others that are suspected, or alone; alone too before one more crash would be its last.
 ///
 /// Its *count* is not shared and asks for no blame: a task under which a third or fourth worker in a row has crashed is
-/// given up. So however blame is shared, no task is started more often. Any run that goes on for long enough, or ends,
-/// clears its task of both.
+/// given up where its last run had started alone, and after a fifth in any case. So however blame is shared, no task is
+/// started more often. Any run that goes on for long enough, or ends, clears its task of both.
 #pragma once
 
 #include "job_ids.hpp"
