Crash suspicion: agents tell for how long the lost runs were there

Callers saw: jobs given up after takeovers, 25 of the 147. Cause: a new owner knows neither when a worker last answered nor how old its runs were, so each such crash counted as one that followed on a start, and came in no instant with others; and an owner counted the time for which an order waited for the store to a run's age. The agent beside the worker outlives its crash and knows both. Change: its next full report, and the first of the new incarnation, carry the incarnation before with its last answer and the ages of its runs (job_lost_worker, optional: agents and owners of earlier builds go on as before). Test: tests/run_keeper.cpp, tests/shared_crashes.cpp; the message is new, so neither could pass before.

--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -105,8 +105,18 @@
 												 {"how", static_cast<int>(result.how)}});
 	}
 
+	void run_keeper::keep_lost_life()
+	{
+		lost_.reset();
+		if (worker_ && clock_ms_ > 0)
+			lost_ = lost_life{worker_->life, clock_read_, ages_at(ages_, clock_read_)};
+		lost_owed_ = lost_.has_value();
+		ages_.clear();
+	}
+
 	void run_keeper::begin_life(const worker_heartbeat& heartbeat)
 	{
+		keep_lost_life();
 		log_event(event::worker_seen,
 				  {{"worker", heartbeat.life.str()}, {"before", worker_ ? worker_->life.str() : ""}});
 		if (!port_ || worker_->address != heartbeat.address)
@@ -244,12 +254,19 @@
 				kept.changed = before->second.changed || before->second.listed.checkpoint != kept.listed.checkpoint ||
 							   is_at_work(before->second.listed) != is_at_work(kept.listed);
 			}
+			note_confirmed(ages_, kept.listed.what, steady_now());
 			kept.changed = kept.changed || moved(kept.reported_figure, kept.listed.figure);
 			now_running.emplace(kept.listed.what, std::move(kept));
 		}
 		runs_ = std::move(now_running);
 		// The listing that was under way when a run was confirmed may have been made before; the next one was not.
 		absl::erase_if(unlisted_, [this](const auto& run) { return listings_ >= run.second + 2; });
+		absl::erase_if(ages_,
+					   [this](const auto& age)
+					   {
+						   const auto& what = age.first;
+						   return !runs_.contains(what) && !ordering_.contains(what) && !unlisted_.contains(what);
+					   });
 		note_overlaps();
 		absl::erase_if(paces_, [this](const auto& pace) { return !runs_.contains(pace.first); });
 		ends_.clear();
@@ -307,6 +324,9 @@
 		out.responsive = failed_listings_ < unresponsive_after;
 		out.lease_ends = closing_;
 		out.unheard_ms = std::chrono::duration_cast<millis>(steady_now() - clock_read_).count();
+		if (lost_ && (out.full || lost_owed_))
+			out.__set_lost(to_wire(lost_worker{lost_->life, lost_->heard, {}, lost_->runs}, steady_now()));
+		lost_owed_ = false;
 		for (auto& [what, run] : runs_)
 		{
 			if (!out.full && !run.changed)
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -3,6 +3,8 @@
 /// \brief The runs of one worker: orders to it, its listings, its lease.
 #pragma once
 
+#include "run_ages.hpp"
+
 #include <trailjunction/agent/job_agent_process.hpp>
 #include <trailjunction/jobs/filler_pacing.hpp>
 #include <trailjunction/jobs/refusal_memory.hpp>
@@ -96,6 +98,14 @@
 			std::string_view by; ///< The worker's answer, the agent itself, or a stop.
 		};
 
+		/// The incarnation before the present one.
+		struct lost_life
+		{
+			worker_life life;
+			instant heard{}; ///< Its last answer.
+			absl::flat_hash_map<task_run, crash_age> runs;
+		};
+
 		struct ordered_pace
 		{
 			int wanted{100};  ///< Percent.
@@ -120,6 +130,8 @@
 		[[nodiscard]] int mean_pace() const noexcept;
 		void note_result(const order_result& result, instant answered);
 		void begin_life(const worker_heartbeat& heartbeat);
+		/// Keeps what is known of the runs of the incarnation that has gone.
+		void keep_lost_life();
 		/// \param why For the log: who wants the stop.
 		void begin_stop(const task_run& what, std::string_view why);
 		void refuse(const task_run& what, start_refusal why, const refusal_source& from);
@@ -167,6 +179,9 @@
 		absl::flat_hash_set<task_run> ordering_;
 		/// Runs that the worker has confirmed, until a listing that was made after it: the value of listings_ then.
 		absl::flat_hash_map<task_run, std::uint64_t> unlisted_;
+		run_ages ages_; ///< Of the runs in runs_, ordering_ and unlisted_.
+		std::optional<lost_life> lost_;
+		bool lost_owed_{}; ///< The owner has not been told of lost_.
 		absl::flat_hash_set<task_run> stopping_;
 		std::vector<listed_end> ends_;
 		std::vector<refused_run> refusals_; ///< Not reported yet.
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -73,6 +73,7 @@
 		}
 		const bool fits = has_room_for(what, claim, steady_now());
 		ordering_.insert(what);
+		note_order(ages_, what, steady_now());
 		asio::co_spawn(io_, carry_out_start(std::move(order), fits), asio::detached);
 	}
 
@@ -264,6 +265,7 @@
 		// Told with the next report: nothing waits for it, and without reports of starts alone an owner of 240 agents
 		// took in 1,350 reports a second instead of 2,500.
 		started_.push_back(what);
+		note_confirmed(ages_, what, steady_now());
 		if (!runs_.contains(what))
 			unlisted_.emplace(what, listings_);
 	}
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -203,7 +203,8 @@
 		[[nodiscard]] std::vector<worker_life> silent_since(instant heard, const worker_life& except,
 															instant now) const;
 		/// \param before What was known of the worker beside the agent until now.
-		void lose_earlier_lives(agent_peer& peer, const worker_facts& before, instant now);
+		/// \param told What the agent tells of the incarnation before; of nobody where it tells nothing.
+		void lose_earlier_lives(agent_peer& peer, const worker_facts& before, const lost_worker& told, instant now);
 		void lose_lapsed(instant now);
 		void take_back_lost(const lost_run& lost, const worker_life& worker, instant now);
 		/// Clears tasks whose runs on the worker have gone on for long enough, and those that were suspected of
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -108,7 +108,8 @@
 			.Increment();
 	}
 
-	void job_term::lose_earlier_lives(agent_peer& peer, const worker_facts& before, instant now)
+	void job_term::lose_earlier_lives(agent_peer& peer, const worker_facts& before, const lost_worker& told,
+									  instant now)
 	{
 		// Agents tell of an incarnation only once it has answered them, and there is one worker beside an agent. So
 		// those that were there before have ended, and all that ran in them. An agent of the same name at another
@@ -124,7 +125,10 @@
 			const bool crashed = !known || !before.draining;
 			if (crashed && table_.placed.contains(life))
 				peer.worker.crashed = now;
-			lose_worker({life, known ? before.heard : std::nullopt}, crashed, "restarted", now);
+			lost_worker lost{life, known ? before.heard : std::nullopt, {}, {}};
+			if (told.life == life)
+				lost = told;
+			lose_worker(std::move(lost), crashed, "restarted", now);
 		}
 	}
 
@@ -141,7 +145,7 @@
 		{
 			const auto* peer = peer_of(life);
 			const bool crashed = peer != nullptr && !peer->worker.responsive && !peer->worker.draining;
-			lose_worker({life, crashed ? peer->worker.heard : std::nullopt}, crashed, "lease over", now);
+			lose_worker({life, crashed ? peer->worker.heard : std::nullopt, {}, {}}, crashed, "lease over", now);
 		}
 	}
 
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -96,7 +96,8 @@
 			const auto before = std::exchange(worker, {});
 			worker.life = life;
 			agent_beside_[life] = {peer.name(), to_string(peer.where())};
-			lose_earlier_lives(peer, before, now);
+			const auto told = report.__isset.lost ? from_wire(report.lost, now) : lost_worker{};
+			lose_earlier_lives(peer, before, told, now);
 			wake();
 		}
 		worker.heard = now - millis{report.unheard_ms};
--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -23,6 +23,8 @@
 
 #include <trailjunction/core/units.hpp>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -163,6 +165,9 @@
 		std::optional<instant> heard; ///< When it last answered its agent, as far as is known.
 		/// Other workers that are silent since the same instant and not known to have crashed yet.
 		std::vector<worker_life> silent_beside;
+		/// What its agent told of the runs that it had: also to an owner that is new, and without the time for which an
+		/// order waited for the store.
+		absl::flat_hash_map<task_run, crash_age> told;
 	};
 
 	/// \brief How long a run had been on a worker when that crashed; 0 where its order's time is not known.
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -157,9 +157,18 @@
 			return between(task.since, *worker.heard);
 		}
 
+		/// What the agent told of a run that was lost, or nothing.
+		const crash_age* told_age(const task_run& what, const lost_worker& worker)
+		{
+			const auto found = worker.told.find(what);
+			return found == worker.told.end() ? nullptr : &found->second;
+		}
+
 		/// What is certain of a run's age at the crash of its worker.
-		crash_age known_age(const job_task& task, const lost_worker& worker)
+		crash_age known_age(const task_run& what, const job_task& task, const lost_worker& worker)
 		{
+			if (const auto* told = told_age(what, worker))
+				return *told;
 			crash_age out{confirmed_age(task, worker).value_or(millis{0}), std::nullopt};
 			if (worker.heard && task.ordered != instant{})
 				out.soonest = between(task.ordered, *worker.heard);
@@ -167,22 +176,32 @@
 		}
 
 		/// As age_at_crash(), and after a change of the owner as far as its successor can tell.
-		std::optional<millis> age_of_run(const job_task& task, const lost_worker& worker, const crash_policy& policy)
+		std::optional<millis> age_of_run(const task_run& what, const job_task& task, const lost_worker& worker,
+										 const crash_policy& policy)
 		{
+			const auto within = [&](millis age)
+			{
+				return age > policy.longest_age ? std::nullopt : std::optional{age};
+			};
+			if (const auto* told = told_age(what, worker))
+				return within(told->soonest.value_or(told->survived));
 			const auto age = age_at_crash(task.ordered, worker, policy);
 			const bool is_known = worker.heard && task.ordered != instant{};
 			if (is_known || !age)
 				return age;
-			const auto confirmed = confirmed_age(task, worker).value_or(millis{0});
-			return confirmed > policy.longest_age ? std::nullopt : std::optional{confirmed};
+			return within(confirmed_age(task, worker).value_or(millis{0}));
 		}
 
 		/// What a run weighs by its age. Where nobody knows when it began, a worker's confirmation tells the least that
 		/// its age was.
-		double weight_by_age(const job_task& task, millis age, const lost_worker& worker, const crash_policy& policy)
+		double weight_by_age(const job_task& task, const lost_run& lost, const lost_worker& worker,
+							 const crash_policy& policy)
 		{
-			const bool is_known = task.ordered != instant{} && (worker.heard || task.phase == task_stage::ordered);
-			const auto weight = weight_at(age, policy);
+			const auto* told = told_age(lost.what, worker);
+			const bool is_told = told != nullptr && told->soonest;
+			const bool is_known =
+				is_told || (task.ordered != instant{} && (worker.heard || task.phase == task_stage::ordered));
+			const auto weight = weight_at(*lost.age, policy);
 			return is_known ? weight : std::min(weight, policy.unknown_age_weight);
 		}
 
@@ -206,7 +225,7 @@
 							   const crash_policy& policy)
 		{
 			const auto& task = job.tasks[place_of(job, lost.what.task)];
-			const auto at_age = weight_by_age(task, *lost.age, worker, policy);
+			const auto at_age = weight_by_age(task, lost, worker, policy);
 			const bool survived = has_survived(job, lost.what.task, worker, policy);
 			return at_age * (1.0 + policy.repeat_gain * task.crashes.blame) * (survived ? policy.survived_factor : 1.0);
 		}
@@ -267,8 +286,8 @@
 			lost_run lost{{key, task.run}, suspicion_there(*find_job(table, key.job), key)};
 			if (crashed)
 			{
-				lost.age = age_of_run(task, worker, policy);
-				lost.known = known_age(task, worker);
+				lost.age = age_of_run(lost.what, task, worker, policy);
+				lost.known = known_age(lost.what, task, worker);
 				lost.heard = worker.heard;
 				lost.silent_beside = worker.silent_beside;
 			}
@@ -308,7 +327,7 @@
 			return end_effect::ignored;
 		auto& job = *find_job(table, lost.what.task.job);
 		if (lost.heard)
-			(void)note_crash_of(table, {worker, lost.heard, {}}, policy);
+			(void)note_crash_of(table, {worker, lost.heard, {}, {}}, policy);
 		count_crash(table, job, *task, worker, lost, policy);
 		const auto effect = end_run(table, lost.what, run_outcome::lapsed, "", now);
 		// Members of a gang never start alone, and are judged together.
--- a/packages/wire/include/trailjunction/wire/job_messages.hpp
+++ b/packages/wire/include/trailjunction/wire/job_messages.hpp
@@ -22,6 +22,11 @@
 	[[nodiscard]] wire::job_refusal to_wire(const refused_run& refusal);
 	[[nodiscard]] refused_run from_wire(const wire::job_refusal& refusal);
 
+	/// \brief What an agent tells of a worker's incarnation that has gone, and what its owner makes of it.
+	/// \param now When the message is made, or has come; times travel as ages.
+	[[nodiscard]] wire::job_lost_worker to_wire(const lost_worker& worker, instant now);
+	[[nodiscard]] lost_worker from_wire(const wire::job_lost_worker& worker, instant now);
+
 	/// \brief A message about jobs, ready to be sent.
 	[[nodiscard]] wire::envelope to_envelope(wire::job_claim claim);
 	[[nodiscard]] wire::envelope to_envelope(wire::job_start order);
--- a/packages/wire/src/job_messages.cpp
+++ b/packages/wire/src/job_messages.cpp
@@ -51,6 +51,36 @@
 		return {end.number, from_wire(end.what), static_cast<run_outcome>(end.how), end.checkpoint};
 	}
 
+	wire::job_lost_worker to_wire(const lost_worker& worker, instant now)
+	{
+		wire::job_lost_worker out;
+		out.worker = worker.life.str();
+		out.unheard_ms = std::chrono::duration_cast<millis>(now - worker.heard.value_or(now)).count();
+		for (const auto& [what, age] : worker.told)
+		{
+			wire::job_lost_run run;
+			run.what = to_wire(what);
+			run.worked_ms = age.survived.count();
+			if (age.soonest)
+				run.__set_ordered_ms(age.soonest->count());
+			out.runs.push_back(std::move(run));
+		}
+		return out;
+	}
+
+	lost_worker from_wire(const wire::job_lost_worker& worker, instant now)
+	{
+		lost_worker out{worker_life{worker.worker}, now - millis{worker.unheard_ms}, {}, {}};
+		for (const auto& run : worker.runs)
+		{
+			crash_age age{millis{run.worked_ms}, std::nullopt};
+			if (run.__isset.ordered_ms)
+				age.soonest = millis{run.ordered_ms};
+			out.told.emplace(from_wire(run.what), age);
+		}
+		return out;
+	}
+
 	wire::job_refusal to_wire(const refused_run& refusal)
 	{
 		wire::job_refusal out;
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -303,6 +303,22 @@
 	2: start_refusal why,
 }
 
+/** A run that a worker had when it crashed, or may have had. */
+struct job_lost_run
+{
+	1: task_run what,
+	2: i64 worked_ms,           // from the worker's confirmation to its last answer, at least
+	3: optional i64 ordered_ms, // from the order to the last answer, where the agent had the order
+}
+
+/** The incarnation of the worker that was there before the present one. */
+struct job_lost_worker
+{
+	1: string worker,
+	2: i64 unheard_ms,          // since its last answer
+	3: list<job_lost_run> runs,
+}
+
 /** Agent to entry: what has changed since the report before; everything where full is set. */
 struct job_report
 {
@@ -322,6 +338,7 @@
 	14: i32 pace_percent,       // of the fillers
 	15: bool lease_ends,        // the agent is about to go: it extends the lease of its worker's runs no more
 	16: i64 unheard_ms,         // since the worker's last answer
+	17: optional job_lost_worker lost, // where full is set, and in the first report of an incarnation
 }
 
 /** What a frame holds: exactly one member. */
--- a/tests/crashing_fleet.cpp
+++ b/tests/crashing_fleet.cpp
@@ -69,7 +69,7 @@
 		explicit fleet(const fleet_options& options) : options_{options}, dice_{options.seed}
 		{
 			for (int i = 0; i < options.workers; ++i)
-				workers_.push_back({absl::StrCat("w", i), 0, start, start, false});
+				workers_.push_back({absl::StrCat("w", i), 0, start, start, false, {}});
 			for (int i = 0; i < options.harmful; ++i)
 				harmful_.insert(absl::StrCat("harm", i));
 		}
@@ -104,6 +104,7 @@
 			instant back{};
 			instant heard{}; ///< The last answer.
 			bool crashed{};
+			absl::flat_hash_map<task_run, crash_age> told; ///< By its agent, of the runs that it lost.
 		};
 		struct run
 		{
@@ -133,7 +134,7 @@
 			wave_.insert(all.begin(), all.end());
 		}
 
-		/// The next owner knows what the store keeps, and nothing of when workers answered before.
+		/// The next owner knows what the store keeps and what agents tell.
 		void change_owner()
 		{
 			job_table next;
@@ -145,7 +146,6 @@
 			}
 			next.ended = table_.ended;
 			table_ = std::move(next);
-			owner_since_ = now_;
 		}
 
 		static worker_life life_of(const worker& one)
@@ -231,6 +231,12 @@
 			for (const auto& each : runs)
 				if (!harmful_.contains(each.what.task.job.str()))
 					out_.work_lost += seconds(now_ - each.began);
+			one.told.clear();
+			for (const auto& each : runs)
+			{
+				const auto age = std::max(millis{0}, std::chrono::duration_cast<millis>(one.heard - each.began));
+				one.told[each.what] = {age, age};
+			}
 			runs.clear();
 			one.crashed = true;
 			one.back = now_ + away;
@@ -248,12 +254,7 @@
 
 		void come_back(worker& one)
 		{
-			lost_worker lost{life_of(one), std::nullopt, {}};
-			if (one.heard >= owner_since_)
-			{
-				lost.heard = one.heard;
-				lost.silent_beside = silent_beside(one);
-			}
+			lost_worker lost{life_of(one), one.heard, silent_beside(one), one.told};
 			for (const auto& each : runs_lost_with(table_, lost, true, options_.policy))
 				(void)lose_run(table_, each, lost.life, options_.policy, now_);
 			runs_.erase(lost.life);
@@ -313,7 +314,6 @@
 		std::map<std::string, int> starts_;
 		bool power_loss_{};
 		std::set<const worker*> wave_; ///< Workers that crash in this step.
-		instant owner_since_{};
 		fleet_figures out_;
 	};
 
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -232,6 +232,38 @@
 	CHECK(it.runs.report(true).worker == "life-2");
 }
 
+TEST_CASE("the next incarnation's reports tell which runs the one before had, and for how long", "[jobs]")
+{
+	// A new owner knew of no age, and counted each such crash as one that followed on a start.
+	scene it;
+	it.lines.on_list = []
+	{
+		return listing_result{{order_end::done, 1'000}, {{{some_run, "", 10, 0}}, {}}};
+	};
+	it.order_start();
+	REQUIRE(it.run_until_told());
+	const auto lists = it.lines.lists;
+	REQUIRE(it.run_until([&] { return it.lines.lists > lists + 3; }));
+	it.lines.life = "life-2";
+	it.runs.worker_seen(heartbeat_of("life-2"));
+	wire::job_report first;
+	REQUIRE(it.run_until(
+		[&]
+		{
+			if (first.worker != "life-2")
+				first = it.runs.report(false);
+			return first.worker == "life-2";
+		}));
+	REQUIRE(first.__isset.lost);
+	CHECK(first.lost.worker == "life-1");
+	REQUIRE(first.lost.runs.size() == 1);
+	CHECK(from_wire(first.lost.runs[0].what) == some_run);
+	CHECK(first.lost.runs[0].__isset.ordered_ms);
+	CHECK(first.lost.runs[0].worked_ms <= first.lost.runs[0].ordered_ms);
+	CHECK_FALSE(it.runs.report(false).__isset.lost);
+	CHECK(it.runs.report(true).lost.worker == "life-1"); // to a new owner
+}
+
 TEST_CASE("a late heartbeat of an incarnation that has gone changes nothing", "[jobs]")
 {
 	scene it;
--- a/tests/shared_crashes.cpp
+++ b/tests/shared_crashes.cpp
@@ -62,7 +62,7 @@
 	void crash_others(job_table& table, int wave, int count, instant now)
 	{
 		for (int i = 0; i < count; ++i)
-			crash(table, {other_life(wave, i), now, {}}, now);
+			crash(table, {other_life(wave, i), now, {}, {}}, now);
 	}
 
 	/// From a crash to the next start: another instant, and within the patience of a task that is to start alone.
@@ -81,7 +81,7 @@
 		std::vector<worker_life> silent;
 		for (int i = 0; when == learnt::first_with_silence && i < others; ++i)
 			silent.push_back(other_life(wave, i));
-		crash(table, {life, down, std::move(silent)}, down);
+		crash(table, {life, down, std::move(silent), {}}, down);
 		if (when != learnt::last)
 			crash_others(table, wave, others, down);
 	}
@@ -164,7 +164,7 @@
 		if (new_owners)
 			table = successor_of(table, began);
 		for (std::uint32_t i = 0; i < count; ++i)
-			crash(table, {life_of(i), down, {}}, down);
+			crash(table, {life_of(i), down, {}, {}}, down);
 	}
 	CHECK(starts <= static_cast<int>(policy.most_crashes_beside_others));
 	if (age <= policy.prompt)
@@ -183,7 +183,7 @@
 		(void)assign(table, some_task, life, began);
 		const auto down = began + (starts % 2 == 0 ? millis{3'000} : millis{10});
 		crash_others(table, starts, 3, down);
-		crash(table, {life, down, {}}, down);
+		crash(table, {life, down, {}, {}}, down);
 	}
 	CHECK(starts <= static_cast<int>(policy.most_crashes_beside_others));
 }
@@ -207,3 +207,29 @@
 	CHECK(table.crashes.latest.size() == 1);
 	CHECK(find_task(table, some_task)->crashes.workers.empty());
 }
+
+TEST_CASE("an owner that is new judges by the ages that agents tell", "[jobs]")
+{
+	auto table = table_of(1);
+	for (int wave = 0; wave < 8; ++wave)
+	{
+		const auto began = find_task(table, some_task)->since + restart_pause;
+		const auto what = assign(table, some_task, worker_life{"w" + std::to_string(wave)}, began);
+		const auto age = wave == 0 ? millis{8'000} : millis{900};
+		const auto down = began + age;
+		table = successor_of(table, down);
+		crash_others(table, wave, 3, down);
+		crash(table, {find_task(table, some_task)->worker, down, {}, {{what, {age - millis{100}, age}}}}, down);
+	}
+	CHECK_FALSE(is_given_up(table));
+	CHECK(find_task(table, some_task)->crashes.survived == millis{7'900});
+}
+
+TEST_CASE("the time for which an order waited for the store is not part of a run's age", "[jobs]")
+{
+	auto table = table_of(1);
+	const auto what = assign(table, some_task, worker_life{"w"}, start);
+	const auto down = start + millis{5'000};
+	crash(table, {worker_life{"w"}, down, {}, {{what, {millis{0}, millis{20}}}}}, down);
+	CHECK(find_task(table, some_task)->crashes.longest_age == millis{20});
+}
