Owner: a worker's next incarnation is stored with the last job that the crash changed, not before

Callers saw: nothing yet; found by reading, provoked now. After a crash that changes more than one transaction holds, an owner that died between two of them left a successor which knew of no crash: nobody is blamed, and a task that crashes its workers starts once more. Cause: rows of workers went into each transaction with room, also while jobs of the same crash waited for the next one. Evidence: with 16 jobs of 50 KB the incarnation was stored beside 10 of them (10 == 16 in the new test on the code before). With 90 small rows it was not, since those take all entries of a transaction; so the bound by bytes was the one that failed. Change: rows of workers go into a transaction that leaves no job unsaved. The next incarnation's runs are stored later by as much.

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -263,6 +263,10 @@
 
 	void job_term::add_workers(batch& out)
 	{
+		// A successor finds out from the stored incarnation which runs were lost with it. So the next one is stored no
+		// earlier than the last job that the loss changed.
+		if (!table_.unsaved.empty())
+			return;
 		for (const auto& [name, peer] : peers_)
 		{
 			if (out.saved.size() + out.workers == most_rows)
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -382,3 +382,51 @@
 	gateway.note_store(true, start + millis{950});
 	CHECK(gateway.is_ready(start + millis{2'000}));
 }
+
+TEST_CASE("a worker's next incarnation is stored no earlier than the last job that the crash before it changed",
+		  "[jobs]")
+{
+	// A transaction takes so many bytes. An owner that died after the one with the incarnation left a successor which
+	// knew of no crash.
+	constexpr int jobs = 16;
+	scene it;
+	it.begin();
+	for (int i = 0; i < jobs; ++i)
+		it.submit(absl::StrFormat("%016x", 0xb0 + i), one_task());
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == jobs; }));
+	auto report = report_of("life-1");
+	for (const auto& order : it.agent.starts)
+	{
+		wire::job_run run;
+		run.what = order.what;
+		run.checkpoint = std::string(50'000, 'c');
+		report.running.push_back(std::move(run));
+	}
+	const auto confirms = it.agent.confirms.size();
+	it.agent.send(std::move(report));
+	REQUIRE(it.run_until([&] { return it.agent.confirms.size() > confirms; }));
+	const auto before = it.store.asked.size();
+	it.agent.send(report_of("life-2"));
+	absl::flat_hash_set<std::string> saved; // when the incarnation is
+	const auto stores_incarnation = [&](const row_change& change)
+	{
+		bool any = false;
+		for (const auto& row : change.put)
+		{
+			any = any || (row.name.table == workers_table && decode_worker(row.value)->life == "life-2");
+			if (row.name.table == progress_table)
+				saved.insert(row.name.key);
+		}
+		return any;
+	};
+	auto next = before;
+	bool stored = false;
+	REQUIRE(it.run_until(
+		[&]
+		{
+			for (; !stored && next < it.store.asked.size(); ++next)
+				stored = stores_incarnation(it.store.asked[next]);
+			return stored;
+		}));
+	CHECK(saved.size() == jobs);
+}
