Owner: one that alone hears nothing of submissions gives the row up

Callers saw: nothing yet; found by reading, provoked now. An owner whose feed of submissions is silent starts nothing after 3 s (E445) and kept the row for as long as the store took its renewals, so no job of anybody began. Cause: only the loop's own lateness let an owner hand on. Change: being behind on submissions for 3 s more, while the store answers the owner's transactions, does too, under the same bound of one hand-over a minute. Where the store answers nothing it keeps the row.

--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -261,6 +261,7 @@
 		bool renewing_{}; ///< A renewal while loading is under way.
 		bool told_behind_{};
 		owner_lag lag_;
+		owner_lag deaf_; ///< It hears nothing of submissions, though the store answers it.
 		bool handed_on_{};
 		std::int64_t agents_version_{};
 		boost::asio::steady_timer work_;
--- a/packages/entry/src/process/job_term_load.cpp
+++ b/packages/entry/src/process/job_term_load.cpp
@@ -20,6 +20,8 @@
 		/// An owner whose knowledge of cancellations is older than this starts nothing: a run that it starts now may
 		/// begin 1.5 s later, and nothing may begin 5 s after its job was cancelled.
 		constexpr auto cancellations_age = millis{3'000};
+		/// The row is renewed more often than this where the store answers its owner.
+		constexpr auto store_is_there = millis{1'000};
 	}
 
 	bool job_term::knows_latest(millis age, instant now) const noexcept
@@ -61,12 +63,18 @@
 	void job_term::hand_on_if_behind(std::chrono::nanoseconds lag, instant now)
 	{
 		note_lag(lag_, lag, handing_on, now);
+		// Where the store answers nothing at all, nobody else would hear more.
+		const bool store_answers = now - committed_ <= store_is_there;
+		note_behind(deaf_, store_answers && !knows_latest(cancellations_age, now), now);
 		const auto last_ms = owned_.row.handed_on_ms;
 		const auto since_last = last_ms > 0 ? std::optional{millis{store_now_ms(now) - last_ms}} : std::nullopt;
-		if (over_ || releasing_ || !should_hand_on(lag_, since_last, handing_on, now))
+		const bool is_deaf = should_hand_on(deaf_, since_last, handing_on, now);
+		if (over_ || releasing_ || (!is_deaf && !should_hand_on(lag_, since_last, handing_on, now)))
 			return;
 		log_event(event::owner_handed_on,
-				  {{"epoch", owned_.row.epoch}, {"lag_ms", std::chrono::duration_cast<millis>(lag).count()}});
+				  {{"epoch", owned_.row.epoch},
+				   {"lag_ms", std::chrono::duration_cast<millis>(lag).count()},
+				   {"feed_age_ms", std::chrono::duration_cast<millis>(now - fed_until_).count()}});
 		owned_.row.handed_on_ms = store_now_ms(now);
 		handed_on_ = true;
 		release();
--- a/packages/jobs/include/trailjunction/jobs/ownership.hpp
+++ b/packages/jobs/include/trailjunction/jobs/ownership.hpp
@@ -81,7 +81,7 @@
 		millis rest{5'000};
 	};
 
-	/// \brief How an owner keeps up.
+	/// \brief How an owner keeps up: with its own timers, or with what the store tells.
 	struct owner_lag
 	{
 		std::optional<instant> behind_since; ///< Nothing: it is not behind.
@@ -90,6 +90,9 @@
 	/// \brief Takes in how late a timer of the owner's loop was.
 	void note_lag(owner_lag& known, std::chrono::nanoseconds lag, const handover_policy& policy, instant now) noexcept;
 
+	/// \brief Takes in whether the owner is behind.
+	void note_behind(owner_lag& known, bool behind, instant now) noexcept;
+
 	/// \brief Whether an owner should give the row up.
 	/// \param since_last Since anybody did so last; nothing: nobody did.
 	[[nodiscard]] bool should_hand_on(const owner_lag& known, std::optional<millis> since_last,
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -58,10 +58,15 @@
 
 	void note_lag(owner_lag& known, std::chrono::nanoseconds lag, const handover_policy& policy, instant now) noexcept
 	{
-		if (lag <= policy.most_lag)
-			known.behind_since.reset();
-		else
+		note_behind(known, lag > policy.most_lag, now);
+	}
+
+	void note_behind(owner_lag& known, bool behind, instant now) noexcept
+	{
+		if (behind)
 			known.behind_since = known.behind_since.value_or(now);
+		else
+			known.behind_since.reset();
 	}
 
 	bool should_hand_on(const owner_lag& known, std::optional<millis> since_last, const handover_policy& policy,
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -430,3 +430,28 @@
 		}));
 	CHECK(saved.size() == jobs);
 }
+
+TEST_CASE("an owner that alone hears nothing of submissions gives the row up", "[jobs]")
+{
+	scene it;
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	it.store.faults.silence_feeds = true;
+	REQUIRE(it.run_until([&] { return it.worked; }));
+	const auto row = decode_ownership(it.store.value(job_partition, owner_table, owner_key));
+	REQUIRE(row.ok());
+	CHECK(row->released);
+	CHECK(it.term->handed_on());
+}
+
+TEST_CASE("an owner keeps the row while the store answers nobody", "[jobs]")
+{
+	scene it;
+	it.begin();
+	REQUIRE(it.run_until([&] { return !it.agent.confirms.empty(); }));
+	it.store.faults.silence_feeds = true;
+	it.store.faults.hold_commits = true;
+	const auto end = steady_now() + std::chrono::seconds{8};
+	(void)it.run_until([&] { return it.worked || steady_now() > end; });
+	CHECK_FALSE(it.term->handed_on());
+}
