Gangs: a run's failure and its crash count once, though the owner changes between two ends

Callers saw: nothing yet; found by reading, provoked now. Two members of one run end `failed`, the owner changes between the two ends, and the gang loses two of its attempts; with two attempts its job is shown as `failed` after one run. The same for crashes. Cause: which run was counted was known to the process alone. Evidence: the new test showed two failures and two crashes for one run on the code before (2 == 1, and the job over).

--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -40,10 +40,10 @@
 		instant since{};            ///< Of the present phase; of this process only.
 		instant ordered{};          ///< When the latest run was given to its worker; of this process only.
 		worker_life failed_on;      ///< Where the latest failure was; of this process only.
-		std::uint32_t failed_run{}; ///< The latest run whose failure is counted; of this process only.
+		std::uint32_t failed_run{}; ///< The latest run whose failure is counted.
 		crash_record crashes;       ///< Of a gang: what its members share.
 		suspicion started{suspicion::none}; ///< How the latest run was started; of this process only.
-		std::uint32_t crashed_run{};        ///< The latest run whose crash is counted; of this process only.
+		std::uint32_t crashed_run{};        ///< The latest run whose crash is counted.
 		std::int64_t figure{};              ///< The worker's last measure; see job_run in wire.thrift.
 		instant stop_ordered{}; ///< When its worker was last told to stop the latest run; of this process only.
 		bool at_work{};         ///< Its worker says that the latest run serves; of lasting tasks alone.
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -61,6 +61,8 @@
 	10: list<i32> crash_shared, // those of crashed that went down together with others; indexes like those
 	11: i64 crash_survived_ms,  // for how long at least a run had worked when its worker crashed
 	12: optional i64 crash_soonest_ms, // for how long at most one had been there then, where that is known
+	13: i32 failed_run,         // the latest run whose failure is counted
+	14: i32 crashed_run,        // the latest run whose crash is counted
 }
 
 /** How far a job is; written by the owner of its shard only. */
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -206,6 +206,8 @@
 			for (const auto& worker : from.crashes.shared)
 				to.crash_shared.push_back(index_of(row.workers, worker));
 			to.crash_blame_ppm = std::llround(from.crashes.blame * blame_ppm);
+			to.failed_run = static_cast<std::int32_t>(from.failed_run);
+			to.crashed_run = static_cast<std::int32_t>(from.crashed_run);
 			to.crash_survived_ms = from.crashes.survived.count();
 			if (from.crashes.soonest)
 				to.__set_crash_soonest_ms(from.crashes.soonest->count());
@@ -232,6 +234,8 @@
 				to.phase = task_stage::ordered;
 			to.run = static_cast<std::uint32_t>(from.run);
 			to.failures = static_cast<std::uint32_t>(from.failures);
+			to.failed_run = static_cast<std::uint32_t>(from.failed_run);
+			to.crashed_run = static_cast<std::uint32_t>(from.crashed_run);
 			to.checkpoint = from.checkpoint;
 			to.since = now;
 			auto crashes = crashes_from(*row, from);
--- a/tests/jobs.cpp
+++ b/tests/jobs.cpp
@@ -150,6 +150,34 @@
 	}
 }
 
+TEST_CASE("a gang's failure and its crash count once a run, though the owner changes between two ends", "[jobs]")
+{
+	job_table table;
+	add_job(table, job_of("a", {gang_of(2, 1'000)}, 2));
+	const auto runs = assign_gang(table, "a", 2);
+	const bool crashes = GENERATE(false, true);
+	const crash_policy policy;
+	const auto end = [&](const task_run& run)
+	{
+		if (!crashes)
+			return end_run(table, run, run_outcome::failed, "", start);
+		lost_run lost{run};
+		lost.age = millis{0};
+		return lose_run(table, lost, find_task(table, run.task)->worker, policy, start);
+	};
+	CHECK(end(runs[0]) == end_effect::recorded);
+	auto successor = job_of("a", {gang_of(2, 1'000)}, 2);
+	REQUIRE(decode_progress(successor, encode_progress(*find_job(table, job_id{"a"})), start).ok());
+	table = {};
+	add_job(table, std::move(successor));
+	CHECK(end(runs[1]) == end_effect::recorded);
+	for (std::uint32_t i = 0; i < 2; ++i)
+	{
+		CHECK(find_task(table, {job_id{"a"}, 0, 0, i})->failures == (crashes ? 0 : 1));
+		CHECK(find_task(table, {job_id{"a"}, 0, 0, i})->crashes.workers.size() == (crashes ? 1 : 0));
+	}
+}
+
 TEST_CASE("a gang fails once a run, and is done with its first member's end", "[jobs]")
 {
 	job_table table;
