Waves: whose upkeep a list shows is for the service to say

Operators saw: nothing yet; found by reading, provoked now. An instance that somebody took down by hand, while our own order to it was in doubt, counted as having had its wave's upkeep, and the wave was called completed without it. Cause: a list that shows an ordered instance in upkeep was taken for the answer to the order. Change: the order is repeated until the service answers that it is carried out; its worker counts as gone by the list as before. Evidence: on the code before the new test's wave was completed with no upkeep of it begun.

--- a/packages/jobs/src/upkeep_progress.cpp
+++ b/packages/jobs/src/upkeep_progress.cpp
@@ -95,12 +95,9 @@
 				give_back(one, now);
 				return true;
 			}
+			// Whose upkeep the list shows is for the service to say: the order is repeated until it does.
 			if (one.stage == upkeep_stage::ordered && one.seen_in_upkeep && list.asked > one.since)
-			{
-				enter(one, upkeep_stage::down, list.asked);
 				one.worker_gone = true;
-				return true;
-			}
 			return false;
 		}
 
--- a/tests/upkeep_wave.cpp
+++ b/tests/upkeep_wave.cpp
@@ -275,6 +275,38 @@
 	CHECK(it.completed_with == 1);
 }
 
+TEST_CASE("an instance that somebody else takes down has not had its wave's upkeep for that", "[jobs][upkeep]")
+{
+	// While the order was in doubt, a list that showed the instance in upkeep was taken for its answer.
+	fleet it{1, 1};
+	it.lost_percent = 200; // each order is lost, none is carried out late
+	it.round();
+	it.round();
+	REQUIRE(it.waves[0].instances[0].stage == upkeep_stage::ordered);
+	it.machines["m0"].back = it.now + upkeep.lasts;
+	++it.machines["m0"].life;
+	for (int i = 0; i < 20; ++i)
+		it.round();
+	CHECK_FALSE(it.completed_with);
+	CHECK(may_be_down(it.waves[0]) == 1);
+	it.lost_percent = 0;
+	for (int i = 0; i < 40 && !it.completed_with; ++i)
+		it.round();
+	CHECK(it.completed_with == 1);
+}
+
+TEST_CASE("the worker that went down in a doubtful upkeep is known to be gone", "[jobs][upkeep]")
+{
+	fleet it{1, 1};
+	it.lost_percent = 200;
+	it.round();
+	it.round();
+	(void)it.carry_out("m0");
+	it.pass(millis{100});
+	it.read_list();
+	CHECK(take_gone_workers(it.waves[0]) == std::vector{first_worker});
+}
+
 TEST_CASE("a list that was asked for before the answer does not say that an upkeep is over", "[jobs][upkeep]")
 {
 	fleet it{1, 1};
