Waves: an instance that returns after its wave was completed gets its upkeep

Operators saw: nothing yet; found by reading, provoked now. An instance that lists left out for 12 s counts as gone; one that came back after its wave was completed never got its upkeep, and the status stayed `completed`. Cause: completed waves were not looked at again. Change: while a completed wave stands and has an instance that is gone, a list is read every 10 s; where the instance is there again the wave goes on, and its status says `running` until it is done. Evidence: the new test's wave stayed completed on the code before. Cost: a reading of a list each 10 s, only for such waves.

--- a/packages/entry/src/upkeep/upkeep_duty.cpp
+++ b/packages/entry/src/upkeep/upkeep_duty.cpp
@@ -14,6 +14,8 @@
 
 	namespace
 	{
+		/// An instance that was taken for gone, and is not, is found after so long. It gets its upkeep then.
+		constexpr auto look_for_returned_every = millis{10'000};
 		constexpr const char* waves_table = "upkeep_waves"; ///< Progress by wave, in the owner's partition.
 
 		/// Waves last tens of seconds. Reading their rows costs half a call a second; following them would cost two.
@@ -105,6 +107,12 @@
 		return std::any_of(waves_.begin(), waves_.end(), [](const wave_progress& one) { return !one.completed; });
 	}
 
+	bool upkeep_duty::should_look_for_returned(instant now) const noexcept
+	{
+		return now - list_.asked >= look_for_returned_every &&
+			   std::any_of(waves_.begin(), waves_.end(), [](const wave_progress& one) { return has_gone(one); });
+	}
+
 	asio::awaitable<void> upkeep_duty::read_requests()
 	{
 		if (steady_now() - requests_read_ < read_requests_every)
@@ -228,6 +236,8 @@
 			const auto before = wave;
 			if (note_list(wave, list_, policy_, steady_now()))
 				changed(wave.wave.id);
+			if (before.completed && !wave.completed)
+				statuses_[wave.wave.id].running_written = statuses_[wave.wave.id].completed_written = false;
 			tell_changes(before, wave);
 			for (const auto& worker : take_gone_workers(wave))
 				host_.lost(worker);
@@ -374,8 +384,8 @@
 			co_await read_requests();
 			if (host_.is_over())
 				co_return;
-			bool listed = false; // apart from its use: GCC 12 mistakes a co_await behind &&
-			if (has_work())
+			bool listed = false;
+			if (has_work() || should_look_for_returned(steady_now()))
 				listed = co_await read_list();
 			if (listed)
 				co_await take_steps();
--- a/packages/entry/src/upkeep/upkeep_duty.hpp
+++ b/packages/entry/src/upkeep/upkeep_duty.hpp
@@ -94,6 +94,8 @@
 		void tell_changes(const wave_progress& before, const wave_progress& after);
 		void changed(const wave_id& wave);
 		[[nodiscard]] bool has_work() const noexcept;
+		/// Whether lists are to be read for instances of completed waves that were taken for gone.
+		[[nodiscard]] bool should_look_for_returned(instant now) const noexcept;
 		[[nodiscard]] wave_progress* find_wave(const wave_id& id) noexcept;
 
 		boost::asio::io_context& io_;
--- a/packages/jobs/include/trailjunction/jobs/upkeep_wave.hpp
+++ b/packages/jobs/include/trailjunction/jobs/upkeep_wave.hpp
@@ -79,7 +79,7 @@
 		std::int64_t asked_ms{}; ///< When an owner learnt of it first, by the store's clock.
 		instant asked{};         ///< The same by the clock of this process.
 		bool withdrawn{};        ///< Nothing more is begun; kept until all orders are settled.
-		bool completed{};        ///< For good.
+		bool completed{};        ///< Until an instance is there again that was gone.
 	};
 
 	/// \brief What an instance does, as the service that runs instances says.
@@ -173,7 +173,8 @@
 	/// \brief Whether a withdrawn wave may be forgotten.
 	[[nodiscard]] bool is_settled(const wave_progress& progress) noexcept;
 
-	/// \brief Takes in a list. \returns Whether anything changed that has to be kept.
+	/// \brief Takes in a list. A completed wave goes on where an instance is there again that was gone.
+	/// \returns Whether anything changed that has to be kept.
 	bool note_list(wave_progress& progress, const instance_list& list, const upkeep_policy& policy, instant now);
 
 	/// \brief Workers that a list after their upkeep's order shows to be there no more; each is told once.
@@ -189,6 +190,9 @@
 	/// \brief Whether each instance of the wave that is still there has had its upkeep.
 	[[nodiscard]] bool is_completed(const wave_progress& progress) noexcept;
 
+	/// \brief Whether the wave goes on without an instance that lists leave out.
+	[[nodiscard]] bool has_gone(const wave_progress& progress) noexcept;
+
 	/// \brief Instances that may be down for their upkeep, by what may have been ordered and by the latest list.
 	[[nodiscard]] std::uint32_t may_be_down(const wave_progress& progress) noexcept;
 
--- a/packages/jobs/src/upkeep_progress.cpp
+++ b/packages/jobs/src/upkeep_progress.cpp
@@ -249,6 +249,7 @@
 			const bool settled = unwanted && settle(one, list, now);
 			changed = changed || moved || settled;
 		}
+		progress.completed = progress.completed && is_completed(progress);
 		const auto before = progress.instances.size();
 		drop_settled(progress);
 		return changed || progress.instances.size() != before;
@@ -305,6 +306,12 @@
 						   { return one.stage == upkeep_stage::done || one.stage == upkeep_stage::gone; });
 	}
 
+	bool has_gone(const wave_progress& progress) noexcept
+	{
+		return std::any_of(progress.instances.begin(), progress.instances.end(),
+						   [](const instance_upkeep& one) { return one.stage == upkeep_stage::gone; });
+	}
+
 	std::uint32_t may_be_down(const wave_progress& progress) noexcept
 	{
 		return static_cast<std::uint32_t>(std::count_if(progress.instances.begin(), progress.instances.end(),
--- a/tests/upkeep_wave.cpp
+++ b/tests/upkeep_wave.cpp
@@ -307,6 +307,23 @@
 	CHECK(take_gone_workers(it.waves[0]) == std::vector{first_worker});
 }
 
+TEST_CASE("an instance that returns after its wave was completed gets its upkeep", "[jobs][upkeep]")
+{
+	fleet it{2, 2};
+	it.machines["m1"].there = false;
+	for (int i = 0; i < 100 && !it.completed_with; ++i)
+		it.round();
+	REQUIRE(it.completed_with == 1);
+	it.waves[0].completed = true;
+	REQUIRE(has_gone(it.waves[0]));
+	it.machines["m1"].there = true;
+	it.read_list();
+	CHECK_FALSE(it.waves[0].completed);
+	for (int i = 0; i < 100 && !is_completed(it.waves[0]); ++i)
+		it.round();
+	CHECK(it.machines["m1"].had);
+}
+
 TEST_CASE("a list that was asked for before the answer does not say that an upkeep is over", "[jobs][upkeep]")
 {
 	fleet it{1, 1};
