Coroutines: nothing awaits inside a condition, and a test reads all sources for it

Callers saw: nothing in these places. GCC 12 miscompiled a co_await behind `&&` in the part for waves; three more of that form stood in run_orders.cpp (whether a stop settles a start), and ten awaits in the head of an if. Whether any of them is compiled wrongly was not found out; all thirteen now await first and decide then. Evidence: run over the sources of the test names the thirteen. It reads packages, platform, tests, bench and examples.

--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -146,9 +146,12 @@
 			break;
 		case order_end::superseded:
 			// An earlier order of the same run may have been carried out and have ended; its end then tells how.
-			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
-				refuse(what, start_refusal::superseded, from);
-			break;
+			{
+				const bool listed = co_await wait_for_listing(life);
+				if (listed && !runs_.contains(what) && !has_ended(what))
+					refuse(what, start_refusal::superseded, from);
+				break;
+			}
 		case order_end::unhealthy:
 		case order_end::not_sent:
 			refuse(what, start_refusal::unhealthy, from);
@@ -199,7 +202,8 @@
 				co_await pause_for(io_, worker_retry_pause);
 				continue;
 			}
-			if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
+			const bool listed = co_await wait_for_listing(life);
+			if (listed && !runs_.contains(what) && !has_ended(what))
 			{
 				refuse(what, start_refusal::never_started, {true, by_stop});
 				break;
@@ -235,7 +239,8 @@
 			note_result(result, steady_now());
 			if (result.how == order_end::done || result.how == order_end::superseded)
 			{
-				if (co_await wait_for_listing(life) && !runs_.contains(what) && !has_ended(what))
+				const bool listed = co_await wait_for_listing(life);
+				if (listed && !runs_.contains(what) && !has_ended(what))
 					refuse(what, start_refusal::never_started, {true, by_stop});
 				break;
 			}
--- a/packages/entry/src/process/command_runner.cpp
+++ b/packages/entry/src/process/command_runner.cpp
@@ -441,7 +441,8 @@
 			if (keeper->standing() == shard_standing::owned && !keeper->state().tasks.empty())
 			{
 				const auto id = keeper->state().tasks.begin()->first;
-				if (const auto settled = co_await tasks_.settle(id, call.deadline); !settled.ok())
+				const auto settled = co_await tasks_.settle(id, call.deadline);
+				if (!settled.ok())
 					status = settled;
 			}
 		if (!status.ok())
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -158,7 +158,8 @@
 			auto next = make_batch(now);
 			const auto decided = steady_now();
 			const bool last = releasing_;
-			if (!co_await commit(next))
+			const bool committed = co_await commit(next);
+			if (!committed)
 				break;
 			const auto kept = steady_now();
 			act_on(next, kept);
@@ -212,7 +213,8 @@
 				continue;
 			batch renewal;
 			add_owner_row(renewal, false);
-			if (!co_await commit(renewal))
+			const bool renewed = co_await commit(renewal);
+			if (!renewed)
 				over_ = true;
 		}
 		renewing_ = false;
--- a/packages/entry/src/process/member_keeper.cpp
+++ b/packages/entry/src/process/member_keeper.cpp
@@ -206,9 +206,11 @@
 				note_conflict(end.row);
 				continue;
 			}
-			else if (const auto row = co_await platform_.get(key, steady_now() + interval); row.ok())
+			else
 			{
-				version_ = row->version;
+				const auto row = co_await platform_.get(key, steady_now() + interval);
+				if (row.ok())
+					version_ = row->version;
 			}
 			const auto spent = std::chrono::duration_cast<millis>(steady_now() - before);
 			if (spent < interval)
--- a/packages/entry/src/process/shard_keeper.cpp
+++ b/packages/entry/src/process/shard_keeper.cpp
@@ -250,7 +250,8 @@
 				continue;
 			}
 			const bool last = handing_over_;
-			if (!co_await write_batch(work, ownership))
+			const bool written = co_await write_batch(work, ownership);
+			if (!written)
 				co_return;
 			if (last)
 				lose("handed over");
--- a/packages/entry/src/process/task_owner.cpp
+++ b/packages/entry/src/process/task_owner.cpp
@@ -171,7 +171,8 @@
 			return has_lapsed(known->second, settings_.times, at);
 		};
 		const auto lapses = members_.lapses();
-		if (!co_await keeper.take_over(may_take))
+		const bool taken = co_await keeper.take_over(may_take);
+		if (!taken)
 			co_return;
 		if (lapses == members_.lapses() && members_.may_own(steady_now()))
 			after_takeover(keeper);
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -210,7 +210,8 @@
 		if (decision.taken)
 			co_return std::nullopt;
 		// Its client may send a job again that another entry has taken; only the row knows.
-		if (co_await is_kept(id, deadline))
+		const bool kept = co_await is_kept(id, deadline);
+		if (kept)
 			co_return std::nullopt;
 		const std::chrono::duration<double> age = now - *admission_.forecast.made_at;
 		metrics_.histogram("job_refusal_forecast_age", "Age of the forecast by which a job was refused.")
@@ -228,7 +229,8 @@
 	asio::awaitable<job_call_result> job_gateway::submit(queue_policy queue, job_id id, job_spec spec, instant deadline)
 	{
 		const auto began = steady_now();
-		if (auto refused = co_await refuse_at_door(queue, id, spec, deadline - answer_reserve))
+		auto refused = co_await refuse_at_door(queue, id, spec, deadline - answer_reserve);
+		if (refused)
 		{
 			count("submit", refused->how, began);
 			co_return *std::move(refused);
--- a/packages/testkit/src/fault_proxy.cpp
+++ b/packages/testkit/src/fault_proxy.cpp
@@ -96,7 +96,8 @@
 				{
 					auto data = std::move(from->queue.front().data);
 					from->queue.pop_front();
-					if (!co_await write_chunk(one, answers, std::move(data)))
+					const bool written = co_await write_chunk(one, answers, std::move(data));
+					if (!written)
 						break;
 				}
 			}
--- /dev/null
+++ b/tests/coroutine_conditions.cpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief No source awaits inside a condition: GCC 12 miscompiled one with `&&`, which then waited for nothing.
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <string>
+#include <vector>
+
+namespace
+{
+	namespace fs = std::filesystem;
+
+	/// Lines with an await in the head of an `if`, `while`, `for` or `switch`, or beside `&&`, `||` or `?`.
+	std::vector<std::string> conditions_that_await(const fs::path& source)
+	{
+		static const std::string await = "co_"
+										 "await"; // in two parts: this file is read as well
+		static const std::regex condition{"(\\b(if|while|for|switch) \\(.*" + await + ")|((&&|\\|\\||\\?) *\\(*!?" +
+										  await + ")|(" + await + "[^;{]*(&&|\\|\\|) )"};
+		std::vector<std::string> out;
+		std::ifstream file{source};
+		for (std::string line; std::getline(file, line);)
+			if (std::regex_search(line, condition) && line.find("//") > line.find(await))
+				out.push_back(source.string() + ": " + line);
+		return out;
+	}
+}
+
+TEST_CASE("nothing awaits inside a condition", "[source]")
+{
+	const fs::path root{TRAILJUNCTION_SOURCE};
+	std::vector<std::string> found;
+	std::size_t files = 0;
+	for (const auto* folder : {"packages", "platform", "tests", "bench", "examples"})
+		for (const auto& entry : fs::recursive_directory_iterator{root / folder})
+			if (const auto kind = entry.path().extension(); kind == ".cpp" || kind == ".hpp")
+			{
+				++files;
+				const auto more = conditions_that_await(entry.path());
+				found.insert(found.end(), more.begin(), more.end());
+			}
+	REQUIRE(files > 100);
+	INFO(found.size() << " places");
+	CHECK(found == std::vector<std::string>{});
+}
--- a/tests/job_term_scene.hpp
+++ b/tests/job_term_scene.hpp
@@ -73,7 +73,8 @@
 					owned.store_ms = page->store_ms;
 					term = std::make_shared<job_term>(io, settings, store, evacuations, metrics, owned,
 													  [](queue_depths) {});
-					if ((co_await term->load()).ok())
+					const auto loaded = co_await term->load();
+					if (loaded.ok())
 						co_await term->work();
 					worked = true;
 				},
