Workers that ended as they said: their runs start elsewhere at once

Cause: nobody told the owner that the worker has ended; a worker that answers nothing may as well be cut off or busy, so its lease has to run down. Evidence that tells them apart: a connection that is refused. The worker's own instance says that no process listens there; with a goodbye before it, the process has ended and all its runs with it. Change: the HTTP client tells a refused connection from other failures; the agent then names the present incarnation as lost in its report, and the owner takes back its runs after the ends that the same report lists. Without a goodbye nothing changes. Tests: run_keeper.cpp (with and without a goodbye), job_term.cpp with a lease of ten minutes.

--- a/packages/agent/include/trailjunction/agent/worker_port.hpp
+++ b/packages/agent/include/trailjunction/agent/worker_port.hpp
@@ -42,16 +42,17 @@
 	/// \brief How an order to a worker ended.
 	enum class order_end
 	{
-		done,       ///< Carried out, or the worker was in that state already.
-		no_room,    ///< Not done: it does not fit.
-		late,       ///< Not done: its deadline had passed on the worker's clock.
-		superseded, ///< Not done: the run, or a later one, was stopped or has ended there.
-		fenced,     ///< Not done: the worker has seen a higher fencing token.
-		unhealthy,  ///< Not done: the worker refuses everything now.
-		other_life, ///< Not done: another incarnation answered.
-		invalid,    ///< Not done: the worker takes the order for malformed.
-		unknown,    ///< No answer: it may have been done, or may be done later.
-		not_sent,   ///< Not done: the worker could not be reached.
+		done,        ///< Carried out, or the worker was in that state already.
+		no_room,     ///< Not done: it does not fit.
+		late,        ///< Not done: its deadline had passed on the worker's clock.
+		superseded,  ///< Not done: the run, or a later one, was stopped or has ended there.
+		fenced,      ///< Not done: the worker has seen a higher fencing token.
+		unhealthy,   ///< Not done: the worker refuses everything now.
+		other_life,  ///< Not done: another incarnation answered.
+		invalid,     ///< Not done: the worker takes the order for malformed.
+		unknown,     ///< No answer: it may have been done, or may be done later.
+		not_sent,    ///< Not done: the worker could not be reached.
+		no_listener, ///< Not done: nothing listens where the worker was.
 	};
 
 	/// \brief What came of a call to a worker.
--- a/packages/agent/src/process/run_keeper.cpp
+++ b/packages/agent/src/process/run_keeper.cpp
@@ -107,8 +107,9 @@
 
 	void run_keeper::keep_lost_life()
 	{
-		lost_.reset();
-		if (worker_ && clock_ms_ > 0)
+		if (!ended_)
+			lost_.reset();
+		if (worker_ && clock_ms_ > 0 && !ended_)
 			lost_ = lost_life{worker_->life, clock_read_, ages_at(ages_, clock_read_)};
 		lost_owed_ = lost_.has_value();
 		ages_.clear();
@@ -117,6 +118,8 @@
 	void run_keeper::begin_life(const worker_heartbeat& heartbeat)
 	{
 		keep_lost_life();
+		said_goodbye_ = false;
+		ended_ = false;
 		log_event(event::worker_seen,
 				  {{"worker", heartbeat.life.str()}, {"before", worker_ ? worker_->life.str() : ""}});
 		if (!port_ || worker_->address != heartbeat.address)
@@ -151,6 +154,16 @@
 			return;
 		log_event(event::worker_gone, {{"worker", life.str()}});
 		worker_->draining = true;
+		said_goodbye_ = true;
+		on_news_();
+	}
+
+	void run_keeper::note_ended()
+	{
+		ended_ = true;
+		lost_ = lost_life{worker_->life, clock_read_, ages_at(ages_, clock_read_)};
+		lost_owed_ = true;
+		runs_.clear();
 		on_news_();
 	}
 
@@ -227,6 +240,9 @@
 					co_await pause_for(io_, listing_gap);
 				continue;
 			}
+			// A worker may be too busy to answer, or cut off; a closed port after a goodbye is the end of its process.
+			if (result.how == order_end::no_listener && said_goodbye_ && !ended_)
+				note_ended();
 			if (++failed_listings_ == unresponsive_after)
 			{
 				log_event(event::worker_silent, {{"worker", life.str()}, {"how", static_cast<int>(result.how)}});
--- a/packages/agent/src/process/run_keeper.hpp
+++ b/packages/agent/src/process/run_keeper.hpp
@@ -130,6 +130,8 @@
 		[[nodiscard]] int mean_pace() const noexcept;
 		void note_result(const order_result& result, instant answered);
 		void begin_life(const worker_heartbeat& heartbeat);
+		/// Takes note that the worker has ended as it said, so that its lease need not run down.
+		void note_ended();
 		/// Keeps what is known of the runs of the incarnation that has gone.
 		void keep_lost_life();
 		/// \param why For the log: who wants the stop.
@@ -179,7 +181,9 @@
 		absl::flat_hash_set<task_run> ordering_;
 		/// Runs that the worker has confirmed, until a listing that was made after it: the value of listings_ then.
 		absl::flat_hash_map<task_run, std::uint64_t> unlisted_;
-		run_ages ages_; ///< Of the runs in runs_, ordering_ and unlisted_.
+		run_ages ages_;       ///< Of the runs in runs_, ordering_ and unlisted_.
+		bool said_goodbye_{}; ///< The worker said that it is about to end.
+		bool ended_{};        ///< It has.
 		std::optional<lost_life> lost_;
 		bool lost_owed_{}; ///< The owner has not been told of lost_.
 		absl::flat_hash_set<task_run> stopping_;
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -154,6 +154,7 @@
 			}
 		case order_end::unhealthy:
 		case order_end::not_sent:
+		case order_end::no_listener:
 			refuse(what, start_refusal::unhealthy, from);
 			break;
 		case order_end::invalid:
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -206,6 +206,8 @@
 		/// \param told What the agent tells of the incarnation before; of nobody where it tells nothing.
 		void lose_earlier_lives(agent_peer& peer, const worker_facts& before, const lost_worker& told, instant now);
 		void lose_lapsed(instant now);
+		/// Takes back what ran on a worker that has ended as it said.
+		void lose_if_ended(const agent_peer& peer, const wire::job_report& report, instant now);
 		void take_back_lost(const lost_run& lost, const worker_life& worker, instant now);
 		/// Clears tasks whose runs on the worker have gone on for long enough, and those that were suspected of
 		/// crashing it though it is there.
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -132,6 +132,14 @@
 		}
 	}
 
+	void job_term::lose_if_ended(const agent_peer& peer, const wire::job_report& report, instant now)
+	{
+		if (!report.__isset.lost || report.lost.worker != report.worker)
+			return;
+		lose_worker({peer.worker.life, peer.worker.heard, {}, {}}, false, "ended", now);
+		wake();
+	}
+
 	void job_term::lose_lapsed(instant now)
 	{
 		std::vector<worker_life> lapsed;
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -77,6 +77,7 @@
 		note_ends(peer, report, now);
 		note_refusals(peer, report, now);
 		note_running(peer, report, now);
+		lose_if_ended(peer, report, now); // after the ends that it listed before
 		learn(peer, now);
 		clear_suspects(peer);
 		if (report.full)
--- a/packages/net/include/trailjunction/net/http_client.hpp
+++ b/packages/net/include/trailjunction/net/http_client.hpp
@@ -32,6 +32,7 @@
 		delivery reached{delivery::not_sent};
 		absl::Status status;
 		http_response response;
+		bool no_listener{}; ///< Not sent, since no process listens there: its instance answered so.
 	};
 
 	/// \brief Sends requests to one endpoint over kept connections; lives on one io_context.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -30,6 +30,13 @@
 
 	namespace
 	{
+		/// A refused connection shows that nothing listens there; any other failure shows nothing.
+		http_result connect_failure(const std::string& host, const beast::error_code& error)
+		{
+			const bool no_listener = error == asio::error::connection_refused;
+			return {
+				delivery::not_sent, absl::UnavailableError(absl::StrCat(host, ": ", error.message())), {}, no_listener};
+		}
 
 		/// Whether the other side has closed an idle connection, or sent what nobody asked for.
 		bool is_stale(beast::tcp_stream& stream)
@@ -90,8 +97,7 @@
 			stream->expires_at(timer_time(deadline));
 			auto [error] = co_await stream->async_connect(state->where, as_result);
 			if (error)
-				co_return http_result{
-					delivery::not_sent, absl::UnavailableError(absl::StrCat(state->host, ": ", error.message())), {}};
+				co_return connect_failure(state->host, error);
 			beast::error_code ignored;
 			stream->socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
 		}
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -311,7 +311,7 @@
 	3: optional i64 ordered_ms, // from the order to the last answer, where the agent had the order
 }
 
-/** The incarnation of the worker that was there before the present one. */
+/** The incarnation of the worker that was there before the present one; the present one itself where it has ended. */
 struct job_lost_worker
 {
 	1: string worker,
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -455,3 +455,33 @@
 	(void)it.run_until([&] { return it.worked || steady_now() > end; });
 	CHECK_FALSE(it.term->handed_on());
 }
+
+TEST_CASE("runs of a worker that ended as it said start elsewhere at once, but for those that it listed as done",
+		  "[jobs]")
+{
+	scene it;
+	it.settings.contact = millis{600'000}; // nobody waits for a lease here
+	it.settings.longest_run_lease = millis{600'000};
+	it.begin();
+	auto spec = one_task();
+	spec.groups[0].count = 2;
+	it.submit(first_job, spec);
+	REQUIRE(it.run_until([&] { return it.agent.starts.size() == 2; }));
+	auto last = report_of("life-1");
+	last.draining = true;
+	wire::job_lost_worker ended;
+	ended.worker = "life-1";
+	last.__set_lost(ended);
+	wire::job_end done;
+	done.number = 1;
+	done.what = it.agent.starts[0].what;
+	done.how = wire::run_end::end_done;
+	last.ended.push_back(done);
+	it.agent.send(std::move(last));
+	const auto phase_of = [&](const wire::job_start& order)
+	{
+		return it.stored_job(first_job).tasks[from_wire(order.what).task.index].phase;
+	};
+	CHECK(it.run_until([&] { return phase_of(it.agent.starts[1]) == task_stage::waiting; }));
+	CHECK(phase_of(it.agent.starts[0]) == task_stage::done);
+}
--- a/tests/run_keeper.cpp
+++ b/tests/run_keeper.cpp
@@ -264,6 +264,28 @@
 	CHECK(it.runs.report(true).lost.worker == "life-1"); // to a new owner
 }
 
+TEST_CASE("a worker that said goodbye has ended once nothing listens at its port, and no other one has", "[jobs]")
+{
+	// Its runs were waited for until their lease was over, up to 6 s.
+	scene it;
+	it.order_start();
+	REQUIRE(it.run_until_told());
+	const bool said = GENERATE(false, true);
+	if (said)
+		it.runs.worker_left(worker_life{"life-1"});
+	it.lines.on_list = []
+	{
+		return listing_result{{order_end::no_listener, 0}, {}};
+	};
+	const auto lists = it.lines.lists;
+	REQUIRE(it.run_until([&] { return it.lines.lists > lists + 2; }));
+	const auto report = it.runs.report(true);
+	CHECK(report.worker == "life-1");
+	CHECK(report.__isset.lost == said);
+	CHECK((!said || report.lost.worker == "life-1"));
+	CHECK((!said || report.running.empty()));
+}
+
 TEST_CASE("a late heartbeat of an incarnation that has gone changes nothing", "[jobs]")
 {
 	scene it;
