Crash suspicion: a crash that is settled is not judged again

Cause, read in my own diff: each further crash of an instant looked again at every counted crash before it, which at 240 workers and a power loss are millions of looks in the owner's loop. Change: a crash whose judgement no further one can change leaves the list.

--- a/packages/jobs/include/trailjunction/jobs/recent_crashes.hpp
+++ b/packages/jobs/include/trailjunction/jobs/recent_crashes.hpp
@@ -17,14 +17,13 @@
 
 namespace trailjunction
 {
-	/// \brief A crash that was counted against a task.
+	/// \brief A crash that was counted against a task, and may not count once more workers are known to have crashed.
 	struct counted_crash
 	{
 		task_key task;
 		bool outlived{}; ///< An earlier run of the task had worked for longer; see has_outlived().
 		/// The run had worked for crash_policy::worked_after, and another one of its group for longer.
 		bool harmless_work{};
-		bool shared{}; ///< Enough other workers are known to have crashed in the same instant.
 	};
 
 	/// \brief The crash of one worker.
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -30,6 +30,7 @@
 			return std::max(millis{0}, std::chrono::duration_cast<millis>(to - from));
 		}
 
+		/// The most crashes that count against a task which is placed on a worker.
 		std::size_t most_counted_on(const job_table& table, const worker_life& worker)
 		{
 			const auto placed = table.placed.find(worker);
@@ -71,6 +72,12 @@
 							   });
 		}
 
+		/// Whether so much counts already that the others' crashes are asked for a cause of their own.
+		bool may_be_cleared_by_others(const crash_record& record, const crash_policy& policy) noexcept
+		{
+			return record.workers.size() >= policy.tested_from;
+		}
+
 		/// What the crashes of other workers in the same instant say of one under a task.
 		struct shared_crash
 		{
@@ -88,9 +95,10 @@
 			};
 			shared_crash out;
 			out.shared = down(any) >= policy.shared_with;
-			const auto counted = record.workers.size();
-			if (out.shared && counted >= policy.tested_from)
-				out.had_a_cause = down(counted - 1) >= policy.shared_with;
+			if (!out.shared || !may_be_cleared_by_others(record, policy))
+				return out;
+			constexpr std::size_t lost_with_owners = 1; // of the crashes that would count against those tasks
+			out.had_a_cause = down(record.workers.size() - lost_with_owners) >= policy.shared_with;
 			return out;
 		}
 
@@ -106,6 +114,7 @@
 			const bool outlived = known.soonest && has_outlived(task.crashes, *known.soonest, policy);
 			const bool harmless_work = known.survived >= policy.worked_after && group_has_outlived(job, lost, worker);
 			const bool counts = !(beside.shared && outlived) && !(beside.had_a_cause && harmless_work);
+			const bool is_settled = beside.shared && !may_be_cleared_by_others(task.crashes, policy);
 			for (auto& member : judged_with(job, lost.what.task, task))
 			{
 				note_crash_age(member.crashes, known);
@@ -118,35 +127,39 @@
 				if (beside.shared)
 					mark_shared(member.crashes, worker);
 			}
-			if (auto* crash = find_worker_crash(table.crashes, worker); crash != nullptr && lost.age && counts)
-				crash->counted.push_back({lost.what.task, outlived, harmless_work, beside.shared});
+			if (!lost.age || !counts || is_settled)
+				return;
+			if (auto* crash = find_worker_crash(table.crashes, worker); crash != nullptr)
+				crash->counted.push_back({lost.what.task, outlived, harmless_work});
 		}
 
 		/// Judges a counted crash again after more workers are known to have crashed.
-		/// \returns Whether it counts no more.
-		bool judge_again(job_table& table, const worker_crash& crash, counted_crash& counted,
-						 const crash_policy& policy)
+		/// \param taken_back Gets the task if the crash counts no more.
+		/// \returns Whether further crashes change nothing about this one.
+		bool judge_again(job_table& table, const worker_crash& crash, const counted_crash& counted,
+						 const crash_policy& policy, std::vector<task_key>& taken_back)
 		{
 			auto* task = find_task(table, counted.task);
 			if (task == nullptr)
-				return false;
+				return true;
 			auto before = task->crashes;
 			(void)take_back_crash(before, crash.worker);
 			const auto beside = look_beside(table, before, crash.worker, crash.heard, {}, policy);
 			if (!beside.shared)
 				return false;
-			counted.shared = true;
 			const bool counts = !counted.outlived && !(beside.had_a_cause && counted.harmless_work);
-			bool taken_back = false;
+			bool any = false;
 			for (auto& member : judged_with(*find_job(table, counted.task.job), counted.task, *task))
 			{
 				if (counts)
 					mark_shared(member.crashes, crash.worker);
 				else
-					taken_back = discount_crash(member.crashes, crash.worker) || taken_back;
+					any = discount_crash(member.crashes, crash.worker) || any;
 			}
+			if (any)
+				taken_back.push_back(counted.task);
 			table.unsaved.insert(counted.task.job);
-			return taken_back;
+			return !counts || !counted.harmless_work || !may_be_cleared_by_others(before, policy);
 		}
 
 		/// How long a run had been there by what its worker confirmed to this process: it began no later than that.
@@ -312,9 +325,8 @@
 		{
 			if (!is_same_instant(crash.heard, *worker.heard, policy))
 				continue;
-			for (auto& counted : crash.counted)
-				if (judge_again(table, crash, counted, policy))
-					out.push_back(counted.task);
+			std::erase_if(crash.counted, [&](const counted_crash& counted)
+						  { return judge_again(table, crash, counted, policy, out); });
 		}
 		return out;
 	}
