Tests: links and calls that fall silent while the store is away; one copy of what a successor reads

docs/OPEN.md said that no test silences connections between entries and agents in the middle of a store outage. What callers' accepted connections do in it stays open. successor_of() stood in two test files.

--- a/tests/crash_blame.cpp
+++ b/tests/crash_blame.cpp
@@ -39,19 +39,6 @@
 							   [](double sum, const lost_run& run) { return sum + run.blame; });
 	}
 
-	/// The same jobs as a new owner reads them.
-	job_table successor_of(const job_table& table, instant now)
-	{
-		job_table out;
-		for (const auto& [id, job] : table.jobs)
-		{
-			auto copy = make_job(id, job->queue, job->spec, now);
-			REQUIRE(decode_progress(copy, encode_progress(*job), now).ok());
-			add_job(out, std::move(copy));
-		}
-		return out;
-	}
-
 	std::vector<placement> place_at(std::vector<worker_room>& rooms, const job_table& table, instant now)
 	{
 		const placement_policy placing;
--- a/tests/job_fixtures.hpp
+++ b/tests/job_fixtures.hpp
@@ -5,6 +5,8 @@
 
 #include <trailjunction/jobs.hpp>
 
+#include <catch2/catch.hpp>
+
 #include <string>
 #include <vector>
 
@@ -54,4 +56,17 @@
 		out.checkpointing = true;
 		return out;
 	}
+
+	/// The same jobs as a new owner reads them.
+	inline job_table successor_of(const job_table& table, instant now)
+	{
+		job_table out;
+		for (const auto& [id, job] : table.jobs)
+		{
+			auto copy = make_job(id, job->queue, job->spec, now);
+			REQUIRE(decode_progress(copy, encode_progress(*job), now).ok());
+			add_job(out, std::move(copy));
+		}
+		return out;
+	}
 }
--- a/tests/shared_crashes.cpp
+++ b/tests/shared_crashes.cpp
@@ -35,18 +35,6 @@
 		return table;
 	}
 
-	job_table successor_of(const job_table& table, instant now)
-	{
-		job_table out;
-		for (const auto& [id, job] : table.jobs)
-		{
-			auto copy = make_job(id, job->queue, job->spec, now);
-			REQUIRE(decode_progress(copy, encode_progress(*job), now).ok());
-			add_job(out, std::move(copy));
-		}
-		return out;
-	}
-
 	void crash(job_table& table, const lost_worker& worker, instant now)
 	{
 		(void)note_crash_of(table, worker, policy);
--- a/tests/silent_connections.cpp
+++ b/tests/silent_connections.cpp
@@ -5,11 +5,14 @@
 #include <trailjunction/net/http_client.hpp>
 #include <trailjunction/net/http_server.hpp>
 #include <trailjunction/testkit/fault_proxy.hpp>
+#include <trailjunction/testkit/job_cluster.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace trailjunction;
 using namespace trailjunction::testkit;
 
@@ -132,3 +135,69 @@
 	for (const auto result : it.results)
 		CHECK(result == delivery::answered);
 }
+
+namespace
+{
+	constexpr int entries = 2;
+	constexpr int workers = 3;
+
+	/// Silences all connections that are open between processes, to workers and to the store.
+	void silence_everything(job_cluster& system)
+	{
+		const auto silence = [](fault_proxy& proxy)
+		{
+			proxy.silence_all();
+		};
+		for (int i = 0; i < entries; ++i)
+			system.with_proxy(cable::entry_store, i, silence);
+		for (int i = 0; i < workers; ++i)
+			for (const auto kind : {cable::agent_links, cable::worker_calls, cable::agent_store})
+				system.with_proxy(kind, i, silence);
+	}
+
+	/// How often a task ended `done`, over all workers.
+	int times_done(job_cluster& system, const std::string& task)
+	{
+		int out = 0;
+		for (int i = 0; i < workers; ++i)
+			out += system.with_worker(i, [&](worker_standin& worker) { return worker.done[task]; });
+		return out;
+	}
+
+	void hold_store(job_cluster& system, bool held)
+	{
+		for (int i = 0; i < entries; ++i)
+			system.with_proxy(cable::entry_store, i, [held](fault_proxy& proxy) { proxy.faults().hold = held; });
+	}
+}
+
+TEST_CASE("links and calls that fall silent while the store is away are given up, and all work ends once it is back",
+		  "[process]")
+{
+	constexpr int tasks = 6;
+	constexpr const char* before = "00000000000000d1";
+	constexpr const char* after = "00000000000000d2";
+	constexpr auto outage = millis{700};
+	constexpr auto patience = millis{40'000};
+	job_cluster_options options;
+	options.programs = TRAILJUNCTION_PROGRAMS;
+	options.entries = entries;
+	options.workers = workers;
+	options.proxies = true;
+	job_cluster system{options};
+	INFO(system.logs());
+	REQUIRE(system.wait_ready());
+	REQUIRE(system.submit(0, before, tasks, millis{3'000}) == 200);
+	REQUIRE(job_cluster::wait_until([&] { return system.times_begun(std::string{before} + ".0.0.0") > 0; }, patience));
+	hold_store(system, true);
+	std::this_thread::sleep_for(outage);
+	silence_everything(system);
+	std::this_thread::sleep_for(outage);
+	hold_store(system, false);
+	CHECK(job_cluster::wait_until([&] { return system.state(1, before) == "completed"; }, patience));
+	CHECK(job_cluster::wait_until([&] { return system.submit(0, after, tasks, millis{200}) == 200; }, patience));
+	CHECK(job_cluster::wait_until([&] { return system.state(1, after) == "completed"; }, patience));
+	for (const auto* job : {before, after})
+		for (int i = 0; i < tasks; ++i)
+			CHECK(times_done(system, std::string{job} + ".0.0." + std::to_string(i)) == 1);
+}
