--- a/tests/requests_under_faults.cpp
+++ b/tests/requests_under_faults.cpp
@@ -133,6 +133,7 @@
 	stop = true;
 	cutter.join();
 	check_promises(system, book);
+	INFO(told(book, "not-run") << " not run, " << told(book, "unknown") << " unknown");
 	CHECK(told(book, "done") > 100);
 }
 
