--- a/tests/coroutine_conditions.cpp
+++ b/tests/coroutine_conditions.cpp
@@ -43,6 +43,6 @@
 				found.insert(found.end(), more.begin(), more.end());
 			}
 	REQUIRE(files > 100);
-	INFO(found.size() << " places");
-	CHECK(found == std::vector<std::string>{});
+	for (const auto& place : found)
+		FAIL_CHECK(place);
 }
