Stand-in of a worker: it can start again under its id

What a worker loses at its end is one struct now, replaced as a whole, so that clock, sequence, numbers of ends, token, lease and closed runs begin anew, also for restart(id). restart_in_place() and keeps_id keep the id. Heartbeats and listings carry the start time, which a test can set (equal or earlier) or leave out. Calls that are late (starts, stops and now holds) wait while the worker is down and are carried out by the incarnation that is there then; heartbeats can be late with their old content. Ends at or below the highest lastSeen are forgotten as they occur. Leases longer than longest_lease, the agents' longest run lease, are cut.

Two things differ for existing users: a hold that waits when its incarnation ends gets no answer instead of 421, as from a process that has ended, and restart(id) no longer lets the clock and the sequence of heartbeats run on.

--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -32,7 +32,9 @@
 	{
 		int late_orders{};      ///< Starts that get no response and are carried out after #late_delay.
 		int late_stops{};       ///< Stops that get no response and are carried out after #late_delay.
-		millis late_delay{};    ///< Delay of late starts and stops.
+		int late_holds{};       ///< Calls to `/hold` that get no response and are carried out after #late_delay.
+		int late_heartbeats{};  ///< Heartbeats that are sent #late_delay after they were due, with the content of then.
+		millis late_delay{};    ///< Delay of late calls and heartbeats.
 		int no_room_refusals{}; ///< Starts refused for lack of room, regardless of the capacity.
 		bool fail_all_runs{};   ///< Every run ends as `failed`.
 		bool silent{};          ///< Sends neither responses nor heartbeats.
@@ -45,6 +47,10 @@
 	/// \brief Runs tasks under leases and fencing tokens, for the time in milliseconds that their payload contains.
 	/// \details As the page specifies, it starts a run while another run of the same task is active, unless a run with
 	/// the same or a higher number was stopped or has ended.
+	///
+	/// It may start again under the same id. The next incarnation holds and knows nothing of the former one, and its
+	/// clock, the sequence of its heartbeats, the numbers of its ends and its fencing token start anew. Calls name the
+	/// id alone: a call that is late is carried out by the incarnation that is there when it arrives.
 	class worker_standin
 	{
 	public:
@@ -55,10 +61,17 @@
 		endpoint listen();
 		/// \brief Starts to send heartbeats. \param announced The address for calls that the heartbeats contain.
 		void start_heartbeats(endpoint announced);
-		/// \brief Ends this incarnation with all its runs and begins another one.
+		/// \brief Ends this incarnation with all its runs and begins another one under another id.
+		/// \details A worker that is down stays down for as long as it would have.
 		void restart(std::string id);
-		/// \brief Ends this incarnation with all its runs; the next one begins after #restart_delay.
+		/// \brief Ends this incarnation with all its runs and begins another one under the same id.
+		/// \param downtime Time until the next one begins; the worker sends nothing meanwhile, and late calls wait.
+		void restart_in_place(millis downtime = millis{0});
+		/// \brief Ends this incarnation with all its runs; the next one begins after #restart_delay, under another id
+		/// unless #keeps_id is set.
 		void crash();
+		/// \brief Sends `DELETE /instances/ID` with the current id after \p delay; the incarnation does not end.
+		void leave(millis delay = millis{0});
 		/// \brief Records the end of each run that is over at \p now, so that #started_runs is up to date.
 		void record_ends(instant now);
 
@@ -68,13 +81,14 @@
 			std::string task;
 			std::int64_t run{};
 			std::string checkpoint;
-			std::string incarnation; ///< The incarnation that started it.
+			std::string incarnation; ///< The incarnation that started it, see worker_standin::incarnation().
 			bool late{};             ///< Started by a call that got no response.
 			instant started_at{};
 			std::optional<instant> stop_requested_at;
 			std::optional<instant> ended_at;
 			std::string end_state; ///< The end as the worker lists it, or `died` if its incarnation ended.
-			/// When a listing call acknowledged the end; not set if the lease had lapsed before.
+			/// When a listing call acknowledged the end, or when it ended if its number was acknowledged before; not
+			/// set if the lease had lapsed before.
 			std::optional<instant> acknowledged_at;
 		};
 
@@ -87,15 +101,25 @@
 			std::string response; ///< The call and its response.
 		};
 
-		/// \brief The name of the current incarnation.
+		/// \brief The id under which it sends heartbeats; several incarnations may have it.
 		[[nodiscard]] const std::string& id() const noexcept
 		{
-			return id_;
+			return current_.id;
+		}
+		/// \brief A name of the current incarnation that no other one has: id, start time and a count.
+		[[nodiscard]] const std::string& incarnation() const noexcept
+		{
+			return current_.name;
+		}
+		/// \brief The start time of the current incarnation, in Unix milliseconds.
+		[[nodiscard]] std::int64_t start_time_ms() const noexcept
+		{
+			return current_.start_time_ms;
 		}
 		/// \brief How much longer its runs may continue without a lease renewal.
 		[[nodiscard]] millis remaining_lease() const
 		{
-			return millis{lease_ms_ - clock_ms()};
+			return millis{current_.lease_ms - clock_ms()};
 		}
 
 		worker_faults faults;
@@ -111,6 +135,11 @@
 		std::map<std::string, int> done_counts; ///< By task: how often it ended as `done`.
 		std::set<std::string> crashing_tasks;   ///< Tasks whose start crashes this worker.
 		millis restart_delay{500};              ///< Time between a crash and the next incarnation.
+		bool keeps_id{};                        ///< Whether the next incarnation after a crash has the same id.
+		bool sends_start_time{true};            ///< Whether heartbeats and listings contain the start time.
+		/// Overrides the start time of the next incarnation, as if the instance's clock had been set; in Unix ms.
+		std::optional<std::int64_t> next_start_time_ms;
+		millis longest_lease{6'000}; ///< Longer leases are cut down to this.
 
 	private:
 		using run_key = std::pair<std::string, std::int64_t>;
@@ -127,8 +156,32 @@
 			bool lapsed{};       ///< The lease lapsed after this end.
 		};
 
+		/// What a worker loses when its incarnation ends.
+		struct incarnation_state
+		{
+			std::string id;
+			std::string name;
+			std::int64_t start_time_ms{};
+			instant begins_at{}; ///< The worker is down before.
+			std::map<run_key, active_run> running;
+			/// By task: the highest run that was stopped or has ended.
+			std::map<std::string, std::int64_t> highest_closed_run;
+			std::vector<listed_end> ended;
+			std::int64_t token{};
+			std::int64_t lease_ms{}; ///< On this incarnation's clock.
+			std::int64_t end_count{};
+			std::int64_t last_seen{}; ///< The highest number of an end that a listing call acknowledged.
+			std::int64_t sequence{};
+		};
+
 		boost::asio::awaitable<void> send_heartbeats();
-		boost::asio::awaitable<void> restart_after_delay();
+		[[nodiscard]] http_request make_heartbeat();
+		boost::asio::awaitable<void> send_late(http_request request, millis delay);
+		[[nodiscard]] incarnation_state make_incarnation(std::string id, instant begins_at);
+		/// Ends the current incarnation; the next one begins after \p downtime.
+		void replace_incarnation(std::string id, millis downtime);
+		[[nodiscard]] bool is_down() const;
+		boost::asio::awaitable<void> wait_until_up();
 		boost::asio::awaitable<http_response> answer(http_request request);
 		boost::asio::awaitable<void> execute_late(http_request request, millis delay);
 		boost::asio::awaitable<http_response> execute(http_request request, bool late);
@@ -143,25 +196,23 @@
 		[[nodiscard]] bool consume_late_call(std::string_view path);
 		[[nodiscard]] bool has_room() const;
 		void begin_run(const boost::json::object& body, bool late);
+		void extend_lease(std::int64_t deadline_ms);
 		void finish(const run_key& key, const std::string& end_state, instant end_time);
+		void acknowledge_ends(std::int64_t last_seen, instant now);
+		[[nodiscard]] http_response make_listing() const;
+		/// The clock of the current incarnation, which starts at 1: listings with 0 would not be taken for listings.
 		[[nodiscard]] std::int64_t clock_ms() const;
+		/// When the lease of the current incarnation lapses.
+		[[nodiscard]] instant lease_lapse() const;
 
 		boost::asio::io_context& io_;
-		std::string id_;
-		bool down_{}; ///< Crashed, and the next incarnation has not begun.
 		int crashes_{};
+		int incarnations_{};
 		std::string service_;
 		endpoint agent_;
 		endpoint announced_address_;
 		http_server server_;
 		http_client heartbeats_;
-		std::map<run_key, active_run> running_;
-		/// By task: the highest run that was stopped or has ended.
-		std::map<std::string, std::int64_t> highest_closed_run_;
-		std::vector<listed_end> ended_;
-		std::int64_t token_{};
-		std::int64_t lease_ms_{};
-		std::int64_t end_count_{};
-		std::int64_t sequence_{};
+		incarnation_state current_;
 	};
 }
--- a/packages/testkit/src/instances_standin.cpp
+++ b/packages/testkit/src/instances_standin.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: MIT
+#include "consume_fault.hpp"
+
 #include <trailjunction/core/json.hpp>
 #include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/testkit/instances_standin.hpp>
@@ -21,14 +23,6 @@
 		constexpr std::string_view token_field = "pageToken=";
 		constexpr int no_answer = 0;
 
-		bool consume_fault(int& left)
-		{
-			if (left == 0)
-				return false;
-			--left;
-			return true;
-		}
-
 		http_response refusal(const char* reason)
 		{
 			return json_response(409, json::serialize(json::object{{"reason", reason}}));
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: MIT
+#include "consume_fault.hpp"
+
 #include <trailjunction/core/json.hpp>
 #include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/testkit/worker_standin.hpp>
@@ -9,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 namespace trailjunction::testkit
 {
@@ -24,11 +27,23 @@
 		constexpr std::string_view start_path = "/run-start";
 		constexpr std::string_view stop_path = "/run-stop";
 		constexpr std::string_view hold_path = "/hold";
+
+		constexpr std::int64_t first_clock_ms = 1;
+
+		http_response no_response()
+		{
+			return {0, {}, ""};
+		}
+
+		std::int64_t unix_ms(instant at, instant now)
+		{
+			const auto time = std::chrono::system_clock::now() + (at - now);
+			return std::chrono::duration_cast<millis>(time.time_since_epoch()).count();
+		}
 	}
 
 	worker_standin::worker_standin(asio::io_context& io, std::string id, std::string service, endpoint agent)
 		: io_{io},
-		  id_{std::move(id)},
 		  service_{std::move(service)},
 		  agent_{std::move(agent)},
 		  server_{io, http_limits{},
@@ -36,7 +51,8 @@
 				  {
 					  return answer(std::move(request));
 				  }},
-		  heartbeats_{io, agent_}
+		  heartbeats_{io, agent_},
+		  current_{make_incarnation(std::move(id), boottime_now())}
 	{
 	}
 
@@ -51,65 +67,117 @@
 		asio::co_spawn(io_, send_heartbeats(), asio::detached);
 	}
 
-	void worker_standin::restart(std::string id)
+	worker_standin::incarnation_state worker_standin::make_incarnation(std::string id, instant begins_at)
+	{
+		incarnation_state out;
+		out.id = std::move(id);
+		out.begins_at = begins_at;
+		out.start_time_ms = next_start_time_ms.value_or(unix_ms(begins_at, boottime_now()));
+		next_start_time_ms.reset();
+		out.name = absl::StrCat(out.id, "@", out.start_time_ms, "#", ++incarnations_);
+		return out;
+	}
+
+	void worker_standin::replace_incarnation(std::string id, millis downtime)
 	{
 		const auto now = boottime_now();
 		record_ends(now);
-		for (const auto& [key, run] : running_)
+		for (const auto& [key, run] : current_.running)
 		{
 			started_runs[run.index].ended_at = now;
 			started_runs[run.index].end_state = "died";
 		}
-		id_ = std::move(id);
-		running_.clear();
-		highest_closed_run_.clear();
-		ended_.clear();
-		token_ = 0;
-		lease_ms_ = 0;
-		end_count_ = 0;
+		current_ = make_incarnation(std::move(id), std::max(current_.begins_at, now + downtime));
+	}
+
+	void worker_standin::restart(std::string id)
+	{
+		replace_incarnation(std::move(id), millis{0});
+	}
+
+	void worker_standin::restart_in_place(millis downtime)
+	{
+		replace_incarnation(current_.id, downtime);
 	}
 
 	void worker_standin::crash()
 	{
-		restart(absl::StrCat(id_.substr(0, id_.find('+')), "+", ++crashes_));
-		down_ = true;
-		asio::co_spawn(io_, restart_after_delay(), asio::detached);
+		if (keeps_id)
+			return restart_in_place(restart_delay);
+		const auto& id = current_.id;
+		replace_incarnation(absl::StrCat(id.substr(0, id.find('+')), "+", ++crashes_), restart_delay);
+	}
+
+	void worker_standin::leave(millis delay)
+	{
+		http_request request;
+		request.method = "DELETE";
+		request.target = "/instances/" + current_.id;
+		asio::co_spawn(io_, send_late(std::move(request), delay), asio::detached);
+	}
+
+	bool worker_standin::is_down() const
+	{
+		return boottime_now() < current_.begins_at;
 	}
 
-	asio::awaitable<void> worker_standin::restart_after_delay()
+	asio::awaitable<void> worker_standin::wait_until_up()
 	{
-		co_await pause_for(io_, restart_delay);
-		down_ = false;
+		while (is_down())
+			co_await pause_for(io_, std::chrono::ceil<micros>(current_.begins_at - boottime_now()));
 	}
 
 	std::int64_t worker_standin::clock_ms() const
 	{
-		return to_millis(boottime_now());
+		const auto age = std::chrono::duration_cast<millis>(boottime_now() - current_.begins_at);
+		return first_clock_ms + std::max<std::int64_t>(0, age.count());
+	}
+
+	instant worker_standin::lease_lapse() const
+	{
+		return current_.begins_at + millis{current_.lease_ms + 1 - first_clock_ms};
 	}
 
 	asio::awaitable<void> worker_standin::send_heartbeats()
 	{
 		while (true)
 		{
-			if (!faults.silent && !down_)
+			if (!faults.silent && !is_down())
 			{
-				http_request request;
-				request.method = "PUT";
-				request.target = "/instances/" + id_;
-				request.body = json::serialize(
-					json::object{{"service", service_},
-								 {"address", to_string(announced_address_)},
-								 {"state", draining ? "draining" : "ready"},
-								 {"capacity", json::object{{"cpu", cpu_milli}, {"memMb", 16'000}, {"gpus", 0}}},
-								 {"labels", json::array{"a", "r1-1"}},
-								 {"clockMs", clock_ms()},
-								 {"seq", ++sequence_}});
-				(void)co_await heartbeats_.send(std::move(request), boottime_now() + heartbeat_timeout);
+				auto request = make_heartbeat();
+				if (consume_fault(faults.late_heartbeats))
+					asio::co_spawn(io_, send_late(std::move(request), faults.late_delay), asio::detached);
+				else
+					(void)co_await heartbeats_.send(std::move(request), boottime_now() + heartbeat_timeout);
 			}
 			co_await pause_for(io_, heartbeat_interval);
 		}
 	}
 
+	http_request worker_standin::make_heartbeat()
+	{
+		json::object body{{"service", service_},
+						  {"address", to_string(announced_address_)},
+						  {"state", draining ? "draining" : "ready"},
+						  {"capacity", json::object{{"cpu", cpu_milli}, {"memMb", 16'000}, {"gpus", 0}}},
+						  {"labels", json::array{"a", "r1-1"}},
+						  {"clockMs", clock_ms()},
+						  {"seq", ++current_.sequence}};
+		if (sends_start_time)
+			body["born"] = current_.start_time_ms;
+		http_request request;
+		request.method = "PUT";
+		request.target = "/instances/" + current_.id;
+		request.body = json::serialize(body);
+		return request;
+	}
+
+	asio::awaitable<void> worker_standin::send_late(http_request request, millis delay)
+	{
+		co_await pause_for(io_, delay);
+		(void)co_await heartbeats_.send(std::move(request), boottime_now() + heartbeat_timeout);
+	}
+
 	http_response worker_standin::make_response(int status, const char* reason)
 	{
 		json::object out{{"clockMs", clock_ms()}};
@@ -120,15 +188,19 @@
 
 	void worker_standin::finish(const run_key& key, const std::string& end_state, instant end_time)
 	{
-		const auto index = running_.at(key).index;
+		const auto index = current_.running.at(key).index;
 		started_runs[index].ended_at = end_time;
 		started_runs[index].end_state = end_state;
-		auto& closed = highest_closed_run_[key.first];
+		auto& closed = current_.highest_closed_run[key.first];
 		closed = std::max(closed, key.second);
-		ended_.push_back({++end_count_, index, false});
+		const auto number = ++current_.end_count;
+		if (number > current_.last_seen)
+			current_.ended.push_back({number, index, false});
+		else if (end_time < lease_lapse())
+			started_runs[index].acknowledged_at = end_time;
 		if (end_state == "done")
 			++done_counts[key.first];
-		running_.erase(key);
+		current_.running.erase(key);
 	}
 
 	void worker_standin::record_ends(instant now)
@@ -139,9 +211,9 @@
 			run_key key;
 			std::string state;
 		};
-		const auto lapse = from_millis(lease_ms_ + 1);
+		const auto lapse = lease_lapse();
 		std::vector<pending_end> pending;
-		for (const auto& [key, run] : running_)
+		for (const auto& [key, run] : current_.running)
 		{
 			pending_end candidate{run.ends_at, key, faults.fail_all_runs ? "failed" : "done"};
 			if (run.stops_at)
@@ -156,7 +228,7 @@
 		for (const auto& candidate : pending)
 			finish(candidate.key, candidate.state, candidate.end_time);
 		if (lapse <= now)
-			for (auto& end : ended_)
+			for (auto& end : current_.ended)
 				end.lapsed = true;
 	}
 
@@ -171,30 +243,31 @@
 
 	bool worker_standin::consume_late_call(std::string_view path)
 	{
-		int none = 0;
-		auto& left = path == start_path ? faults.late_orders : path == stop_path ? faults.late_stops : none;
-		if (left == 0)
-			return false;
-		--left;
-		return true;
+		if (path == start_path)
+			return consume_fault(faults.late_orders);
+		if (path == stop_path)
+			return consume_fault(faults.late_stops);
+		return path == hold_path && consume_fault(faults.late_holds);
 	}
 
 	asio::awaitable<http_response> worker_standin::answer(http_request request)
 	{
-		if (faults.silent || down_)
-			co_return http_response{0, {}, ""};
+		if (faults.silent || is_down())
+			co_return no_response();
 		const auto path = path_of(request.target);
 		if (consume_late_call(path))
 		{
 			asio::co_spawn(io_, execute_late(std::move(request), faults.late_delay), asio::detached);
-			co_return http_response{0, {}, ""};
+			co_return no_response();
 		}
 		const auto delay = delay_of(path);
 		if (delay.before_execution.count() > 0)
 			co_await pause_for(io_, delay.before_execution);
+		co_await wait_until_up();
+		const auto executed_by = current_.name;
 		auto out = co_await execute(std::move(request), false);
-		if (down_)
-			co_return http_response{0, {}, ""};
+		if (current_.name != executed_by)
+			co_return no_response();
 		if (delay.before_response.count() > 0)
 			co_await pause_for(io_, delay.before_response);
 		co_return out;
@@ -203,6 +276,7 @@
 	asio::awaitable<void> worker_standin::execute_late(http_request request, millis delay)
 	{
 		co_await pause_for(io_, delay);
+		co_await wait_until_up();
 		(void)co_await execute(std::move(request), true);
 	}
 
@@ -210,7 +284,7 @@
 	{
 		record_ends(boottime_now());
 		const auto expected = find_header(request.headers, "Expect-Instance");
-		if (!expected.empty() && expected != id_)
+		if (!expected.empty() && expected != current_.id)
 			co_return error_response(421, "another incarnation");
 		auto parsed = parse_json(request.body);
 		if (!parsed.ok() || !parsed->is_object())
@@ -226,9 +300,9 @@
 			co_return out;
 		}
 		const auto token = number_or(body, "fencingToken");
-		if (token < token_)
+		if (token < current_.token)
 			co_return make_response(409, "fence");
-		token_ = token;
+		current_.token = token;
 		if (path == hold_path)
 			co_return co_await answer_hold(std::move(body));
 		co_return make_response(200);
@@ -239,15 +313,15 @@
 		if (faults.unhealthy_status != 0)
 			return make_response(faults.unhealthy_status);
 		const auto token = number_or(body, "fencingToken");
-		if (token < token_)
+		if (token < current_.token)
 			return make_response(409, "fence");
-		token_ = token;
+		current_.token = token;
 		return path == start_path ? answer_start(body, late) : answer_stop(body);
 	}
 
 	bool worker_standin::has_room() const
 	{
-		return !checks_room || (std::ssize(running_) + 1) * run_cpu_milli <= cpu_milli;
+		return !checks_room || (std::ssize(current_.running) + 1) * run_cpu_milli <= cpu_milli;
 	}
 
 	void worker_standin::begin_run(const json::object& body, bool late)
@@ -257,18 +331,24 @@
 		run.task = text_or(body, "task");
 		run.run = number_or(body, "runId");
 		run.checkpoint = text_or(body, "checkpoint");
-		run.incarnation = id_;
+		run.incarnation = current_.name;
 		run.late = late;
 		run.started_at = now;
 		std::int64_t work = 0;
 		(void)absl::SimpleAtoi(text_or(body, "spec"), &work);
-		for (const auto& [other, live] : running_)
+		for (const auto& [other, live] : current_.running)
 			if (other.first == run.task)
 				concurrent_runs.emplace_back(live.index, started_runs.size());
-		running_[{run.task, run.run}] = {started_runs.size(), now + millis{work}, std::nullopt};
+		current_.running[{run.task, run.run}] = {started_runs.size(), now + millis{work}, std::nullopt};
 		started_runs.push_back(std::move(run));
 	}
 
+	void worker_standin::extend_lease(std::int64_t deadline_ms)
+	{
+		const auto latest = clock_ms() + longest_lease.count();
+		current_.lease_ms = std::max(current_.lease_ms, std::min(deadline_ms, latest));
+	}
+
 	http_response worker_standin::answer_start(const json::object& body, bool late)
 	{
 		const auto task = text_or(body, "task");
@@ -276,11 +356,11 @@
 		const auto deadline = number_or(body, "deadlineMs");
 		if (clock_ms() > deadline)
 			return make_response(409, "late");
-		lease_ms_ = std::max(lease_ms_, deadline);
-		if (running_.contains({task, run}))
+		extend_lease(deadline);
+		if (current_.running.contains({task, run}))
 			return make_response(200);
-		const auto closed = highest_closed_run_.find(task);
-		if (closed != highest_closed_run_.end() && run <= closed->second)
+		const auto closed = current_.highest_closed_run.find(task);
+		if (closed != current_.highest_closed_run.end() && run <= closed->second)
 			return make_response(409, "old");
 		if (faults.no_room_refusals > 0 || !has_room())
 		{
@@ -298,46 +378,56 @@
 		const auto task = text_or(body, "task");
 		const auto run = number_or(body, "runId");
 		const auto now = boottime_now();
-		const auto live = running_.find({task, run});
-		if (live != running_.end() && !live->second.stops_at)
+		const auto live = current_.running.find({task, run});
+		if (live != current_.running.end() && !live->second.stops_at)
 		{
 			live->second.stops_at = now + stop_time;
 			started_runs[live->second.index].stop_requested_at = now;
 			record_ends(now);
 		}
-		auto& closed = highest_closed_run_[task];
+		auto& closed = current_.highest_closed_run[task];
 		closed = std::max(closed, run);
 		return make_response(200);
 	}
 
+	void worker_standin::acknowledge_ends(std::int64_t last_seen, instant now)
+	{
+		current_.last_seen = std::max(current_.last_seen, last_seen);
+		for (const auto& end : current_.ended)
+			if (end.number <= last_seen && !end.lapsed)
+				started_runs[end.index].acknowledged_at = now;
+		std::erase_if(current_.ended, [&](const listed_end& end) { return end.number <= last_seen; });
+	}
+
 	asio::awaitable<http_response> worker_standin::answer_hold(json::object body)
 	{
-		const auto kept = number_or(body, "lastSeen");
-		lease_ms_ = std::max(lease_ms_, number_or(body, "deadlineMs"));
 		const auto now = boottime_now();
-		for (const auto& end : ended_)
-			if (end.number <= kept && !end.lapsed)
-				started_runs[end.index].acknowledged_at = now;
-		std::erase_if(ended_, [&](const listed_end& end) { return end.number <= kept; });
-		const auto incarnation_id = id_;
+		extend_lease(number_or(body, "deadlineMs"));
+		acknowledge_ends(number_or(body, "lastSeen"), now);
+		const auto executed_by = current_.name;
 		const auto until = now + millis{number_or(body, "waitMs")};
-		while (ended_.empty() && boottime_now() < until)
+		while (current_.name == executed_by && current_.ended.empty() && boottime_now() < until)
 		{
 			co_await pause_for(io_, poll_interval);
 			record_ends(boottime_now());
 		}
-		if (id_ != incarnation_id)
-			co_return error_response(421, "another incarnation");
+		co_return current_.name == executed_by ? make_listing() : no_response();
+	}
+
+	http_response worker_standin::make_listing() const
+	{
 		json::array running;
-		for (const auto& [key, run] : running_)
+		for (const auto& [key, run] : current_.running)
 			running.push_back(json::array{key.first, key.second, started_runs[run.index].checkpoint, 50, 0});
 		json::array ended;
-		for (const auto& end : ended_)
+		for (const auto& end : current_.ended)
 		{
 			const auto& run = started_runs[end.index];
 			ended.push_back(json::array{end.number, run.task, run.run, run.end_state, run.checkpoint});
 		}
-		co_return json_response(
-			200, json::serialize(json::object{{"clockMs", clock_ms()}, {"running", running}, {"finished", ended}}));
+		json::object body{{"clockMs", clock_ms()}, {"running", running}, {"finished", ended}};
+		if (sends_start_time)
+			body["born"] = current_.start_time_ms;
+		return json_response(200, json::serialize(body));
 	}
 }
