Agents log runs that their worker no longer lists, and heartbeats that are passed over

The logs could not tell whether a run had disappeared from its worker's list or its end had been lost, and a restarted worker whose heartbeats are dropped for their sequence number left no line at all. Change: E456 run_unlisted where a worker lists neither a run that it had nor its end (not while the list of ends is full, since later ends are listed only once earlier ones are acknowledged); E438 heartbeat_ignored also for a lower sequence number, with both numbers and clocks. Nothing decides by them yet.

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -67,7 +67,16 @@
 			return;
 		}
 		if (heartbeat.sequence < worker_->sequence)
-			return; // a later heartbeat has arrived before
+		{
+			// A later heartbeat has arrived before.
+			log_event(event::heartbeat_ignored, {{"worker", heartbeat.incarnation.str()},
+												 {"current", worker_->incarnation.str()},
+												 {"sequence", heartbeat.sequence},
+												 {"latest_sequence", worker_->sequence},
+												 {"worker_clock_ms", heartbeat.clock_ms},
+												 {"latest_clock_ms", worker_clock_ms_}});
+			return;
+		}
 		heartbeat_at_ = boottime_now();
 		const bool room_changed = heartbeat.capacity != worker_->capacity;
 		if (room_changed)
@@ -141,6 +150,7 @@
 		fillers_stopped_ = false;
 		pending_starts_.clear();
 		confirmed_unlisted_.clear();
+		disappeared_ = {};
 		pending_stops_.clear();
 		ends_.clear();
 		unreported_refusals_.clear();
@@ -264,6 +274,7 @@
 			request_report_();
 		failed_listings_ = 0;
 		++listing_count_;
+		note_unlisted_runs(listing);
 		absl::flat_hash_map<task_run, tracked_run> listed_runs;
 		for (auto& run : listing.running)
 		{
@@ -283,8 +294,6 @@
 			listed_runs.emplace(tracked.listed.run_id, std::move(tracked));
 		}
 		runs_ = std::move(listed_runs);
-		// A listing in flight at the confirmation may have been made before it; the next one was made after it.
-		absl::erase_if(confirmed_unlisted_, [this](const auto& run) { return listing_count_ >= run.second + 2; });
 		absl::erase_if(ages_,
 					   [this](const auto& age)
 					   {
@@ -305,6 +314,36 @@
 			asio::co_spawn(io_, pace_fillers(), asio::detached);
 	}
 
+	std::vector<task_run> run_manager::take_overdue_confirmations(const worker_listing& listing)
+	{
+		for (const auto& run : listing.running)
+			confirmed_unlisted_.erase(run.run_id);
+		for (const auto& end : listing.ended)
+			confirmed_unlisted_.erase(end.run_id);
+		std::vector<task_run> out;
+		// A listing in flight at the confirmation may have been made before it; the next one was made after it.
+		absl::erase_if(confirmed_unlisted_,
+					   [&](const auto& run)
+					   {
+						   const bool overdue = listing_count_ >= run.second + 2;
+						   if (overdue)
+							   out.push_back(run.first);
+						   return overdue;
+					   });
+		return out;
+	}
+
+	void run_manager::note_unlisted_runs(const worker_listing& listing)
+	{
+		auto had = take_overdue_confirmations(listing);
+		for (const auto& [id, run] : runs_)
+			had.push_back(id);
+		for (const auto& id : find_unlisted_runs(disappeared_, had, listing))
+			log_event(event::run_unlisted, {{"task", to_string(id.task)},
+											{"run", id.run},
+											{"worker", worker_->incarnation.str()}});
+	}
+
 	void run_manager::log_overlapping_runs()
 	{
 		absl::flat_hash_map<task_key, std::uint32_t> first_runs;
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "run_ages.hpp"
+#include "unlisted_runs.hpp"
 
 #include <trailjunction/agent/job_agent_process.hpp>
 #include <trailjunction/jobs/filler_pacing.hpp>
@@ -126,6 +127,11 @@
 		void move_slow_fillers(instant now);
 		boost::asio::awaitable<bool> wait_for_listing(const worker_incarnation& incarnation_id);
 		void apply_listing(worker_listing listing);
+		/// Removes the runs from confirmed_unlisted_ that need not be kept any longer.
+		/// \returns Those that a listing made after the confirmation should contain.
+		[[nodiscard]] std::vector<task_run> take_overdue_confirmations(const worker_listing& listing);
+		/// Handles runs that the worker had and that have disappeared without an end.
+		void note_unlisted_runs(const worker_listing& listing);
 		void choose_paces(instant now);
 		[[nodiscard]] std::vector<monitored_serving_task> monitor_serving_tasks(instant now);
 		[[nodiscard]] std::vector<task_run> fillers_to_pace(instant now) const;
@@ -185,6 +191,7 @@
 		/// Runs that the worker has confirmed, kept until a listing that was certainly made after the confirmation;
 		/// with the value of listing_count_ at the confirmation.
 		absl::flat_hash_map<task_run, std::uint64_t> confirmed_unlisted_;
+		disappeared_runs disappeared_;
 		run_ages ages_;         ///< Ages of the runs in runs_, pending_starts_ and confirmed_unlisted_.
 		bool announced_exit_{}; ///< The worker announced that it is about to end.
 		bool worker_exited_{};  ///< The process of the worker has ended.
--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -88,6 +88,7 @@
 		room_changed = 453,
 		suspect_started = 454,
 		blame_lifted = 455,
+		run_unlisted = 456,
 		job_turned_away = 460,
 		wave_begun = 480,
 		wave_refused = 481,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -69,7 +69,7 @@
 			event::upkeep_ordered,       event::upkeep_answered,
 			event::upkeep_moved_on,      event::wave_completed,
 			event::wave_overdue,         event::waves_not_served,
-			event::instances_unknown,
+			event::instances_unknown,    event::run_unlisted,
 		};
 	}
 
@@ -221,6 +221,8 @@
 			return "suspect_started";
 		case event::blame_lifted:
 			return "blame_lifted";
+		case event::run_unlisted:
+			return "run_unlisted";
 		case event::job_turned_away:
 			return "job_turned_away";
 		case event::wave_begun:
