Lost runs: an agent tells its owner which runs its worker no longer lists

Cause: an owner knew the runs of a worker by their starts, their ends and changes of their figures. A run that disappears without an end is none of these, and an agent that answers renews the worker's lease with each report, so the run went on for the owner until a full report that was made after the loss. Class: state followed by changes only, where the loss of an entry is no change. Change: an agent compares each listing with the runs that it has listed or confirmed before, and reports those that the worker lists neither as running nor as ended; the owner records them as lapsed, and their tasks wait again.

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -156,6 +156,7 @@
 		unreported_refusals_.clear();
 		refusal_history_ = {};
 		unreported_starts_.clear();
+		unreported_unlisted_runs_.clear();
 		request_report_();
 	}
 
@@ -339,9 +340,13 @@
 		for (const auto& [id, run] : runs_)
 			had.push_back(id);
 		for (const auto& id : find_unlisted_runs(disappeared_, had, listing))
-			log_event(event::run_unlisted, {{"task", to_string(id.task)},
-											{"run", id.run},
-											{"worker", worker_->incarnation.str()}});
+		{
+			log_event(event::run_unlisted,
+					  {{"task", to_string(id.task)}, {"run", id.run}, {"worker", worker_->incarnation.str()}});
+			attributes_.erase(id);
+			unreported_unlisted_runs_.push_back(id);
+			request_report_();
+		}
 	}
 
 	void run_manager::log_overlapping_runs()
@@ -414,6 +419,9 @@
 		for (const auto& id : unreported_starts_)
 			out.started.push_back(to_wire(id));
 		unreported_starts_.clear();
+		for (const auto& id : unreported_unlisted_runs_)
+			out.unlisted.push_back(to_wire(id));
+		unreported_unlisted_runs_.clear();
 		return out;
 	}
 }
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -202,6 +202,7 @@
 		std::vector<refused_run> unreported_refusals_;
 		refusal_memory refusal_history_;
 		std::vector<task_run> unreported_starts_;
+		std::vector<task_run> unreported_unlisted_runs_;
 		instant paces_changed_at_{};
 		bool fillers_stopped_{}; ///< A serving task tolerates no filler now; 0 is reported as pace.
 		bool pacing_in_progress_{};
--- a/packages/agent/src/process/unlisted_runs.hpp
+++ b/packages/agent/src/process/unlisted_runs.hpp
@@ -25,7 +25,6 @@
 	/// \brief Compares a listing with the runs that the worker had before.
 	/// \param had Runs that an earlier listing contained, or that were confirmed before this listing was made.
 	/// \returns The runs that the worker neither has nor has ended: they were lost without an end.
-	[[nodiscard]] std::vector<task_run> find_unlisted_runs(disappeared_runs& disappeared,
-														   const std::vector<task_run>& had,
-														   const worker_listing& listing);
+	[[nodiscard]] std::vector<task_run>
+	find_unlisted_runs(disappeared_runs& disappeared, const std::vector<task_run>& had, const worker_listing& listing);
 }
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -155,7 +155,12 @@
 		void on_report(agent_peer& peer, wire::job_report&& report);
 		void note_worker(agent_peer& peer, const wire::job_report& report);
 		void note_ends(agent_peer& peer, const wire::job_report& report, instant now);
+		/// Records the end of a run on the agent's worker.
+		/// \returns Whether the run was placed there and had not ended.
+		bool record_end(const agent_peer& peer, const listed_end& end, instant now);
 		void note_refusals(agent_peer& peer, const wire::job_report& report, instant now);
+		/// Ends the runs that a worker has lost although it goes on, so that their tasks start again.
+		void note_unlisted(agent_peer& peer, const wire::job_report& report, instant now);
 		void note_running(agent_peer& peer, const wire::job_report& report, instant now);
 		void learn_pressures(const agent_peer& peer, instant now);
 		void reconcile(agent_peer& peer, const wire::job_report& report);
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -77,6 +77,7 @@
 		peer.room_outdated = true;
 		note_ends(peer, report, now);
 		note_refusals(peer, report, now);
+		note_unlisted(peer, report, now);
 		note_running(peer, report, now);
 		handle_planned_end(peer, report, now); // the ends in this report were processed before
 		learn_pressures(peer, now);
@@ -84,7 +85,7 @@
 		if (report.full)
 			reconcile(peer, report);
 		confirm(peer, report, now);
-		if (report.full || !report.ended.empty() || !report.refused.empty())
+		if (report.full || !report.ended.empty() || !report.refused.empty() || !report.unlisted.empty())
 			wake();
 	}
 
@@ -118,13 +119,8 @@
 		{
 			const auto end = from_wire(row);
 			peer.worker.last_end_seen = std::max(peer.worker.last_end_seen, end.number);
-			if (!is_placed_on(peer.worker.current_incarnation, end.run_id) ||
-				end_run(table_, end.run_id, end.outcome, end.checkpoint, now) == end_effect::ignored)
+			if (!record_end(peer, end, now))
 				continue;
-			++meter_.load.ended;
-			metrics_.counter("job_runs_ended", "Runs by how they ended.", "how", std::string{to_string(end.outcome)})
-				.Increment();
-			ended_log_.add(end.run_id, peer.worker.current_incarnation, to_string(end.outcome));
 			const bool counts_for_trust = end.outcome == run_outcome::done || end.outcome == run_outcome::failed;
 			if (counts_for_trust && record_run_end(peer.worker.trust, end.run_id.task.job,
 												   end.outcome == run_outcome::failed, default_trust_policy, now))
@@ -132,6 +128,19 @@
 		}
 	}
 
+	bool job_term::record_end(const agent_peer& peer, const listed_end& end, instant now)
+	{
+		const auto& worker = peer.worker.current_incarnation;
+		if (!is_placed_on(worker, end.run_id) ||
+			end_run(table_, end.run_id, end.outcome, end.checkpoint, now) == end_effect::ignored)
+			return false;
+		++meter_.load.ended;
+		metrics_.counter("job_runs_ended", "Runs by how they ended.", "how", std::string{to_string(end.outcome)})
+			.Increment();
+		ended_log_.add(end.run_id, worker, to_string(end.outcome));
+		return true;
+	}
+
 	void job_term::note_refusals(agent_peer& peer, const wire::job_report& report, instant now)
 	{
 		auto& avoided_until = peer.worker.trust.avoided_until;
@@ -168,6 +177,12 @@
 		}
 	}
 
+	void job_term::note_unlisted(agent_peer& peer, const wire::job_report& report, instant now)
+	{
+		for (const auto& row : report.unlisted)
+			(void)record_end(peer, {0, from_wire(row), run_outcome::lapsed, ""}, now);
+	}
+
 	void job_term::note_running(agent_peer& peer, const wire::job_report& report, instant now)
 	{
 		for (const auto& row : report.started)
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -339,6 +339,7 @@
 	15: bool lease_ends,        // the agent is stopping and no longer extends the leases of its worker's runs
 	16: i64 unheard_ms,         // time since the worker's last answer
 	17: optional job_lost_worker lost, // set if full is set, and in the first report of an incarnation
+	18: list<task_run> unlisted, // runs that the worker had and lists no more, neither as running nor as ended
 }
 
 /** Content of a frame: exactly one member is set. */
