Incarnations: a worker's start time tells one that has restarted under its id from the one before

Cause: the id was taken for one incarnation. The changed term lets a worker start again under its id, with counts that begin anew, so sequence numbers, numbers of ends, the worker's clock, the lease, the fencing token and the runs of the former incarnation were applied to the next one. Class: an identifier that outlives what it was taken to identify. Change, in the order of a message's way: - worker_incarnation is (id, start time), a type of its own; the adapter decodes the time from heartbeats, listings and leave notices, and refuses a heartbeat whose time is no whole number. Only equality counts: an instance's clock may jump back. Without a time the id alone names it. - A call names the id alone, so an answer that states another start time is not of the incarnation that was called: a listing is not applied, an order counts as unanswered. An agent changes to another incarnation only if a listing asked for afterwards states its time and no other change came between. After a call without an answer the next one carries neither lease nor acknowledgements; acknowledgements are sent only while the worker lists what they acknowledge. - The fencing token is start time plus worker clock, and above all tokens of the process, so late orders to the former incarnation are refused once the next one has answered one call; a refused listing raises it in doubling steps, since an earlier process may have used a higher one. - The owner places a run of the former incarnation that the next one lists, running or ended, on that one: the order came late. All others are lost with it, and start again. It counts the lease of calls to the former incarnation, up to the platform's longest one. - Messages and rows keep the id and get an optional start time. A name without one, of an agent or a row of an earlier version, stands for the incarnation that is there, so an update of agents or entries loses no run.

--- a/packages/agent/include/trailjunction/agent/worker_port.hpp
+++ b/packages/agent/include/trailjunction/agent/worker_port.hpp
@@ -49,7 +49,7 @@
 		superseded, ///< Not carried out: this run or a later one of the task was stopped or has ended on the worker.
 		fenced,     ///< Not carried out: the worker has seen a higher fencing token.
 		unhealthy,  ///< Not carried out: the worker refuses all orders at present.
-		other_incarnation, ///< Not carried out: another incarnation answered.
+		other_incarnation, ///< Another incarnation answered. An order was not carried out.
 		invalid,           ///< Not carried out: the worker rejected the order as malformed.
 		unknown,           ///< No answer: the order may have been carried out, or may be carried out later.
 		not_sent,          ///< Not carried out: the worker was unreachable.
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -27,6 +27,17 @@
 		constexpr auto listing_delay = millis{50};
 		/// Relative change of a figure below which it is not reported.
 		constexpr double min_figure_change = 0.2;
+		/// First step by which a fencing token is raised; it doubles with each refusal.
+		constexpr auto first_fencing_token_step = millis{1'000};
+
+		/// A fencing token for an incarnation. It is above those of its former incarnations unless the clock of the
+		/// instance was set back, and above those of earlier processes of its agent, since the worker's clock has
+		/// advanced since.
+		std::int64_t fencing_token_of(const worker_incarnation& incarnation, std::int64_t worker_clock_ms) noexcept
+		{
+			const auto start_time = incarnation.start_time().value_or(worker_start_time{});
+			return static_cast<std::int64_t>(start_time.value) + worker_clock_ms;
+		}
 
 		/// Whether a long-running task serves; the owner counts those that do not.
 		bool is_serving(const listed_run& run) noexcept
@@ -35,6 +46,15 @@
 			return run.progress_percent >= full_progress;
 		}
 
+		/// \returns 0 if there are no ends.
+		std::int64_t lowest_number(const std::vector<listed_end>& ends) noexcept
+		{
+			const auto lowest = std::min_element(ends.begin(), ends.end(),
+												 [](const listed_end& left, const listed_end& right)
+												 { return left.number < right.number; });
+			return lowest == ends.end() ? 0 : lowest->number;
+		}
+
 		bool changed_noticeably(std::int64_t before, std::int64_t now) noexcept
 		{
 			return std::abs(static_cast<double>(now - before)) > min_figure_change * static_cast<double>(before);
@@ -61,7 +81,7 @@
 		}
 		if (worker_->incarnation != heartbeat.incarnation)
 		{
-			// A heartbeat of a former incarnation may arrive after those of the next one.
+			// A heartbeat of a former incarnation may arrive after those of the next one, also under the same id.
 			if (probed_incarnations_.insert(heartbeat.incarnation).second)
 				asio::co_spawn(io_, probe_incarnation(std::move(heartbeat)), asio::detached);
 			return;
@@ -90,23 +110,34 @@
 			log_event(event::worker_leaving,
 					  {{"worker", heartbeat.incarnation.str()}, {"draining", heartbeat.draining ? 1 : 0}});
 		worker_ = std::move(heartbeat);
+		// A former incarnation may have sent the notice.
+		announced_exit_ = announced_exit_ && worker_->draining;
 		if (draining_changed || room_changed)
 			request_report_();
 	}
 
 	asio::awaitable<void> run_manager::probe_incarnation(worker_heartbeat heartbeat)
 	{
+		const auto current = worker_->incarnation;
 		const std::shared_ptr<worker_port> port =
 			heartbeat.address == worker_->address ? port_ : make_port_(heartbeat.address);
-		const order_authority authority{heartbeat.incarnation, heartbeat.clock_ms};
+		// The token is that of the current incarnation, which may be the one that answers.
+		const bool same_id = heartbeat.incarnation.id() == current.id();
+		const order_authority authority{heartbeat.incarnation,
+										same_id ? fencing_token_
+												: fencing_token_of(heartbeat.incarnation, heartbeat.clock_ms)};
 		const listing_order plain_listing;
 		const auto result = co_await port->list(authority, plain_listing, boottime_now() + worker_call_timeout);
 		probed_incarnations_.erase(heartbeat.incarnation);
-		if (is_current(heartbeat.incarnation))
-			co_return;
-		// A worker answers calls to its current incarnation only. If the probe gets no answer, the next heartbeat
-		// causes another one.
-		if (result.outcome == order_outcome::done || result.outcome == order_outcome::fenced)
+		if (!is_current(current))
+			co_return; // the answer may be older than the present incarnation
+		// A worker answers calls to its current id only, and a listing states its start time. If the probe gets no
+		// answer, the next heartbeat causes another one.
+		const bool is_proof =
+			result.outcome == order_outcome::done || (result.outcome == order_outcome::fenced && !same_id);
+		if (result.outcome == order_outcome::fenced && same_id)
+			raise_fencing_token(result.clock_ms);
+		if (is_proof)
 			begin_incarnation(heartbeat);
 		else
 			log_event(event::heartbeat_ignored, {{"worker", heartbeat.incarnation.str()},
@@ -135,15 +166,18 @@
 			port_ = make_port_(heartbeat.address);
 		worker_ = heartbeat;
 		heartbeat_at_ = boottime_now();
-		// The worker's clock has advanced since the previous process of this agent, so this token is above the previous
-		// one.
-		fencing_token_ = heartbeat.clock_ms;
+		// Above the tokens of all orders to former incarnations: one that is carried out late is refused as soon as
+		// this incarnation has answered one call.
+		fencing_token_ = std::max(fencing_token_ + 1, fencing_token_of(heartbeat.incarnation, heartbeat.clock_ms));
+		fencing_token_step_ = first_fencing_token_step;
 		worker_clock_ms_ = 0;
 		lease_deadline_ms_ = 0;
 		ends_kept_ = 0;
 		ends_reported_ = 0;
 		failed_listings_ = 0;
+		first_listed_end_ = 0;
 		has_listing_ = false;
+		full_report_due_ = true; // the owner compares the listing with the late orders to former incarnations
 		runs_.clear();
 		attributes_.clear();
 		paces_.clear();
@@ -162,9 +196,9 @@
 
 	void run_manager::on_worker_leaving(const worker_incarnation& incarnation_id)
 	{
-		if (!is_current(incarnation_id))
+		if (!refers_to_current(incarnation_id))
 			return;
-		log_event(event::worker_gone, {{"worker", incarnation_id.str()}});
+		log_event(event::worker_gone, {{"worker", worker_->incarnation.str()}});
 		worker_->draining = true;
 		announced_exit_ = true;
 		request_report_();
@@ -194,6 +228,11 @@
 		return worker_ && worker_->incarnation == incarnation_id;
 	}
 
+	bool run_manager::refers_to_current(const worker_incarnation& name) const noexcept
+	{
+		return worker_ && may_refer_to(name, worker_->incarnation);
+	}
+
 	bool run_manager::has_ended(const task_run& id) const noexcept
 	{
 		return std::any_of(ends_.begin(), ends_.end(), [&](const listed_end& end) { return end.run_id == id; });
@@ -220,8 +259,6 @@
 
 	void run_manager::record_result(const order_result& result, instant answered_at)
 	{
-		if (result.outcome == order_outcome::fenced)
-			fencing_token_ = std::max(fencing_token_, result.clock_ms);
 		if (result.clock_ms <= worker_clock_ms_)
 			return;
 		worker_clock_ms_ = result.clock_ms;
@@ -229,6 +266,25 @@
 		suspended_at_clock_read_ = total_suspended_time();
 	}
 
+	void run_manager::raise_fencing_token(std::int64_t worker_clock_ms)
+	{
+		fencing_token_ = std::max(fencing_token_ + fencing_token_step_.count(),
+								  fencing_token_of(worker_->incarnation, worker_clock_ms));
+		fencing_token_step_ *= 2;
+	}
+
+	listing_order run_manager::next_listing_order() const noexcept
+	{
+		// After a call without an answer the next incarnation may be there. It would take the lease and the
+		// acknowledgements for its own, so the call only finds out which incarnation answers.
+		if (failed_listings_ > 0)
+			return {};
+		const bool acknowledges = first_listed_end_ > 0 && first_listed_end_ <= ends_kept_;
+		// Before the worker has its first lease the listing must not be delayed, since the lease would be delayed too.
+		return {lease_deadline_ms_, acknowledges ? ends_kept_ : 0,
+				lease_deadline_ms_ > 0 ? max_listing_wait : millis{0}};
+	}
+
 	asio::awaitable<void> run_manager::listing_loop()
 	{
 		while (true)
@@ -240,16 +296,17 @@
 			}
 			const auto port = port_;
 			const auto incarnation_id = worker_->incarnation;
-			// Before the worker has its first lease the listing must not be delayed, since the lease would be delayed
-			// too.
-			listing_order order{lease_deadline_ms_, ends_kept_, lease_deadline_ms_ > 0 ? max_listing_wait : millis{0}};
+			const auto order = next_listing_order();
 			const auto deadline = boottime_now() + order.max_wait + worker_call_timeout;
 			auto result = co_await port->list(authority(), order, deadline);
 			if (!is_current(incarnation_id))
 				continue;
 			record_result(result, boottime_now());
+			if (result.outcome == order_outcome::fenced)
+				raise_fencing_token(result.clock_ms);
 			if (result.outcome == order_outcome::done)
 			{
+				fencing_token_step_ = first_fencing_token_step;
 				apply_listing(std::move(result.listing));
 				if (!ends_.empty() || order.max_wait == millis{0})
 					co_await pause_for(io_, listing_delay);
@@ -304,6 +361,7 @@
 					   });
 		log_overlapping_runs();
 		absl::erase_if(paces_, [this](const auto& pace) { return !runs_.contains(pace.first); });
+		first_listed_end_ = lowest_number(listing.ended);
 		ends_.clear();
 		for (auto& end : listing.ended)
 			if (end.number > ends_kept_)
@@ -362,7 +420,7 @@
 
 	void run_manager::confirm(const wire::job_confirm& answer)
 	{
-		if (!is_current(worker_incarnation{answer.worker}))
+		if (!refers_to_current(worker_of(answer)))
 			return;
 		if (worker_clock_ms_ > 0 && !closing_)
 			lease_deadline_ms_ =
@@ -382,7 +440,7 @@
 		if (!worker_ || !has_listing_)
 			return out;
 		out.full = std::exchange(full_report_due_, false);
-		out.worker = worker_->incarnation.str();
+		set_worker(out, worker_->incarnation);
 		out.service_name = worker_->service.str();
 		out.labels = worker_->labels;
 		out.capacity.cpu_milli = worker_->capacity.cpu_milli;
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -156,6 +156,12 @@
 		[[nodiscard]] bool has_room_for(const task_run& id, const resources& claim, instant now) const;
 		[[nodiscard]] bool may_be_running(const task_run& id) const noexcept;
 		[[nodiscard]] bool is_current(const worker_incarnation& incarnation_id) const noexcept;
+		/// Whether a message of an owner, or a notice of the worker, refers to the current incarnation.
+		[[nodiscard]] bool refers_to_current(const worker_incarnation& name) const noexcept;
+		/// The lease, acknowledgements and wait time of the next listing call.
+		[[nodiscard]] listing_order next_listing_order() const noexcept;
+		/// Raises the fencing token above one that the worker has seen from an earlier process of this agent.
+		void raise_fencing_token(std::int64_t worker_clock_ms);
 		[[nodiscard]] bool has_ended(const task_run& id) const noexcept;
 		[[nodiscard]] order_authority authority() const;
 		[[nodiscard]] std::int64_t worker_now_ms(instant now) const noexcept;
@@ -172,7 +178,9 @@
 		instant heartbeat_at_{}; ///< Arrival of the latest heartbeat of the current incarnation.
 		absl::flat_hash_set<worker_incarnation> probed_incarnations_; ///< Incarnations to which a probe is in flight.
 		millis lease_{};
+		/// Only increases in the lifetime of the process, over all incarnations of the worker.
 		std::int64_t fencing_token_{};
+		millis fencing_token_step_{};    ///< By how much the token is raised after the next refusal.
 		std::int64_t worker_clock_ms_{}; ///< The worker's clock in an answer that had arrived by clock_read_at_.
 		instant clock_read_at_{};
 		/// Total time for which this instance had been suspended by clock_read_at_.
@@ -180,7 +188,8 @@
 		std::int64_t lease_deadline_ms_{}; ///< Time on the worker's clock up to which the runs are confirmed.
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
-		std::uint64_t listing_count_{}; ///< Number of answered listing calls; lets coroutines wait for a new listing.
+		std::int64_t first_listed_end_{}; ///< Number of the first end in the latest listing; 0 if it had none.
+		std::uint64_t listing_count_{};   ///< Number of answered listing calls; lets coroutines wait for a new listing.
 		int failed_listings_{};
 		bool has_listing_{};
 		bool full_report_due_{}; ///< A full report was requested and has not been sent yet.
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -39,12 +39,12 @@
 	void run_manager::start(wire::job_start order)
 	{
 		const auto id = from_wire(order.what);
-		if (!is_current(worker_incarnation{order.worker}))
+		if (!refers_to_current(worker_of(order)))
 		{
 			// The next report tells the owner of the new incarnation.
 			log_event(event::order_dropped, {{"task", to_string(id.task)},
 											 {"run", id.run},
-											 {"worker", order.worker},
+											 {"worker", worker_of(order).str()},
 											 {"current", worker_ ? worker_->incarnation.str() : ""}});
 			return;
 		}
@@ -219,7 +219,7 @@
 	void run_manager::stop(const wire::job_stop& order)
 	{
 		const auto id = from_wire(order.what);
-		if (is_current(worker_incarnation{order.worker}) && !has_ended(id))
+		if (refers_to_current(worker_of(order)) && !has_ended(id))
 			begin_stop(id, "owner");
 	}
 
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -289,7 +289,9 @@
 				peer->worker.current_incarnation == peer->stored_incarnation)
 				continue;
 			stored::worker row;
-			row.life = peer->worker.current_incarnation.str();
+			row.life = peer->worker.current_incarnation.id();
+			if (const auto& start_time = peer->worker.current_incarnation.start_time())
+				row.__set_start_ms(static_cast<std::int64_t>(start_time->value));
 			row.address = to_string(peer->agent_address());
 			out.change.put.push_back({{workers_table, name}, encode_worker(row)});
 			peer->stored_incarnation = peer->worker.current_incarnation;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -154,6 +154,9 @@
 		// job_term_workers.cpp: reports from workers and orders to them
 		void on_report(agent_peer& peer, wire::job_report&& report);
 		void note_worker(agent_peer& peer, const wire::job_report& report);
+		/// Handles the first report of an incarnation.
+		void begin_incarnation(agent_peer& peer, const worker_incarnation& incarnation, const wire::job_report& report,
+							   instant now);
 		void note_ends(agent_peer& peer, const wire::job_report& report, instant now);
 		/// Records the end of a run on the agent's worker.
 		/// \returns Whether the run was placed there and had not ended.
@@ -199,6 +202,10 @@
 		[[nodiscard]] worker_loss loss_of(const worker_incarnation& worker, const absl::flat_hash_set<task_key>& keys,
 										  instant now) const;
 		[[nodiscard]] absl::flat_hash_map<worker_incarnation, worker_loss> losses_by_worker(instant now) const;
+		/// The incarnations with runs that a name of the service that runs instances may stand for.
+		[[nodiscard]] std::vector<worker_incarnation> incarnations_with_runs(const worker_incarnation& name) const;
+		/// Requeues the runs of a worker whose instance went down for upkeep.
+		void handle_upkeep_began(const worker_incarnation& name, instant now);
 		/// Moves tasks away from workers whose instances are about to go down for upkeep.
 		void move_tasks_for_upkeep(instant now);
 
@@ -215,6 +222,12 @@
 		/// reported none.
 		void handle_earlier_incarnations(agent_peer& peer, const worker_state& before, const lost_worker& reported_loss,
 										 instant now);
+		/// \brief Places the runs of earlier incarnations that the present one lists on the present one.
+		/// \details Calls name a worker by its id alone, so an order to an incarnation that has ended may be carried
+		/// out by the next one. Such a run counts like any other; starting its task again would run it twice.
+		void take_over_late_runs(agent_peer& peer, const wire::job_report& report, instant now);
+		/// \brief The earlier incarnations of an agent's worker of which nothing runs any more.
+		[[nodiscard]] std::vector<worker_incarnation> earlier_incarnations(const agent_peer& peer) const;
 		void handle_expired_leases(instant now);
 		/// Requeues the runs of a worker that reported a planned end.
 		void handle_planned_end(const agent_peer& peer, const wire::job_report& report, instant now);
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -10,9 +10,12 @@
 #include "../upkeep/upkeep_controller.hpp"
 
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/wire/job_messages.hpp>
 
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
+
 namespace trailjunction
 {
 	namespace
@@ -63,7 +66,7 @@
 	void job_term::handle_lost_worker(lost_worker worker, bool crashed, std::string_view why, instant now)
 	{
 		// A worker that may have gone down for the upkeep of its instance does not count as crashed.
-		crashed = crashed && (!upkeep_ || !upkeep_->may_have_gone_down(worker.incarnation));
+		crashed = crashed && (!upkeep_ || !upkeep_->may_have_gone_down(without_start_time(worker.incarnation)));
 		if (crashed)
 			record_crash(worker, now);
 		auto lost = collect_lost_runs(table_, worker, crashed, default_crash_policy);
@@ -113,22 +116,50 @@
 			.Increment();
 	}
 
-	void job_term::handle_earlier_incarnations(agent_peer& peer, const worker_state& before,
-											   const lost_worker& reported_loss, instant now)
+	std::vector<worker_incarnation> job_term::earlier_incarnations(const agent_peer& peer) const
 	{
 		// An agent reports an incarnation only after it has answered, and an agent has only one worker. So the earlier
 		// incarnations have ended, and all runs in them. An agent of the same name at another address is on another
 		// instance; the worker on the previous instance may still run until its lease expires.
-		std::vector<worker_incarnation> earlier;
+		std::vector<worker_incarnation> out;
 		for (const auto& [worker, location] : agent_of_worker_)
 			if (location.agent == peer.name() && worker != peer.worker.current_incarnation &&
 				location.address == to_string(peer.agent_address()))
-				earlier.push_back(worker);
-		for (const auto& worker : earlier)
+				out.push_back(worker);
+		return out;
+	}
+
+	void job_term::take_over_late_runs(agent_peer& peer, const wire::job_report& report, instant now)
+	{
+		const auto& current = peer.worker.current_incarnation;
+		std::vector<task_run> listed;
+		for (const auto& row : report.running)
+			listed.push_back(from_wire(row.what));
+		for (const auto& row : report.ended)
+			listed.push_back(from_wire(row.what));
+		for (const auto& earlier : earlier_incarnations(peer))
+		{
+			if (earlier.id() != current.id())
+				continue;
+			// The worker may hold the lease of a call to the earlier incarnation for as long as the platform allows.
+			peer.worker.held_until =
+				lease_end(now + settings_.longest_run_lease - run_lease_times_.lease, run_lease_times_);
+			for (const auto& run_id : runs_on(table_, earlier))
+				if (std::find(listed.begin(), listed.end(), run_id) != listed.end() || may_refer_to(earlier, current))
+					transfer_run(table_, run_id, current);
+		}
+	}
+
+	void job_term::handle_earlier_incarnations(agent_peer& peer, const worker_state& before,
+											   const lost_worker& reported_loss, instant now)
+	{
+		for (const auto& worker : earlier_incarnations(peer))
 		{
 			agent_of_worker_.erase(worker);
 			const bool is_previous = worker == before.current_incarnation;
-			const bool crashed = !is_previous || !before.draining;
+			// Without a start time it may be the present incarnation, named by an earlier version.
+			const bool crashed =
+				!may_refer_to(worker, peer.worker.current_incarnation) && (!is_previous || !before.draining);
 			if (crashed && table_.placed.contains(worker))
 				peer.worker.predecessor_crash = now;
 			lost_worker lost{worker, is_previous ? before.last_response : std::nullopt, {}, {}};
@@ -140,7 +171,7 @@
 
 	void job_term::handle_planned_end(const agent_peer& peer, const wire::job_report& report, instant now)
 	{
-		if (!report.__isset.lost || report.lost.worker != report.worker)
+		if (!report.__isset.lost || worker_of(report.lost) != worker_of(report))
 			return;
 		handle_lost_worker({peer.worker.current_incarnation, peer.worker.last_response, {}, {}}, false, "ended", now);
 		wake();
@@ -152,7 +183,10 @@
 		for (const auto& [worker, keys] : table_.placed)
 		{
 			const auto confirmed = confirmed_at_.find(worker);
-			if (now >= lease_end(confirmed == confirmed_at_.end() ? began_at_ : confirmed->second, run_lease_times_))
+			const auto* peer = peer_of(worker);
+			const auto held_until = peer == nullptr ? instant{} : peer->worker.held_until;
+			const auto confirmed_at = confirmed == confirmed_at_.end() ? began_at_ : confirmed->second;
+			if (now >= std::max(held_until, lease_end(confirmed_at, run_lease_times_)))
 				lapsed.push_back(worker);
 		}
 		for (const auto& worker : lapsed)
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -229,7 +229,7 @@
 		{
 			const auto worker = decode_worker(row.value);
 			if (worker.ok())
-				agent_of_worker_[worker_incarnation{worker->life}] = {row.name.key, worker->address};
+				agent_of_worker_[incarnation_of(*worker)] = {row.name.key, worker->address};
 			else
 				log_event(event::row_unreadable, {{"worker", row.name.key}, {"reason", worker.status().ToString()}});
 		}
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -88,11 +88,11 @@
 				charge_workers({&room, 1}, table_, pressures_, default_placement);
 			}
 			room.crashed_recently = worker.predecessor_crash && now - *worker.predecessor_crash < recent_crash_window;
-			room.accepts =
-				already_accepts || (peer->has_reported() && may_start_on(worker.current_incarnation, now) &&
-									worker.responsive && !worker.draining && now >= worker.trust.avoided_until &&
-									start_permission_at(*peer, now) == start_permission::allowed &&
-									!(upkeep_ && upkeep_->is_going_down(worker.current_incarnation)));
+			room.accepts = already_accepts ||
+						   (peer->has_reported() && may_start_on(worker.current_incarnation, now) &&
+							worker.responsive && !worker.draining && now >= worker.trust.avoided_until &&
+							start_permission_at(*peer, now) == start_permission::allowed &&
+							!(upkeep_ && upkeep_->is_going_down(without_start_time(worker.current_incarnation))));
 		}
 		table_.changed_workers.clear();
 	}
--- a/packages/entry/src/process/job_term_upkeep.cpp
+++ b/packages/entry/src/process/job_term_upkeep.cpp
@@ -15,6 +15,8 @@
 	namespace
 	{
 		constexpr double millicores_per_core = 1'000.0;
+		/// Maximum time from the request for a list of instances until its result is applied.
+		constexpr auto max_list_age = millis{2'000};
 	}
 
 	void job_term::create_upkeep(const upkeep_adapter& adapter)
@@ -46,8 +48,7 @@
 		};
 		callbacks.on_worker_gone = [this](const worker_incarnation& worker)
 		{
-			handle_lost_worker({worker, std::nullopt}, false, "upkeep", boottime_now());
-			wake();
+			handle_upkeep_began(worker, boottime_now());
 		};
 		callbacks.wake_term = [this]
 		{
@@ -101,22 +102,38 @@
 		absl::flat_hash_map<worker_incarnation, worker_loss> out;
 		for (const auto& [worker, keys] : table_.placed)
 			if (!keys.empty())
-				out.emplace(worker, loss_of(worker, keys, now));
+				out.emplace(without_start_time(worker), loss_of(worker, keys, now));
 		return out;
 	}
 
+	std::vector<worker_incarnation> job_term::incarnations_with_runs(const worker_incarnation& name) const
+	{
+		std::vector<worker_incarnation> out;
+		for (const auto& [worker, keys] : table_.placed)
+			if (may_refer_to(name, worker))
+				out.push_back(worker);
+		return out;
+	}
+
+	void job_term::handle_upkeep_began(const worker_incarnation& name, instant now)
+	{
+		for (const auto& worker : incarnations_with_runs(name))
+		{
+			const auto* peer = peer_of(worker);
+			if (peer != nullptr && now - peer->worker.first_report < max_list_age)
+				continue; // it may have started after the upkeep
+			handle_lost_worker({worker, std::nullopt}, false, "upkeep", now);
+		}
+		wake();
+	}
+
 	void job_term::move_tasks_for_upkeep(instant now)
 	{
 		if (!upkeep_)
 			return;
-		for (const auto& worker : upkeep_->draining_workers())
-		{
-			const auto placed = table_.placed.find(worker);
-			if (placed == table_.placed.end())
-				continue;
-			const std::vector<task_key> keys{placed->second.begin(), placed->second.end()};
-			for (const auto& key : keys)
-				(void)begin_move(table_, key, move_reason::upkeep, now); // tasks that may not move stay for now
-		}
+		for (const auto& name : upkeep_->draining_workers())
+			for (const auto& worker : incarnations_with_runs(name))
+				for (const auto& run_id : runs_on(table_, worker))
+					(void)begin_move(table_, run_id.task, move_reason::upkeep, now); // others stay for now
 	}
 }
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -89,20 +89,28 @@
 			wake();
 	}
 
+	void job_term::begin_incarnation(agent_peer& peer, const worker_incarnation& incarnation,
+									 const wire::job_report& report, instant now)
+	{
+		auto& worker = peer.worker;
+		const auto previous = std::exchange(worker, {});
+		worker.current_incarnation = incarnation;
+		worker.first_report = now;
+		agent_of_worker_[incarnation] = {peer.name(), to_string(peer.agent_address())};
+		take_over_late_runs(peer, report, now);
+		const auto reported_loss = report.__isset.lost ? from_wire(report.lost, now) : lost_worker{};
+		handle_earlier_incarnations(peer, previous, reported_loss, now);
+		wake();
+	}
+
 	void job_term::note_worker(agent_peer& peer, const wire::job_report& report)
 	{
-		const worker_incarnation reported_incarnation{report.worker};
 		const auto now = boottime_now();
 		auto& worker = peer.worker;
-		if (worker.current_incarnation != reported_incarnation)
-		{
-			const auto previous = std::exchange(worker, {});
-			worker.current_incarnation = reported_incarnation;
-			agent_of_worker_[reported_incarnation] = {peer.name(), to_string(peer.agent_address())};
-			const auto reported_loss = report.__isset.lost ? from_wire(report.lost, now) : lost_worker{};
-			handle_earlier_incarnations(peer, previous, reported_loss, now);
-			wake();
-		}
+		// An agent of an earlier version reports no start time.
+		const auto named = worker_of(report);
+		if (!may_refer_to(named, worker.current_incarnation))
+			begin_incarnation(peer, named, report, now);
 		worker.last_response = now - millis{report.unheard_ms};
 		worker.last_report = now;
 		worker.service = service_id{report.service_name};
@@ -124,7 +132,7 @@
 			const bool counts_for_trust = end.outcome == run_outcome::done || end.outcome == run_outcome::failed;
 			if (counts_for_trust && record_run_end(peer.worker.trust, end.run_id.task.job,
 												   end.outcome == run_outcome::failed, default_trust_policy, now))
-				log_event(event::worker_avoided, {{"worker", report.worker}});
+				log_event(event::worker_avoided, {{"worker", peer.worker.current_incarnation.str()}});
 		}
 	}
 
@@ -152,7 +160,7 @@
 			log_event(event::run_taken_back, {{"task", to_string(refusal.run_id.task)},
 											  {"run", refusal.run_id.run},
 											  {"why", to_string(refusal.reason)},
-											  {"worker", report.worker}});
+											  {"worker", peer.worker.current_incarnation.str()}});
 			switch (refusal.reason)
 			{
 			case start_refusal::invalid:
@@ -263,14 +271,15 @@
 			now - last->second < min_confirm_interval)
 			return;
 		wire::job_confirm answer;
-		answer.worker = report.worker;
+		set_worker(answer, peer.worker.current_incarnation);
 		answer.stamp_ms = report.stamp_ms;
 		answer.ends_kept = peer.worker.last_end_stored;
 		peer.send(to_envelope(std::move(answer)));
 		if (report.lease_ends)
 			return; // the agent uses this confirmation only to discard acknowledged ends
 		const bool had_no_lease = !may_start_on(peer.worker.current_incarnation, now);
-		confirmed_at_[peer.worker.current_incarnation] = now;
+		auto& confirmed_at = confirmed_at_[peer.worker.current_incarnation];
+		confirmed_at = std::max(confirmed_at, now);
 		if (had_no_lease)
 			wake(); // tasks may be waiting for this worker
 	}
@@ -305,7 +314,7 @@
 										{"why", why}});
 		wire::job_stop order;
 		order.what = to_wire(run_id);
-		order.worker = peer.worker.current_incarnation.str();
+		set_worker(order, peer.worker.current_incarnation);
 		peer.send(to_envelope(std::move(order)));
 	}
 
@@ -351,7 +360,7 @@
 		const auto& group = job->spec.groups[run_id.task.group];
 		wire::job_start order;
 		order.what = to_wire(run_id);
-		order.worker = task->worker.str();
+		set_worker(order, task->worker);
 		if (kind != order_kind::known_running)
 		{
 			order.payload = job->spec.payload;
--- a/packages/jobs/include/trailjunction/jobs/job_ids.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_ids.hpp
@@ -4,6 +4,8 @@
 /// \brief Identifiers of jobs, their tasks and queues.
 #pragma once
 
+#include "worker_incarnation.hpp"
+
 #include <trailjunction/core/strong_id.hpp>
 
 #include <compare>
@@ -14,8 +16,6 @@
 {
 	using job_id = strong_id<struct job_tag>;     ///< One job; chosen by the client, never reused.
 	using queue_id = strong_id<struct queue_tag>; ///< One queue of jobs.
-	using worker_incarnation =
-		strong_id<struct worker_incarnation_tag>; ///< One incarnation of a worker; a restart creates a new one.
 
 	/// \brief Identifies one task.
 	struct task_key
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -60,4 +60,6 @@
 	/// \brief Encodes the row of the worker of one agent.
 	[[nodiscard]] std::string encode_worker(const stored::worker& worker);
 	[[nodiscard]] absl::StatusOr<stored::worker> decode_worker(std::string_view row);
+	/// \brief The incarnation that the row of a worker names; without a start time in rows of earlier versions.
+	[[nodiscard]] worker_incarnation incarnation_of(const stored::worker& row);
 }
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -112,6 +112,13 @@
 	/// \brief Releases a run that certainly never began; it does not count as an attempt.
 	void release_run(job_table& table, const task_run& run_id, instant now);
 
+	/// \brief The runs that are placed on a worker.
+	[[nodiscard]] std::vector<task_run> runs_on(const job_table& table, const worker_incarnation& worker);
+
+	/// \brief Places a run on another incarnation of its worker, which has carried out the order; it stays the same
+	/// run.
+	void transfer_run(job_table& table, const task_run& run_id, const worker_incarnation& to);
+
 	/// \brief Records a newer checkpoint of a run; it is saved with the next change of the job.
 	void record_checkpoint(job_table& table, const task_run& run_id, const std::string& checkpoint);
 
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -72,6 +72,7 @@
 	2: list<string> workers,
 	3: list<task> tasks,
 	4: i64 ended_ms,            // in ms of the store's clock, or 0 if not ended or unknown
+	5: list<i64> worker_starts_ms, // start times of the incarnations in workers, or 0 if unknown; may be shorter
 }
 
 /** The number of jobs of a queue of which no task has begun. */
@@ -138,6 +139,7 @@
 {
 	1: string life,
 	2: string address,          // where its agent accepted connections then
+	3: optional i64 start_ms,   // start time of the incarnation; unset if unknown
 }
 
 /** How much a filler image slows down a serving image; see filler_pressure.hpp. */
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -111,13 +111,26 @@
 					from.stretch,        millis{from.latency_target_ms}};
 		}
 
-		std::int32_t worker_index(std::vector<std::string>& workers, const worker_incarnation& worker)
+		/// The incarnation at a valid index of row.workers.
+		worker_incarnation worker_at(const stored::progress& row, std::int32_t index)
 		{
-			const auto found = std::find(workers.begin(), workers.end(), worker.str());
-			if (found != workers.end())
-				return static_cast<std::int32_t>(found - workers.begin());
-			workers.push_back(worker.str());
-			return static_cast<std::int32_t>(workers.size() - 1);
+			const auto position = static_cast<std::size_t>(index);
+			// Rows of earlier versions contain no start times.
+			const auto start_ms = position < row.worker_starts_ms.size() ? row.worker_starts_ms[position] : 0;
+			if (start_ms == 0)
+				return worker_incarnation{row.workers[position]};
+			return worker_incarnation{row.workers[position], worker_start_time{static_cast<std::uint64_t>(start_ms)}};
+		}
+
+		std::int32_t worker_index(stored::progress& row, const worker_incarnation& worker)
+		{
+			const auto start_ms = static_cast<std::int64_t>(worker.start_time().value_or(worker_start_time{}).value);
+			for (std::size_t i = 0; i < row.workers.size(); ++i)
+				if (row.workers[i] == worker.id() && row.worker_starts_ms[i] == start_ms)
+					return static_cast<std::int32_t>(i);
+			row.workers.push_back(worker.id());
+			row.worker_starts_ms.push_back(start_ms);
+			return static_cast<std::int32_t>(row.workers.size() - 1);
 		}
 
 		bool is_worker_index(const stored::progress& row, std::int32_t index) noexcept
@@ -132,14 +145,13 @@
 			{
 				if (!is_worker_index(row, index))
 					return absl::DataLossError("a stored crash refers to an unknown worker");
-				add_crash(out, worker_incarnation{row.workers[static_cast<std::size_t>(index)]},
-						  millis{from.crash_age_ms}, 0.0);
+				add_crash(out, worker_at(row, index), millis{from.crash_age_ms}, 0.0);
 			}
 			for (const auto index : from.crash_shared)
 			{
 				if (!is_worker_index(row, index))
 					return absl::DataLossError("a stored crash refers to an unknown worker");
-				mark_correlated(out, worker_incarnation{row.workers[static_cast<std::size_t>(index)]});
+				mark_correlated(out, worker_at(row, index));
 			}
 			out.blame = static_cast<double>(from.crash_blame_ppm) / blame_ppm;
 			out.longest_survived = millis{from.crash_survived_ms};
@@ -198,14 +210,14 @@
 			to.phase = static_cast<std::int32_t>(from.phase);
 			to.run = static_cast<std::int32_t>(from.run);
 			to.failures = static_cast<std::int32_t>(from.failures);
-			to.worker = placed ? worker_index(row.workers, from.worker) : -1;
+			to.worker = placed ? worker_index(row, from.worker) : -1;
 			if (from.phase != task_stage::done)
 				to.checkpoint = from.checkpoint;
 			for (const auto& worker : from.crashes.workers)
-				to.crashed.push_back(worker_index(row.workers, worker));
+				to.crashed.push_back(worker_index(row, worker));
 			to.crash_age_ms = from.crashes.max_age.count();
 			for (const auto& worker : from.crashes.correlated)
-				to.crash_shared.push_back(worker_index(row.workers, worker));
+				to.crash_shared.push_back(worker_index(row, worker));
 			to.crash_blame_ppm = std::llround(from.crashes.blame * blame_ppm);
 			to.failed_run = static_cast<std::int32_t>(from.failed_run);
 			to.crashed_run = static_cast<std::int32_t>(from.crashed_run);
@@ -248,7 +260,7 @@
 				continue;
 			if (!is_worker_index(*row, from.worker))
 				return absl::DataLossError("a stored run refers to an unknown worker");
-			to.worker = worker_incarnation{row->workers[static_cast<std::size_t>(from.worker)]};
+			to.worker = worker_at(*row, from.worker);
 		}
 		return absl::OkStatus();
 	}
@@ -333,4 +345,11 @@
 	{
 		return decode<stored::worker>(text);
 	}
+
+	worker_incarnation incarnation_of(const stored::worker& row)
+	{
+		if (!row.__isset.start_ms)
+			return worker_incarnation{row.life};
+		return worker_incarnation{row.life, worker_start_time{static_cast<std::uint64_t>(row.start_ms)}};
+	}
 }
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -10,16 +10,20 @@
 {
 	namespace
 	{
+		void remove_placement(job_table& table, const task_key& key, const worker_incarnation& worker)
+		{
+			const auto found = table.placed.find(worker);
+			if (found == table.placed.end())
+				return;
+			table.changed_workers.insert(worker);
+			found->second.erase(key);
+			if (found->second.empty())
+				table.placed.erase(found);
+		}
+
 		void remove_from_worker(job_table& table, const task_key& key, job_task& task)
 		{
-			const auto found = table.placed.find(task.worker);
-			if (found != table.placed.end())
-			{
-				table.changed_workers.insert(task.worker);
-				found->second.erase(key);
-				if (found->second.empty())
-					table.placed.erase(found);
-			}
+			remove_placement(table, key, task.worker);
 			table.moves.erase({key, task.run});
 			task.worker = worker_incarnation{};
 			task.is_serving = false;
@@ -310,6 +314,27 @@
 		table.unsaved.insert(run_id.task.job);
 	}
 
+	std::vector<task_run> runs_on(const job_table& table, const worker_incarnation& worker)
+	{
+		std::vector<task_run> out;
+		if (const auto placed = table.placed.find(worker); placed != table.placed.end())
+			for (const auto& key : placed->second)
+				out.push_back({key, find_task(table, key)->run});
+		return out;
+	}
+
+	void transfer_run(job_table& table, const task_run& run_id, const worker_incarnation& to)
+	{
+		auto* task = placed_run(table, run_id);
+		if (task == nullptr)
+			return;
+		remove_placement(table, run_id.task, task->worker);
+		task->worker = to;
+		table.placed[to].insert(run_id.task);
+		table.changed_workers.insert(to);
+		table.unsaved.insert(run_id.task.job);
+	}
+
 	void record_checkpoint(job_table& table, const task_run& run_id, const std::string& checkpoint)
 	{
 		auto* task = placed_run(table, run_id);
--- a/packages/wire/include/trailjunction/wire/job_messages.hpp
+++ b/packages/wire/include/trailjunction/wire/job_messages.hpp
@@ -13,6 +13,24 @@
 	[[nodiscard]] wire::task_run to_wire(const task_run& source);
 	[[nodiscard]] task_run from_wire(const wire::task_run& source);
 
+	/// \brief Sets the fields of a message that name a worker's incarnation.
+	template <typename Message>
+	void set_worker(Message& message, const worker_incarnation& incarnation)
+	{
+		message.worker = incarnation.id();
+		if (incarnation.start_time())
+			message.__set_worker_start_ms(static_cast<std::int64_t>(incarnation.start_time()->value));
+	}
+	/// \brief The incarnation that a message names; without a start time if its sender knew none.
+	template <typename Message>
+	[[nodiscard]] worker_incarnation worker_of(const Message& message)
+	{
+		if (!message.__isset.worker_start_ms)
+			return worker_incarnation{message.worker};
+		return worker_incarnation{message.worker,
+								  worker_start_time{static_cast<std::uint64_t>(message.worker_start_ms)}};
+	}
+
 	[[nodiscard]] wire::job_run to_wire(const listed_run& run);
 	[[nodiscard]] listed_run from_wire(const wire::job_run& run);
 
--- a/packages/wire/src/job_messages.cpp
+++ b/packages/wire/src/job_messages.cpp
@@ -54,7 +54,7 @@
 	wire::job_lost_worker to_wire(const lost_worker& worker, instant now)
 	{
 		wire::job_lost_worker out;
-		out.worker = worker.incarnation.str();
+		set_worker(out, worker.incarnation);
 		out.unheard_ms = std::chrono::duration_cast<millis>(now - worker.last_response.value_or(now)).count();
 		for (const auto& [what, age] : worker.reported_ages)
 		{
@@ -70,7 +70,7 @@
 
 	lost_worker from_wire(const wire::job_lost_worker& worker, instant now)
 	{
-		lost_worker out{worker_incarnation{worker.worker}, now - millis{worker.unheard_ms}, {}, {}};
+		lost_worker out{worker_of(worker), now - millis{worker.unheard_ms}, {}, {}};
 		for (const auto& run : worker.runs)
 		{
 			crash_age age{millis{run.worked_ms}, std::nullopt};
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -241,6 +241,7 @@
 	10: bool repeated,          // an earlier order for the same run may have been executed
 	11: bool movable,           // of a filler: it checkpoints when stopped and is not part of a gang
 	12: amounts claim,          // resources it takes on the worker; processor time of fillers is not counted
+	13: optional i64 worker_start_ms, // start time of the worker incarnation; unset if unknown, also in other messages
 }
 
 /** Entry to agent: stop a run, whether it has started or not. */
@@ -248,6 +249,7 @@
 {
 	1: task_run what,
 	2: string worker,
+	3: optional i64 worker_start_ms,
 }
 
 /** Entry to agent: the response to a report. */
@@ -256,6 +258,7 @@
 	1: string worker,
 	2: i64 stamp_ms,            // from the report; the lease of all runs starts here
 	3: i64 ends_kept,           // run ends up to this number are durable
+	4: optional i64 worker_start_ms,
 }
 
 /** One run that a worker reports. */
@@ -317,12 +320,13 @@
 	1: string worker,
 	2: i64 unheard_ms,          // time since its last answer
 	3: list<job_lost_run> runs,
+	4: optional i64 worker_start_ms,
 }
 
 /** Agent to entry: changes since the previous report, or the whole state if full is set. */
 struct job_report
 {
-	1: string worker,           // the worker's incarnation; empty if none is known
+	1: string worker,           // the worker's id; empty if none is known
 	2: i64 stamp_ms,            // by the agent's own clock
 	3: bool full,
 	4: list<job_run> running,   // all runs if full is set, otherwise those that changed
@@ -340,6 +344,7 @@
 	16: i64 unheard_ms,         // time since the worker's last answer
 	17: optional job_lost_worker lost, // set if full is set, and in the first report of an incarnation
 	18: list<task_run> unlisted, // runs that the worker had and lists no more, neither as running nor as ended
+	19: optional i64 worker_start_ms,
 }
 
 /** Content of a frame: exactly one member is set. */
--- a/tests/restarted_workers.cpp
+++ b/tests/restarted_workers.cpp
@@ -210,7 +210,7 @@
 	const auto report = test.runs.report(true);
 	CHECK(report.running.size() == 1);
 	CHECK_FALSE(report.draining);
-	CHECK_FALSE((report.__isset.lost && report.lost.worker == report.worker));
+	CHECK_FALSE((report.__isset.lost && worker_of(report.lost) == worker_of(report)));
 }
 
 TEST_CASE("a worker's next incarnation gets no lease before its owner confirms one", "[jobs]")
