--- a/tests/heartbeat_handler.cpp
+++ b/tests/heartbeat_handler.cpp
@@ -67,6 +67,27 @@
 	CHECK(fixture.accepted[1].draining);
 }
 
+TEST_CASE("the start time in a heartbeat tells incarnations with the same id apart", "[agent]")
+{
+	const auto with_start = [](const std::string& start)
+	{
+		return with_replaced(valid_heartbeat, R"("seq":4)", R"("seq":4,"born":)" + start);
+	};
+	handler_fixture fixture;
+	CHECK(fixture.put(with_start("1700000000123")) == 200);
+	CHECK(fixture.put(with_start("1700000000124")) == 200);
+	REQUIRE(fixture.accepted.size() == 2);
+	CHECK(fixture.accepted[0].incarnation == worker_incarnation{"i-1", worker_start_time{1'700'000'000'123}});
+	CHECK(fixture.accepted[0].incarnation != fixture.accepted[1].incarnation);
+	CHECK(fixture.accepted[0].incarnation != worker_incarnation{"i-1"});
+	for (const auto* malformed : {"\"1700000000123\"", "1700000000123.5", "-1", "null", "true", "[1]"})
+	{
+		INFO(malformed);
+		CHECK(fixture.put(with_start(malformed)) == 400);
+	}
+	CHECK(fixture.accepted.size() == 2);
+}
+
 TEST_CASE("a malformed heartbeat is rejected and registers no worker", "[agent]")
 {
 	const std::vector<std::string> malformed{
--- a/tests/worker_client.cpp
+++ b/tests/worker_client.cpp
@@ -8,38 +8,56 @@
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 using namespace trailjunction;
 
 namespace
 {
 	constexpr auto longest_wait = std::chrono::seconds{20}; // upper bound before a blocked test fails
 
-	/// The result of a listing call that the worker answers with this body.
-	listing_result listing_of(const std::string& body)
+	const worker_incarnation called{"life-1", worker_start_time{1'700'000'000'000}};
+
+	/// The result of a call to a worker that answers 200 with this body. Records the request.
+	template <typename Call>
+	auto result_of_call(const std::string& body, Call call, http_request* recorded = nullptr)
 	{
 		boost::asio::io_context io{1};
 		http_server server{io, http_limits{},
-						   [&](http_request) -> boost::asio::awaitable<http_response>
+						   [&](http_request request) -> boost::asio::awaitable<http_response>
 						   {
+							   if (recorded != nullptr)
+								   *recorded = std::move(request);
 							   co_return json_response(200, body);
 						   }};
 		const auto address = server.listen(endpoint{boost::asio::ip::address_v4::loopback(), 0}).value();
 		platform::worker_client client{io, address};
-		listing_result out;
-		bool answered = false;
+		std::optional<typename decltype(call(client))::value_type> out;
 		boost::asio::co_spawn(
-			io,
-			[&]() -> boost::asio::awaitable<void>
-			{
-				order_authority authority{worker_incarnation{"life-1"}, 1};
-				const listing_order order;
-				out = co_await client.list(std::move(authority), order, boottime_now() + longest_wait);
-				answered = true;
-			},
-			boost::asio::detached);
-		while (!answered)
+			io, [&]() -> boost::asio::awaitable<void> { out = co_await call(client); }, boost::asio::detached);
+		while (!out)
 			io.run_one();
-		return out;
+		return *std::move(out);
+	}
+
+	listing_result listing_of(const std::string& body, http_request* recorded = nullptr)
+	{
+		return result_of_call(
+			body,
+			[](platform::worker_client& client) {
+				return client.list(order_authority{called, 1}, listing_order{}, boottime_now() + longest_wait);
+			},
+			recorded);
+	}
+
+	order_outcome start_outcome_of(const std::string& body)
+	{
+		return result_of_call(
+				   body,
+				   [](platform::worker_client& client) {
+					   return client.start(order_authority{called, 1}, run_start{}, boottime_now() + longest_wait);
+				   })
+			.outcome;
 	}
 }
 
@@ -54,3 +72,24 @@
 	CHECK(listed.outcome == order_outcome::done);
 	CHECK(listed.listing.running.size() == 1);
 }
+
+TEST_CASE("a listing of another incarnation with the same id is not taken for one of the incarnation that was called",
+		  "[jobs]")
+{
+	http_request request;
+	CHECK(listing_of(R"({"clockMs":12,"born":1700000000000,"running":[],"finished":[]})", &request).outcome ==
+		  order_outcome::done);
+	CHECK(find_header(request.headers, "Expect-Instance") == "life-1");
+	CHECK(listing_of(R"({"clockMs":12,"born":1700000000001,"running":[],"finished":[]})").outcome ==
+		  order_outcome::other_incarnation);
+	CHECK(listing_of(R"({"clockMs":12,"born":1699999999999,"running":[],"finished":[]})").outcome ==
+		  order_outcome::other_incarnation);
+}
+
+TEST_CASE("a start that another incarnation answers may have been carried out", "[jobs]")
+{
+	// Guards against a run that is taken for refused, although the next incarnation has started it.
+	CHECK(start_outcome_of(R"({"clockMs":12,"born":1700000000000})") == order_outcome::done);
+	CHECK(start_outcome_of(R"({"clockMs":12})") == order_outcome::done);
+	CHECK(start_outcome_of(R"({"clockMs":12,"born":1700000000001})") == order_outcome::unknown);
+}
--- /dev/null
+++ b/tests/worker_incarnations.cpp
@@ -0,0 +1,368 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Incarnations of a worker with the same id, as the agent and the owner tell them apart.
+#include "job_term_fixture.hpp"
+#include "run_manager_fixture.hpp"
+
+#include <trailjunction/jobs/job_rows.hpp>
+
+using namespace trailjunction;
+
+namespace
+{
+	constexpr std::uint64_t some_time_ms = 1'700'000'000'000;
+	constexpr std::int64_t second_clock_ms = 50;
+
+	worker_incarnation incarnation_at(std::uint64_t start_ms)
+	{
+		return worker_incarnation{"life-1", worker_start_time{start_ms}};
+	}
+	const auto first = incarnation_at(some_time_ms);
+	const auto second = incarnation_at(some_time_ms + 5'000);
+
+	worker_heartbeat heartbeat_of(const worker_incarnation& incarnation, std::int64_t clock_ms, std::int64_t sequence)
+	{
+		auto out = run_manager_fixture::heartbeat_of(incarnation.id());
+		out.incarnation = incarnation;
+		out.clock_ms = clock_ms;
+		out.sequence = sequence;
+		return out;
+	}
+
+	/// An agent whose worker is restarted under the same id; calls name the id, answers state the start time.
+	struct restarted_worker_fixture
+	{
+		class port final : public worker_port
+		{
+		public:
+			explicit port(restarted_worker_fixture& test) : test_{test} {}
+
+			boost::asio::awaitable<order_result> start(order_authority authority, run_start, instant) override
+			{
+				test_.tokens.push_back(authority.fencing_token);
+				co_return order_result{order_outcome::done, test_.clock_ms};
+			}
+			boost::asio::awaitable<order_result> stop(order_authority authority, task_run, instant) override
+			{
+				test_.tokens.push_back(authority.fencing_token);
+				co_return order_result{order_outcome::done, test_.clock_ms};
+			}
+			boost::asio::awaitable<listing_result> list(order_authority authority, listing_order order,
+														instant) override
+			{
+				co_await pause_for(test_.io, millis{5});
+				++test_.calls;
+				test_.tokens.push_back(authority.fencing_token);
+				test_.orders.push_back(order);
+				if (test_.down)
+					co_return listing_result{{order_outcome::not_sent, 0}, {}};
+				if (authority.fencing_token < test_.seen_token)
+					co_return listing_result{{order_outcome::fenced, test_.clock_ms}, {}};
+				if (authority.incarnation != test_.running)
+					co_return listing_result{{order_outcome::other_incarnation, 0}, {}};
+				co_return listing_result{{order_outcome::done, test_.clock_ms}, test_.listing};
+			}
+			boost::asio::awaitable<order_result> pace(order_authority, task_run, int, instant) override
+			{
+				co_return order_result{order_outcome::done, 0};
+			}
+
+		private:
+			restarted_worker_fixture& test_;
+		};
+
+		restarted_worker_fixture()
+		{
+			runs.set_lease(millis{5'000});
+			runs.on_heartbeat(heartbeat_of(first, clock_ms, 57));
+			await_calls(2);
+			wire::job_confirm confirmation;
+			set_worker(confirmation, first);
+			confirmation.stamp_ms = runs.report(true).stamp_ms;
+			runs.confirm(confirmation);
+		}
+
+		void restart(const worker_incarnation& next)
+		{
+			running = next;
+			clock_ms = second_clock_ms;
+			listing = {};
+		}
+		template <typename Until>
+		bool run_until(Until until)
+		{
+			const auto end = boottime_now() + run_manager_fixture::longest_wait;
+			while (!until() && boottime_now() < end)
+				io.run_one_for(millis{10});
+			return until();
+		}
+		void await_calls(int more)
+		{
+			const auto before = calls;
+			REQUIRE(run_until([&] { return calls >= before + more; }));
+		}
+		[[nodiscard]] worker_incarnation reported()
+		{
+			return worker_of(runs.report(true));
+		}
+
+		boost::asio::io_context io{1};
+		worker_incarnation running{first};
+		std::int64_t clock_ms{482'113};
+		std::int64_t seen_token{};
+		bool down{};
+		worker_listing listing;
+		int calls{};
+		std::vector<std::int64_t> tokens;
+		std::vector<listing_order> orders;
+		run_manager runs{io, [this](endpoint) { return std::make_unique<port>(*this); }, millis{5'000}, pacing_policy{},
+						 [] {
+						 }};
+	};
+}
+
+TEST_CASE("an agent reports the next incarnation of its worker under the same id", "[jobs]")
+{
+	restarted_worker_fixture test;
+	test.restart(second);
+	test.runs.on_heartbeat(heartbeat_of(second, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == second; }));
+	const auto report = test.runs.report(true);
+	REQUIRE(report.__isset.lost);
+	CHECK(worker_of(report.lost) == first);
+}
+
+TEST_CASE("a heartbeat of a former incarnation changes nothing, whichever start time is the higher one", "[jobs]")
+{
+	const auto former = GENERATE(some_time_ms - 60'000, some_time_ms + 60'000);
+	restarted_worker_fixture test;
+	test.restart(second);
+	test.runs.on_heartbeat(heartbeat_of(second, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == second; }));
+	test.runs.on_heartbeat(heartbeat_of(incarnation_at(former), 900'000, 500));
+	test.await_calls(4);
+	CHECK(test.reported() == second);
+}
+
+TEST_CASE("a listing of the next incarnation tells nothing of the former one's runs", "[jobs]")
+{
+	// Guards against runs that start elsewhere before the agent knows which of them a late order has started again.
+	restarted_worker_fixture test;
+	test.listing.running.push_back({run_manager_fixture::some_run, "", 10, 0});
+	test.await_calls(3);
+	(void)test.runs.report(false);
+	test.restart(second);
+	test.await_calls(4);
+	const auto report = test.runs.report(false);
+	CHECK(report.unlisted.empty());
+	CHECK(worker_of(report) == first);
+}
+
+TEST_CASE("after a call without an answer the next one carries neither lease nor acknowledgements", "[jobs]")
+{
+	// Guards against ends of the next incarnation that are acknowledged by a number of the former one.
+	restarted_worker_fixture test;
+	test.listing.ended.push_back({57, run_manager_fixture::some_run, run_outcome::done, ""});
+	test.await_calls(3);
+	wire::job_confirm confirmation;
+	set_worker(confirmation, first);
+	confirmation.stamp_ms = test.runs.report(true).stamp_ms;
+	confirmation.ends_kept = 57;
+	test.runs.confirm(confirmation);
+	test.await_calls(2);
+	REQUIRE(test.orders.back().ends_kept == 57);
+	REQUIRE(test.orders.back().deadline_ms > 0);
+	test.down = true;
+	test.await_calls(2);
+	test.restart(second);
+	test.down = false;
+	test.await_calls(3);
+	CHECK(test.orders.back().ends_kept == 0);
+	CHECK(test.orders.back().deadline_ms == 0);
+}
+
+TEST_CASE("an end is acknowledged only while the worker lists one that is", "[jobs]")
+{
+	restarted_worker_fixture test;
+	wire::job_confirm confirmation;
+	set_worker(confirmation, first);
+	confirmation.stamp_ms = test.runs.report(true).stamp_ms;
+	confirmation.ends_kept = 57;
+	test.runs.confirm(confirmation);
+	test.await_calls(3);
+	CHECK(test.orders.back().ends_kept == 0);
+}
+
+TEST_CASE("each incarnation gets a higher fencing token, also after the instance's clock was set back", "[jobs]")
+{
+	// Guards against an order to the former incarnation that is carried out by the next one after its first listing.
+	restarted_worker_fixture test;
+	const auto earlier = incarnation_at(some_time_ms - 3'600'000);
+	const auto former_token = test.tokens.back();
+	test.restart(earlier);
+	test.runs.on_heartbeat(heartbeat_of(earlier, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == earlier; }));
+	test.await_calls(2);
+	CHECK(test.tokens.back() > former_token);
+}
+
+TEST_CASE("an agent that a worker refuses for its fencing token raises it until it is accepted", "[jobs]")
+{
+	// Guards against an agent that stays shut out for as long as the former incarnation had lived.
+	restarted_worker_fixture test;
+	constexpr std::int64_t hour_ms = 3'600'000;
+	test.seen_token = test.tokens.back() + hour_ms;
+	REQUIRE(test.run_until([&] { return test.tokens.back() >= test.seen_token; }));
+	test.await_calls(2);
+	CHECK(test.runs.report(true).responsive);
+}
+
+TEST_CASE("a notice without a start time that comes before heartbeats of a ready worker is not its notice", "[jobs]")
+{
+	restarted_worker_fixture test;
+	test.runs.on_worker_leaving(worker_incarnation{"life-1"});
+	CHECK(test.runs.report(true).draining);
+	test.runs.on_heartbeat(heartbeat_of(first, test.clock_ms, 58));
+	CHECK_FALSE(test.runs.report(true).draining);
+	test.runs.on_worker_leaving(second);
+	CHECK_FALSE(test.runs.report(true).draining);
+}
+
+namespace
+{
+	using namespace job_term_fixture;
+
+	wire::job_report report_of(const worker_incarnation& incarnation)
+	{
+		auto out = job_term_fixture::report_of(incarnation.id());
+		set_worker(out, incarnation);
+		return out;
+	}
+
+	/// An owner that has ordered one run on the first incarnation; no lease expires during the test.
+	struct ordered_run_scene : scene
+	{
+		explicit ordered_run_scene(const worker_incarnation& reported = first)
+		{
+			settings.contact = millis{600'000};
+			settings.longest_run_lease = millis{600'000};
+			agent.full_report = report_of(reported);
+			begin_term();
+			submit(first_job, one_task());
+			REQUIRE(run_until([&] { return agent.received_starts.size() == 1; }));
+		}
+
+		[[nodiscard]] job_task stored_task()
+		{
+			return stored_job(first_job).tasks[0];
+		}
+
+		const task_run ordered_run{{job_id{first_job}, 0, 0, 0}, 1};
+	};
+
+	wire::job_run running_row(const task_run& run_id)
+	{
+		return to_wire(listed_run{run_id, "", 10, 0});
+	}
+}
+
+TEST_CASE("a run that a late order has started on the next incarnation is not started again", "[jobs]")
+{
+	ordered_run_scene test;
+	auto report = report_of(second);
+	report.running.push_back(running_row(test.ordered_run));
+	const auto confirms = test.agent.received_confirms.size();
+	test.agent.send_report(report);
+	REQUIRE(test.run_until([&] { return test.agent.received_confirms.size() > confirms; }));
+	REQUIRE(test.run_until([&] { return test.stored_task().worker == second; }));
+	CHECK(test.stored_task().run == 1);
+	CHECK(test.agent.received_stops.empty());
+	CHECK(worker_of(test.agent.received_confirms.back()) == second);
+}
+
+TEST_CASE("a run that a late order has started and that has ended on the next incarnation is done", "[jobs]")
+{
+	ordered_run_scene test;
+	auto report = report_of(second);
+	report.ended.push_back(to_wire(listed_end{1, test.ordered_run, run_outcome::done, ""}));
+	test.agent.send_report(report);
+	REQUIRE(test.run_until([&] { return test.stored_job(first_job).status == job_status::completed; }));
+	CHECK(test.agent.received_starts.size() == 1);
+}
+
+TEST_CASE("a run that the next incarnation does not have starts again at once, under the next number", "[jobs]")
+{
+	ordered_run_scene test;
+	test.agent.send_report(report_of(second));
+	REQUIRE(test.run_until([&] { return test.agent.received_starts.size() == 2; }));
+	CHECK(worker_of(test.agent.received_starts[1]) == second);
+	CHECK(test.agent.received_starts[1].what.run == 2);
+}
+
+TEST_CASE("a new owner learns from the start time that the runs of the former incarnation are lost", "[jobs]")
+{
+	ordered_run_scene test;
+	test.term->release();
+	REQUIRE(test.run_until([&] { return test.term_over; }));
+	test.agent.full_report = report_of(second);
+	test.begin_term();
+	REQUIRE(test.run_until([&] { return test.agent.received_starts.size() == 2; }));
+	CHECK(test.agent.received_starts[1].what.run == 2);
+}
+
+TEST_CASE("runs go on while agents are updated that did not report start times before", "[jobs]")
+{
+	// Guards against an update of agents that makes the owner start all tasks twice.
+	ordered_run_scene test{worker_incarnation{"life-1"}};
+	const bool owner_changes = GENERATE(false, true);
+	auto report = report_of(first);
+	report.running.push_back(running_row(test.ordered_run));
+	if (owner_changes)
+	{
+		test.term->release();
+		REQUIRE(test.run_until([&] { return test.term_over; }));
+		test.agent.full_report = report;
+		test.begin_term();
+	}
+	else
+	{
+		test.agent.send_report(report);
+	}
+	REQUIRE(test.run_until([&] { return test.stored_task().worker == first; }));
+	CHECK(test.stored_task().run == 1);
+	CHECK(test.agent.received_stops.empty());
+	CHECK(test.stored_task().crashes.workers.empty());
+}
+
+TEST_CASE("a report without a start time is of the incarnation that the owner knows", "[jobs]")
+{
+	// Guards against an agent of an earlier version that makes the owner give up all runs.
+	ordered_run_scene test;
+	auto report = job_term_fixture::report_of("life-1");
+	report.running.push_back(running_row(test.ordered_run));
+	const auto confirms = test.agent.received_confirms.size();
+	test.agent.send_report(report);
+	REQUIRE(test.run_until([&] { return test.agent.received_confirms.size() > confirms; }));
+	CHECK(test.agent.received_stops.empty());
+	CHECK(test.stored_task().worker == first);
+}
+
+TEST_CASE("stored progress keeps incarnations with the same id apart, and rows of earlier versions name the id alone",
+		  "[jobs]")
+{
+	job_spec spec = one_task();
+	spec.groups[0].count = 3;
+	const auto now = boottime_now();
+	auto job = make_job(job_id{first_job}, some_queue(), spec, now);
+	const std::vector<worker_incarnation> workers{first, second, worker_incarnation{"life-1"}};
+	for (std::size_t i = 0; i < workers.size(); ++i)
+	{
+		job.tasks[i].run = 1;
+		job.tasks[i].phase = task_stage::ordered;
+		job.tasks[i].worker = workers[i];
+	}
+	auto read = make_job(job_id{first_job}, some_queue(), spec, now);
+	REQUIRE(decode_progress(read, encode_progress(job), now).ok());
+	for (std::size_t i = 0; i < workers.size(); ++i)
+		CHECK(read.tasks[i].worker == workers[i]);
+}
