Test, failing and not listed: acknowledgements that reach a restarted worker

What callers see: a task that is done starts again (TWICE). A listing call names the worker by its id alone, so one that acknowledges ends of the former incarnation and is carried out by the next one acknowledges there all ends up to that number, also those to come. Such an end is never listed; the agent reports the run as unlisted, and the owner starts its task again.

--- /dev/null
+++ b/tests/restarted_workers_review.cpp
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief A worker that restarts under the id that it had, while calls, links or rows still refer to its former
+/// incarnations.
+#include "../packages/agent/src/process/run_manager.hpp"
+
+#include <trailjunction/net/http_server.hpp>
+#include <trailjunction/platform/heartbeat_handler.hpp>
+#include <trailjunction/platform/worker_client.hpp>
+#include <trailjunction/testkit/worker_standin.hpp>
+#include <trailjunction/wire/job_messages.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace trailjunction;
+using namespace trailjunction::testkit;
+
+namespace
+{
+	constexpr auto longest_wait = std::chrono::seconds{20}; // upper bound before a blocked test fails
+	constexpr const char* worker_id = "i-1";
+
+	task_run run_of(const char* job)
+	{
+		return {{job_id{job}, 0, 0, 0}, 1};
+	}
+
+	const task_run first_run = run_of("00000000000000a1");
+	const task_run second_run = run_of("00000000000000b2");
+
+	bool contains(const std::vector<task_run>& runs, const task_run& run_id)
+	{
+		return std::find(runs.begin(), runs.end(), run_id) != runs.end();
+	}
+
+	/// An agent and a worker that speak to each other over the platform's protocol; the test acts as the owner.
+	struct agent_and_worker
+	{
+		agent_and_worker()
+		{
+			runs.set_lease(millis{5'000});
+			worker.start_heartbeats(worker.listen());
+			REQUIRE(run_until([&] { return !current().empty(); }));
+			confirm(0);
+		}
+
+		template <typename Condition>
+		bool run_until(Condition condition)
+		{
+			const auto end = boottime_now() + longest_wait;
+			while (!condition() && boottime_now() < end)
+				io.run_one_for(millis{5});
+			return condition();
+		}
+
+		/// The incarnation that the agent reports; collects what else it reports.
+		worker_incarnation current()
+		{
+			const auto report = runs.report(false);
+			stamp_ms = report.stamp_ms;
+			for (const auto& end : report.ended)
+				ended.push_back(from_wire(end).run_id);
+			for (const auto& run : report.unlisted)
+				unlisted.push_back(from_wire(run));
+			return worker_of(report);
+		}
+
+		bool await_incarnation(std::int64_t start_time_ms)
+		{
+			const worker_incarnation wanted{worker_id, worker_start_time{static_cast<std::uint64_t>(start_time_ms)}};
+			return run_until([&] { return current() == wanted; });
+		}
+
+		void confirm(std::int64_t ends_kept)
+		{
+			wire::job_confirm answer;
+			set_worker(answer, current());
+			answer.stamp_ms = stamp_ms;
+			answer.ends_kept = ends_kept;
+			runs.confirm(answer);
+		}
+
+		void order_start(const task_run& run_id, const std::string& work_ms)
+		{
+			wire::job_start order;
+			order.what = to_wire(run_id);
+			set_worker(order, current());
+			order.payload = work_ms;
+			runs.start(order);
+		}
+
+		bool has_ended_at_worker(const task_run& run_id)
+		{
+			worker.record_ends(boottime_now());
+			return std::any_of(worker.started_runs.begin(), worker.started_runs.end(),
+							   [&](const auto& run)
+							   { return run.task.starts_with(run_id.task.job.str()) && run.end_state == "done"; });
+		}
+
+		/// Waits until a run has ended and the agent has reported its end.
+		void finish_first_run()
+		{
+			order_start(first_run, "50");
+			REQUIRE(run_until([&] { return (void)current(), contains(ended, first_run); }));
+		}
+
+		/// Runs a task in the incarnation that the worker has now, and waits until the agent has reported its outcome.
+		void run_in_next_incarnation()
+		{
+			REQUIRE(await_incarnation(worker.start_time_ms()));
+			confirm(0);
+			order_start(second_run, "50");
+			REQUIRE(run_until([&] { return has_ended_at_worker(second_run); }));
+			REQUIRE(run_until(
+				[&] { return (void)current(), contains(unlisted, second_run) || contains(ended, second_run); }));
+		}
+
+		boost::asio::io_context io{1};
+		run_manager runs{io,
+						 [this](endpoint address) { return std::make_unique<platform::worker_client>(io, address); },
+						 millis{6'000}, pacing_policy{},
+						 [] {
+						 }};
+		http_server heartbeats{io, http_limits{},
+							   platform::make_heartbeat_handler({[this](worker_heartbeat heartbeat)
+																 { runs.on_heartbeat(std::move(heartbeat)); },
+																 [this](worker_incarnation incarnation)
+																 {
+																	 runs.on_worker_leaving(incarnation);
+																 }})};
+		worker_standin worker{io, worker_id, "tally",
+							  heartbeats.listen(endpoint{boost::asio::ip::address_v4::loopback(), 0}).value()};
+		std::int64_t stamp_ms{};
+		std::vector<task_run> ended;
+		std::vector<task_run> unlisted;
+	};
+}
+
+TEST_CASE("a late acknowledgement of a former incarnation hides no end of the next one", "[jobs]")
+{
+	// Guards against a run that ends as done, counts as lost for its owner, and is started again.
+	agent_and_worker test;
+	test.finish_first_run();
+	test.worker.faults.late_holds = 1;
+	test.worker.faults.late_delay = millis{300};
+	test.worker.faults.late_heartbeats = 10; // the agent hears of the restart after the call was carried out
+	test.confirm(1);
+	REQUIRE(test.run_until([&] { return test.worker.faults.late_holds == 0; }));
+	test.worker.restart_in_place(millis{50});
+	test.run_in_next_incarnation();
+	CHECK(contains(test.ended, second_run));
+	CHECK_FALSE(contains(test.unlisted, second_run));
+}
+
+TEST_CASE("an acknowledgement sent just after a worker has restarted hides no end of the next incarnation", "[jobs]")
+{
+	// Guards against a run that ends as done, counts as lost for its owner, and is started again.
+	agent_and_worker test;
+	test.finish_first_run();
+	test.confirm(1);
+	test.worker.restart_in_place(); // before the listing call that acknowledges the end
+	test.run_in_next_incarnation();
+	CHECK(contains(test.ended, second_run));
+	CHECK_FALSE(contains(test.unlisted, second_run));
+}
