Acknowledgements and leases reach only the incarnation for which they are meant

Cause: a listing call names the worker by its id, and carries the highest number of an acknowledged end and the end of the lease. If the next incarnation carries it out, late or as the first call after a restart that no call has noticed, it forgets its own ends up to that number. Class: a call that is valid for whoever answers to a name. Change: a call that extends the lease or acknowledges is sent only over a connection that has carried a listing before, which has ended if the incarnation has (listings have connections of their own); or right after a call that changed nothing was answered with the right start time, for workers that close their connections. After a call without an answer the fencing token rises, so the next call shuts the unanswered one out. The stand-in closes its idle connections as its incarnation ends, as a process does.

--- a/packages/agent/include/trailjunction/agent/worker_port.hpp
+++ b/packages/agent/include/trailjunction/agent/worker_port.hpp
@@ -92,6 +92,8 @@
 		std::int64_t deadline_ms{}; ///< Lease end of all runs, on the worker's clock; 0 leaves it unchanged.
 		std::int64_t ends_kept{};   ///< The worker may forget ends up to this number.
 		millis max_wait{};          ///< Maximum time for which the worker may delay the answer until a run ends.
+		/// The call is sent only over a connection on which the worker has answered a listing before.
+		bool open_connection_only{};
 	};
 
 	/// \brief Calls to the worker of an agent; all on one io_context.
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -46,6 +46,12 @@
 			return run.progress_percent >= full_progress;
 		}
 
+		/// Whether a listing call neither extends the lease nor acknowledges ends.
+		bool only_asks(const listing_order& order) noexcept
+		{
+			return order.deadline_ms == 0 && order.ends_kept == 0;
+		}
+
 		/// \returns 0 if there are no ends.
 		std::int64_t lowest_number(const std::vector<listed_end>& ends) noexcept
 		{
@@ -176,6 +182,7 @@
 		ends_reported_ = 0;
 		failed_listings_ = 0;
 		first_listed_end_ = 0;
+		has_just_stated_start_time_ = false;
 		has_listing_ = false;
 		full_report_due_ = true; // the owner compares the listing with the late orders to former incarnations
 		runs_.clear();
@@ -277,12 +284,18 @@
 	{
 		// After a call without an answer the next incarnation may be there. It would take the lease and the
 		// acknowledgements for its own, so the call only finds out which incarnation answers.
+		listing_order out;
 		if (failed_listings_ > 0)
-			return {};
-		const bool acknowledges = first_listed_end_ > 0 && first_listed_end_ <= ends_kept_;
+			return out;
+		out.deadline_ms = lease_deadline_ms_;
+		if (first_listed_end_ > 0 && first_listed_end_ <= ends_kept_)
+			out.ends_kept = ends_kept_;
 		// Before the worker has its first lease the listing must not be delayed, since the lease would be delayed too.
-		return {lease_deadline_ms_, acknowledges ? ends_kept_ : 0,
-				lease_deadline_ms_ > 0 ? max_listing_wait : millis{0}};
+		out.max_wait = lease_deadline_ms_ > 0 ? max_listing_wait : millis{0};
+		// The connections of an incarnation end with it, so on an open one it is still there. A worker that closes its
+		// connections after each answer is called on a new one right after it has stated its start time.
+		out.open_connection_only = !only_asks(out) && !has_just_stated_start_time_;
+		return out;
 	}
 
 	asio::awaitable<void> run_manager::listing_loop()
@@ -302,8 +315,11 @@
 			if (!is_current(incarnation_id))
 				continue;
 			record_result(result, boottime_now());
+			has_just_stated_start_time_ = result.outcome == order_outcome::done && only_asks(order);
 			if (result.outcome == order_outcome::fenced)
 				raise_fencing_token(result.clock_ms);
+			if (result.outcome == order_outcome::unknown)
+				++fencing_token_; // the call may be carried out late, by the next incarnation too; it is refused then
 			if (result.outcome == order_outcome::done)
 			{
 				fencing_token_step_ = first_fencing_token_step;
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -191,6 +191,7 @@
 		std::int64_t first_listed_end_{}; ///< Number of the first end in the latest listing; 0 if it had none.
 		std::uint64_t listing_count_{};   ///< Number of answered listing calls; lets coroutines wait for a new listing.
 		int failed_listings_{};
+		bool has_just_stated_start_time_{}; ///< The latest listing call was answered, and changed nothing.
 		bool has_listing_{};
 		bool full_report_due_{}; ///< A full report was requested and has not been sent yet.
 		absl::flat_hash_map<task_run, tracked_run> runs_;
--- a/packages/net/include/trailjunction/net/http_client.hpp
+++ b/packages/net/include/trailjunction/net/http_client.hpp
@@ -35,6 +35,13 @@
 		bool connection_refused{}; ///< Not sent: the instance is up, but no process listens on the port.
 	};
 
+	/// \brief Connections over which a request may be sent.
+	enum class connection_choice
+	{
+		any,       ///< An open one, or a new one.
+		open_only, ///< Only one that has carried a response before: the process that sent it is still there.
+	};
+
 	/// \brief Sends requests to one endpoint over pooled connections. Bound to one io_context.
 	class http_client
 	{
@@ -50,7 +57,9 @@
 		/// \brief Sends one request and waits for its complete response until \p deadline.
 		/// \details If a pooled connection times out, it is closed together with all idle connections of the pool:
 		/// connections can stop passing data without being closed, and usually several do so at once.
-		[[nodiscard]] boost::asio::awaitable<http_result> send(http_request request, instant deadline);
+		/// With connection_choice::open_only the request is not sent if no open connection is idle.
+		[[nodiscard]] boost::asio::awaitable<http_result> send(http_request request, instant deadline,
+															   connection_choice choice = connection_choice::any);
 
 		[[nodiscard]] const endpoint& remote_endpoint() const noexcept;
 
--- a/packages/net/include/trailjunction/net/http_server.hpp
+++ b/packages/net/include/trailjunction/net/http_server.hpp
@@ -50,6 +50,9 @@
 		/// \brief Stops accepting and closes idle connections.
 		void stop();
 
+		/// \brief Closes the connections on which no request is in flight; accepts further ones.
+		void close_idle_connections();
+
 		/// \brief Number of requests whose response has not been written yet.
 		[[nodiscard]] std::size_t in_flight() const noexcept;
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -90,11 +90,15 @@
 		return state_->remote;
 	}
 
-	asio::awaitable<http_result> http_client::send(http_request request, instant deadline)
+	asio::awaitable<http_result> http_client::send(http_request request, instant deadline, connection_choice choice)
 	{
 		const auto state = state_;
 		auto stream = take_idle(*state);
 		const bool pooled = stream != nullptr;
+		if (!pooled && choice == connection_choice::open_only)
+			co_return http_result{delivery_status::not_sent,
+								  absl::UnavailableError(absl::StrCat(state->host, ": no open connection")),
+								  {}};
 		if (!pooled)
 		{
 			stream = std::make_unique<beast::tcp_stream>(state->io);
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -177,6 +177,11 @@
 		state_->stopping = true;
 		beast::error_code ignored;
 		state_->acceptor.close(ignored);
+		close_idle_connections();
+	}
+
+	void http_server::close_idle_connections()
+	{
 		for (auto* stream : state_->idle)
 			stream->cancel();
 	}
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -88,6 +88,7 @@
 			started_runs[run.index].end_state = "died";
 		}
 		current_ = make_incarnation(std::move(id), std::max(current_.begins_at, now + downtime));
+		server_.close_idle_connections(); // the connections of a process end with it
 	}
 
 	void worker_standin::restart(std::string id)
