Owners: runs of an incarnation whose row is not stored count as those of a former one

Cause: the owner looked for former incarnations among the rows of workers only. Such a row is stored once no job is unsaved, so the runs of an incarnation may be stored before it is; and rows of an earlier version name the id alone. Change: incarnations with the same id on which runs are placed, and of which no agent is known, count too.

--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -126,6 +126,11 @@
 			if (location.agent == peer.name() && worker != peer.worker.current_incarnation &&
 				location.address == to_string(peer.agent_address()))
 				out.push_back(worker);
+		// The runs of an incarnation may be stored before its row is, and rows of earlier versions name the id alone.
+		for (const auto& [worker, keys] : table_.placed)
+			if (worker.id() == peer.worker.current_incarnation.id() && worker != peer.worker.current_incarnation &&
+				!agent_of_worker_.contains(worker))
+				out.push_back(worker);
 		return out;
 	}
 
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -347,6 +347,33 @@
 	CHECK(test.stored_task().worker == first);
 }
 
+TEST_CASE("a new owner places a run on the incarnation that has it, whichever former one it was stored for", "[jobs]")
+{
+	// Guards against a run that is stopped, or whose end is acknowledged and not recorded: the row of the incarnation
+	// for which it was ordered was not stored yet.
+	const auto third = incarnation_at(some_time_ms + 9'000);
+	const auto stored_for = GENERATE(incarnation_at(some_time_ms + 5'000), worker_incarnation{"life-1"});
+	scene test;
+	test.submit(first_job, one_task());
+	auto job = test.stored_job(first_job);
+	job.status = job_status::running;
+	job.tasks[0].run = 1;
+	job.tasks[0].phase = task_stage::ordered;
+	job.tasks[0].worker = stored_for;
+	test.store.put(job_partition, progress_table, first_job, encode_progress(job));
+	stored::worker row;
+	row.life = first.id();
+	row.__set_start_ms(static_cast<std::int64_t>(some_time_ms));
+	row.address = to_string(test.agent.link_address());
+	test.store.put(job_partition, workers_table, "agent-1", encode_worker(row));
+	test.agent.full_report = report_of(third);
+	test.agent.full_report.running.push_back(running_row({{job_id{first_job}, 0, 0, 0}, 1}));
+	test.begin_term();
+	REQUIRE(test.run_until([&] { return test.stored_job(first_job).tasks[0].worker == third; }));
+	CHECK(test.stored_job(first_job).tasks[0].run == 1);
+	CHECK(test.agent.received_stops.empty());
+}
+
 TEST_CASE("stored progress keeps incarnations with the same id apart, and rows of earlier versions name the id alone",
 		  "[jobs]")
 {
