Owners: the lease of a former incarnation's calls is counted without its agent too

Only where the platform's longest lease exceeds twice the contact time. Cause: the time until which a restarted worker may hold the lease of a call to its former incarnation was kept with the agent's link, and so was gone when the link was, which is when leases run out. Change: the term of ownership keeps that time, by incarnation. A new owner does not know it, and counts its own lease from its beginning.

--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -30,10 +30,9 @@
 		resources capacity;
 		bool draining{};
 		bool responsive{};
-		std::optional<instant> last_response; ///< When the worker last answered its agent.
-		instant first_report{};               ///< When the agent first reported this incarnation.
-		instant held_until{};  ///< Until when it may keep its runs under the lease of a call to an earlier incarnation.
-		instant last_report{}; ///< When the agent last reported the worker.
+		std::optional<instant> last_response;     ///< When the worker last answered its agent.
+		instant first_report{};                   ///< When the agent first reported this incarnation.
+		instant last_report{};                    ///< When the agent last reported the worker.
 		std::optional<instant> predecessor_crash; ///< When the previous incarnation was found to have crashed.
 		double filler_pace{1.0};                  ///< The share of full speed at which fillers may run, 0 to 1.
 		worker_trust trust;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -264,6 +264,8 @@
 		absl::flat_hash_set<task_run> pending_starts_;
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_map<worker_incarnation, instant> confirmed_at_; ///< Time of the latest confirmation, by worker.
+		/// Until when an incarnation may keep its runs under the lease of a call to an earlier one, by incarnation.
+		absl::flat_hash_map<worker_incarnation, instant> held_until_;
 		/// The agent of each worker that was reported in this term or stored by the previous owner.
 		absl::flat_hash_map<worker_incarnation, agent_location> agent_of_worker_;
 		/// Suspected tasks by the worker that crashed while running them.
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -147,7 +147,7 @@
 			if (earlier.id() != current.id())
 				continue;
 			// The worker may hold the lease of a call to the earlier incarnation for as long as the platform allows.
-			peer.worker.held_until =
+			held_until_[current] =
 				lease_end(now + settings_.longest_run_lease - run_lease_times_.lease, run_lease_times_);
 			for (const auto& run_id : runs_on(table_, earlier))
 				if (std::find(listed.begin(), listed.end(), run_id) != listed.end() || may_refer_to(earlier, current))
@@ -188,8 +188,8 @@
 		for (const auto& [worker, keys] : table_.placed)
 		{
 			const auto confirmed = confirmed_at_.find(worker);
-			const auto* peer = peer_of(worker);
-			const auto held_until = peer == nullptr ? instant{} : peer->worker.held_until;
+			const auto held = held_until_.find(worker);
+			const auto held_until = held == held_until_.end() ? instant{} : held->second;
 			const auto confirmed_at = confirmed == confirmed_at_.end() ? began_at_ : confirmed->second;
 			if (now >= std::max(held_until, lease_end(confirmed_at, run_lease_times_)))
 				lapsed.push_back(worker);
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -374,6 +374,27 @@
 	CHECK(test.agent.received_stops.empty());
 }
 
+TEST_CASE("an owner counts the longest lease for an incarnation that calls to the former one may have leased", "[jobs]")
+{
+	// Guards against a task that starts elsewhere while its run goes on: the worker took the lease for its own.
+	scene test;
+	test.settings.contact = millis{300}; // the owner's leases are far shorter than the platform's longest one
+	test.settings.longest_run_lease = millis{4'000};
+	test.agent.full_report = report_of(first);
+	test.begin_term();
+	test.submit(first_job, one_task());
+	REQUIRE(test.run_until([&] { return test.agent.received_starts.size() == 1; }));
+	auto report = report_of(second);
+	report.running.push_back(running_row({{job_id{first_job}, 0, 0, 0}, 1}));
+	const auto reported_at = boottime_now();
+	test.agent.send_report(report);
+	REQUIRE(test.run_until([&] { return test.stored_job(first_job).tasks[0].worker == second; }));
+	test.agent.full_report.worker.clear(); // the agent is there again, and doesn't know its worker yet
+	test.agent.close_link();
+	REQUIRE(test.run_until([&] { return test.stored_job(first_job).tasks[0].worker.empty(); }));
+	CHECK(boottime_now() - reported_at >= test.settings.longest_run_lease);
+}
+
 TEST_CASE("stored progress keeps incarnations with the same id apart, and rows of earlier versions name the id alone",
 		  "[jobs]")
 {
