Agents: an owner's confirmation acknowledges only ends that the incarnation has listed

Cause: an owner of an earlier version names the id alone and counts on over a restart, so its confirmation acknowledged, for the present incarnation, numbers of the former one. Change: the number of a confirmation is cut to the highest one that the present incarnation has listed and the agent has reported.

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -442,7 +442,8 @@
 			lease_deadline_ms_ =
 				std::max(lease_deadline_ms_, worker_deadline_ms(worker_clock_ms_, adjusted_clock_read_time(),
 																from_millis(answer.stamp_ms), lease_));
-		ends_kept_ = std::max(ends_kept_, answer.ends_kept);
+		// An owner of an earlier version may confirm numbers of a former incarnation.
+		ends_kept_ = std::max(ends_kept_, std::min(answer.ends_kept, ends_reported_));
 		for (const auto& end : ends_)
 			if (end.number <= ends_kept_)
 				attributes_.erase(end.run_id);
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -395,6 +395,23 @@
 	CHECK(boottime_now() - reported_at >= test.settings.longest_run_lease);
 }
 
+TEST_CASE("an owner's confirmation acknowledges only ends that the present incarnation has listed", "[jobs]")
+{
+	// Guards against ends that are never reported: an owner of an earlier version counts on over a restart.
+	restarted_worker_fixture test;
+	test.restart(second);
+	test.runs.on_heartbeat(heartbeat_of(second, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == second; }));
+	wire::job_confirm confirmation;
+	confirmation.worker = second.id();
+	confirmation.stamp_ms = test.runs.report(true).stamp_ms;
+	confirmation.ends_kept = 57;
+	test.runs.confirm(confirmation);
+	test.listing.ended.push_back({1, run_manager_fixture::some_run, run_outcome::done, ""});
+	test.await_calls(3);
+	CHECK(test.runs.report(true).ended.size() == 1);
+}
+
 TEST_CASE("stored progress keeps incarnations with the same id apart, and rows of earlier versions name the id alone",
 		  "[jobs]")
 {
