Upkeep: the losses of incarnations with the same id are added

Found in review, by reading: the service that runs instances names a worker by its id, so what would be lost with it is kept by id; of two incarnations with runs only the first counted. No test of its own: the second exists only until its agent's next report is processed.

--- a/packages/entry/src/process/job_term_upkeep.cpp
+++ b/packages/entry/src/process/job_term_upkeep.cpp
@@ -17,6 +17,21 @@
 		constexpr double millicores_per_core = 1'000.0;
 		/// Maximum time from the request for a list of instances until its result is applied.
 		constexpr auto max_list_age = millis{2'000};
+
+		/// Adds the loss of one incarnation to that of others with the same id.
+		void add_loss(absl::flat_hash_map<worker_incarnation, worker_loss>& losses, const worker_incarnation& worker,
+					  const worker_loss& loss)
+		{
+			const auto [found, is_new] = losses.emplace(worker, loss);
+			if (is_new)
+				return;
+			auto& sum = found->second;
+			sum.runs += loss.runs;
+			sum.unsaved_core_seconds += loss.unsaved_core_seconds;
+			sum.limited_serving_tasks += loss.limited_serving_tasks;
+			sum.absences_left = std::min(sum.absences_left, loss.absences_left);
+			sum.has_suspects = sum.has_suspects || loss.has_suspects;
+		}
 	}
 
 	void job_term::create_upkeep(const upkeep_adapter& adapter)
@@ -102,7 +117,7 @@
 		absl::flat_hash_map<worker_incarnation, worker_loss> out;
 		for (const auto& [worker, keys] : table_.placed)
 			if (!keys.empty())
-				out.emplace(without_start_time(worker), loss_of(worker, keys, now));
+				add_loss(out, without_start_time(worker), loss_of(worker, keys, now));
 		return out;
 	}
 
