Owners: a worker that goes on refusing starts is tried ever more rarely

Cause: a worker that refuses a start for lack of room got no starts for 300 ms, however often it had refused. Among many such workers, the first was tried again before the last, so a task went round among them and never reached a worker with room. Class: a retry without growing delay. Change: the pause doubles with each refusal, up to 4.8 s, until the worker starts a run or its capacity changes.

--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -11,9 +11,7 @@
 {
 	namespace
 	{
-		/// Time without new starts on a worker that refused one for lack of capacity: the owner's view of it is out of
-		/// date.
-		constexpr auto no_room_pause = millis{300};
+		constexpr no_room_policy default_no_room_policy{};
 		constexpr auto unhealthy_pause = millis{1'000};
 		/// Interval between two stop orders of one run. It is twice the report interval; normally the first report
 		/// already says that the run has ended.
@@ -115,7 +113,10 @@
 		worker.last_report = now;
 		worker.service = service_id{report.service_name};
 		worker.labels = report.labels;
-		worker.capacity = {report.capacity.cpu_milli, report.capacity.memory_mib, report.capacity.accelerators};
+		const resources capacity{report.capacity.cpu_milli, report.capacity.memory_mib, report.capacity.accelerators};
+		if (capacity != worker.capacity)
+			record_room(worker.trust);
+		worker.capacity = capacity;
 		worker.draining = report.draining;
 		worker.responsive = report.responsive;
 		worker.filler_pace = report.pace_percent / full_pace_percent;
@@ -170,7 +171,7 @@
 				end_run(table_, refusal.run_id, run_outcome::lapsed, "", now);
 				continue;
 			case start_refusal::no_room:
-				avoided_until = std::max(avoided_until, now + no_room_pause);
+				record_no_room(peer.worker.trust, default_no_room_policy, now);
 				break;
 			case start_refusal::unhealthy:
 				avoided_until = std::max(avoided_until, now + unhealthy_pause);
@@ -196,10 +197,13 @@
 		for (const auto& row : report.started)
 		{
 			const auto run_id = from_wire(row);
-			if (is_placed_on(peer.worker.current_incarnation, run_id))
-				confirm_run(table_, run_id, now);
-			else
+			if (!is_placed_on(peer.worker.current_incarnation, run_id))
+			{
 				order_stop(peer, run_id, "not_placed");
+				continue;
+			}
+			confirm_run(table_, run_id, now);
+			record_room(peer.worker.trust);
 		}
 		for (const auto& row : report.running)
 		{
--- a/packages/jobs/include/trailjunction/jobs/worker_trust.hpp
+++ b/packages/jobs/include/trailjunction/jobs/worker_trust.hpp
@@ -33,8 +33,25 @@
 		};
 		std::deque<finished_run> recent_runs;
 		instant avoided_until{};
+		int no_room_refusals{}; ///< Starts refused for lack of room since the last one that was not.
 	};
 
+	/// \brief How long a worker gets no new starts after it has refused one for lack of room: the owner's view of it is
+	/// out of date.
+	/// \details Doubles with each further refusal. With a constant pause a task could be refused by the same workers
+	/// over and over, without reaching one that has room.
+	struct no_room_policy
+	{
+		millis first_pause{300};
+		millis longest_pause{4'800};
+	};
+
+	/// \brief Records a start that the worker has refused for lack of room.
+	void record_no_room(worker_trust& trust, const no_room_policy& policy, instant now) noexcept;
+
+	/// \brief Records that the worker has started a run, or that its capacity has changed.
+	void record_room(worker_trust& trust) noexcept;
+
 	/// \brief Records the end of a run.
 	/// \returns Whether the worker gets no new work for a while because of it.
 	bool record_run_end(worker_trust& trust, const job_id& job, bool failed, const trust_policy& policy, instant now);
--- a/packages/jobs/src/worker_trust.cpp
+++ b/packages/jobs/src/worker_trust.cpp
@@ -3,8 +3,24 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
+
 namespace trailjunction
 {
+	void record_no_room(worker_trust& trust, const no_room_policy& policy, instant now) noexcept
+	{
+		auto pause = policy.first_pause;
+		for (int i = 0; i < trust.no_room_refusals && pause < policy.longest_pause; ++i)
+			pause *= 2;
+		++trust.no_room_refusals;
+		trust.avoided_until = std::max(trust.avoided_until, now + std::min(pause, policy.longest_pause));
+	}
+
+	void record_room(worker_trust& trust) noexcept
+	{
+		trust.no_room_refusals = 0;
+	}
+
 	bool record_run_end(worker_trust& trust, const job_id& job, bool failed, const trust_policy& policy, instant now)
 	{
 		auto& recent = trust.recent_runs;
