Agents: runs of late orders end with the lease of the former incarnation

What callers would see: TWICE, found in review by reading: a task starts elsewhere while its run goes on. Cause: the worker grants a late order to its former incarnation a lease by that one's clock, up to the platform's longest one. If the agent's link is down, the owner counts the former incarnation's lease and starts the tasks elsewhere, while the restarted worker runs on. Change: once the lease that the agent counted for the former incarnation is over, it stops what the present one lists, unless an owner has confirmed the present one. An agent that has seen no former one stops nothing: its worker's runs have leases of their own. Evidence: the new test; its first case has nothing that would stop a run without the change.

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -164,6 +164,8 @@
 	void run_manager::begin_incarnation(const worker_heartbeat& heartbeat)
 	{
 		record_lost_incarnation();
+		if (worker_)
+			former_lease_end_ = lease_end_time();
 		announced_exit_ = false;
 		worker_exited_ = false;
 		log_event(event::worker_seen,
@@ -273,6 +275,20 @@
 		suspended_at_clock_read_ = total_suspended_time();
 	}
 
+	instant run_manager::lease_end_time() const noexcept
+	{
+		return adjusted_clock_read_time() + millis{std::max<std::int64_t>(0, lease_deadline_ms_ - worker_clock_ms_)};
+	}
+
+	void run_manager::stop_unconfirmed_runs(instant now)
+	{
+		// Their lease was granted by the worker for a call to its former incarnation, and may last longer.
+		if (!former_lease_end_ || now < *former_lease_end_)
+			return;
+		for (const auto& [id, run] : runs_)
+			begin_stop(id, "not_confirmed");
+	}
+
 	void run_manager::raise_fencing_token(std::int64_t worker_clock_ms)
 	{
 		fencing_token_ = std::max(fencing_token_ + fencing_token_step_.count(),
@@ -324,6 +340,7 @@
 			{
 				fencing_token_step_ = first_fencing_token_step;
 				apply_listing(std::move(result.listing));
+				stop_unconfirmed_runs(boottime_now());
 				if (!ends_.empty() || order.max_wait == millis{0})
 					co_await pause_for(io_, listing_delay);
 				continue;
@@ -442,6 +459,7 @@
 			lease_deadline_ms_ =
 				std::max(lease_deadline_ms_, worker_deadline_ms(worker_clock_ms_, adjusted_clock_read_time(),
 																from_millis(answer.stamp_ms), lease_));
+		former_lease_end_.reset();
 		// An owner of an earlier version may confirm numbers of a former incarnation.
 		ends_kept_ = std::max(ends_kept_, std::min(answer.ends_kept, ends_reported_));
 		for (const auto& end : ends_)
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -160,6 +160,10 @@
 		[[nodiscard]] bool refers_to_current(const worker_incarnation& name) const noexcept;
 		/// The lease, acknowledgements and wait time of the next listing call.
 		[[nodiscard]] listing_order next_listing_order() const noexcept;
+		/// When the runs of the current incarnation end unless they are confirmed, as their owner counts.
+		[[nodiscard]] instant lease_end_time() const noexcept;
+		/// Stops runs that late orders to the former incarnation have started, once no owner counts on them any more.
+		void stop_unconfirmed_runs(instant now);
 		/// Raises the fencing token above one that the worker has seen from an earlier process of this agent.
 		void raise_fencing_token(std::int64_t worker_clock_ms);
 		[[nodiscard]] bool has_ended(const task_run& id) const noexcept;
@@ -186,6 +190,9 @@
 		/// Total time for which this instance had been suspended by clock_read_at_.
 		std::chrono::nanoseconds suspended_at_clock_read_{};
 		std::int64_t lease_deadline_ms_{}; ///< Time on the worker's clock up to which the runs are confirmed.
+		/// When the lease of the former incarnation ends; empty if this process has not seen one, or the owner has
+		/// confirmed the current one.
+		std::optional<instant> former_lease_end_;
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
 		std::int64_t first_listed_end_{}; ///< Number of the first end in the latest listing; 0 if it had none.
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -45,6 +45,7 @@
 			boost::asio::awaitable<order_result> stop(order_authority authority, task_run, instant) override
 			{
 				test_.tokens.push_back(authority.fencing_token);
+				++test_.stops;
 				co_return order_result{order_outcome::done, test_.clock_ms};
 			}
 			boost::asio::awaitable<listing_result> list(order_authority authority, listing_order order,
@@ -71,9 +72,9 @@
 			restarted_worker_fixture& test_;
 		};
 
-		restarted_worker_fixture()
+		explicit restarted_worker_fixture(millis lease = millis{5'000})
 		{
-			runs.set_lease(millis{5'000});
+			runs.set_lease(lease);
 			runs.on_heartbeat(heartbeat_of(first, clock_ms, 57));
 			await_calls(2);
 			wire::job_confirm confirmation;
@@ -113,6 +114,7 @@
 		bool down{};
 		worker_listing listing;
 		int calls{};
+		int stops{};
 		std::vector<std::int64_t> tokens;
 		std::vector<listing_order> orders;
 		run_manager runs{io, [this](endpoint) { return std::make_unique<port>(*this); }, millis{5'000}, pacing_policy{},
@@ -217,6 +219,31 @@
 	CHECK(test.runs.report(true).responsive);
 }
 
+TEST_CASE("runs that late orders have started are stopped if no owner confirms them within the former lease", "[jobs]")
+{
+	// Guards against a run that goes on under the worker's longest lease while its task starts elsewhere: the link to
+	// the owner is down.
+	const bool confirmed = GENERATE(false, true);
+	restarted_worker_fixture test{millis{1'000}};
+	test.restart(second);
+	test.listing.running.push_back({run_manager_fixture::some_run, "", 10, 0});
+	test.runs.on_heartbeat(heartbeat_of(second, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == second; }));
+	CHECK(test.stops == 0);
+	if (!confirmed)
+	{
+		CHECK(test.run_until([&] { return test.stops > 0; }));
+		return;
+	}
+	wire::job_confirm confirmation;
+	set_worker(confirmation, second);
+	confirmation.stamp_ms = test.runs.report(true).stamp_ms;
+	test.runs.confirm(confirmation);
+	const auto former_lease_over = boottime_now() + millis{1'500};
+	REQUIRE(test.run_until([&] { return boottime_now() > former_lease_over; }));
+	CHECK(test.stops == 0);
+}
+
 TEST_CASE("a notice without a start time that comes before heartbeats of a ready worker is not its notice", "[jobs]")
 {
 	restarted_worker_fixture test;
