Test of restarted workers: also with a start time, which tells the incarnations apart

The test played only workers that state no start time, so none of its sections reached what the changed term makes the usual case. Change: each of the five sections runs without and with a start time; nothing else changes.

--- a/tests/unlisted_runs.cpp
+++ b/tests/unlisted_runs.cpp
@@ -91,9 +91,11 @@
 			run_manager runs;
 		};
 
-		system_fixture()
+		/// \param states_start_time Whether the worker states the start time that tells its incarnations apart.
+		explicit system_fixture(bool states_start_time) : worker_states_start_time{states_start_time}
 		{
 			settings.member = member_id{"entry-1"};
+			restart_worker();
 			begin_agent();
 			stored::agent row;
 			row.address = to_string(link_address);
@@ -112,9 +114,12 @@
 
 		void restart_worker()
 		{
-			worker = in_memory_worker{worker.incarnation.str()};
+			constexpr auto id = "i-1";
+			worker = in_memory_worker{id};
 			sequence = 0;
 			++incarnations;
+			if (worker_states_start_time)
+				worker.incarnation = worker_incarnation{id, worker_start_time{incarnations}};
 		}
 
 		template <typename Until>
@@ -163,9 +168,10 @@
 			run_for(millis{1'500}); // until the owner has been told, and the former sequence numbers are higher
 		}
 
-		in_memory_worker worker{"i-1"};
+		in_memory_worker worker{""};
+		bool worker_states_start_time{};
 		bool down{};
-		int incarnations{1};
+		std::uint64_t incarnations{};
 		std::int64_t sequence{};
 		instant heartbeat_sent_at{};
 		endpoint link_address;
@@ -177,7 +183,7 @@
 TEST_CASE("a long-running task runs again after its worker has restarted under the same id", "[jobs]")
 {
 	// Guards against a task that counts as running for good although no worker lists its run.
-	system_fixture test;
+	system_fixture test{GENERATE(false, true)};
 	test.start_long_running_task();
 	SECTION("before the agent noticed")
 	{
