--- a/tests/unlisted_runs_details.cpp
+++ b/tests/unlisted_runs_details.cpp
@@ -166,6 +166,67 @@
 	CHECK(test.ended.size() == 1);
 }
 
+TEST_CASE("a run whose end is listed once, right after its confirmation, is not reported as unlisted", "[jobs]")
+{
+	// Guards against a task that is executed twice: the end has been acknowledged before the next listing.
+	agent_fixture test;
+	int listings_since_start = -1;
+	test.script.on_start = [&]
+	{
+		listings_since_start = 0;
+		return order_result{order_outcome::done, 1'000};
+	};
+	test.script.on_list = [&]
+	{
+		worker_listing listing;
+		if (listings_since_start >= 0 && ++listings_since_start == 1)
+			add_end(listing, 1, some_run);
+		return listing_result{{order_outcome::done, 1'000}, listing};
+	};
+	test.order_start();
+	test.collect_listings(8);
+	CHECK(test.started.size() == 1);
+	CHECK(test.ended.size() == 1);
+	CHECK(test.unlisted.empty());
+}
+
+TEST_CASE("an agent asks for a report as soon as a run is unlisted", "[jobs]")
+{
+	// Guards against a task that waits for the next regular report before it starts again.
+	boost::asio::io_context io{1};
+	run_manager_fixture::worker_script script;
+	int requests = 0;
+	run_manager runs{io, [&](endpoint) { return std::make_unique<run_manager_fixture::scripted_worker>(io, script); },
+					 millis{5'000}, pacing_policy{},
+					 [&]
+					 {
+						 ++requests;
+					 }};
+	const auto await_listings = [&]
+	{
+		const auto wanted = script.listings + 5;
+		const auto end = boottime_now() + run_manager_fixture::longest_wait;
+		while (script.listings < wanted && boottime_now() < end)
+			io.run_one_for(millis{10});
+		REQUIRE(script.listings >= wanted);
+	};
+	script.on_list = []
+	{
+		return listing_result{{order_outcome::done, 1'000}, listing_with_run(some_run)};
+	};
+	runs.on_heartbeat(run_manager_fixture::heartbeat_of("life-1"));
+	await_listings();
+	const auto requests_before = requests;
+	await_listings();
+	REQUIRE(requests == requests_before);
+	script.on_list = []
+	{
+		return listing_result{{order_outcome::done, 1'000}, {}};
+	};
+	await_listings();
+	CHECK(requests == requests_before + 1);
+}
+
 TEST_CASE("an agent reports the end of a run that disappeared behind a full list of ends", "[jobs]")
 {
 	// Guards against a task that is executed twice: its run has ended as done, behind the ends that are listed.
@@ -188,8 +249,7 @@
 	agent_fixture test;
 	test.begin_run();
 	test.list({});
-	const auto before = test.script.listings;
-	REQUIRE(test.run_until([&] { return test.script.listings > before + 3; }));
+	test.await_listings(4);
 	CHECK(test.runs.report(true).unlisted.size() == 1);
 	CHECK(test.runs.report(true).unlisted.empty());
 }
@@ -226,16 +286,22 @@
 	CHECK(test.unlisted.empty());
 }
 
-TEST_CASE("runs that disappeared from a former incarnation's full list of ends are not unlisted in the next", "[jobs]")
+TEST_CASE("what a former incarnation has lost is not unlisted in the next one", "[jobs]")
 {
+	// Guards against a loss that its owner takes for one of the present incarnation.
 	agent_fixture test;
 	test.begin_run();
-	test.list(listing_with_ends(max_listed_ends));
-	test.collect_listings();
+	const bool behind_full_list = GENERATE(false, true);
+	test.list(behind_full_list ? listing_with_ends(max_listed_ends) : worker_listing{});
+	constexpr int enough_to_be_applied = 4;
+	test.await_listings(enough_to_be_applied);
 	test.script.answering_incarnation = "life-2";
 	test.list({});
 	test.runs.on_heartbeat(run_manager_fixture::heartbeat_of("life-2"));
-	REQUIRE(test.run_until([&] { return test.runs.report(true).worker == "life-2"; }));
+	test.await_listings(2 * enough_to_be_applied);
+	const auto first = test.runs.report(false);
+	CHECK(first.worker == "life-2");
+	CHECK(first.unlisted.empty());
 	test.collect_listings();
 	CHECK(test.unlisted.empty());
 }
--- a/tests/unlisted_runs_fixture.hpp
+++ b/tests/unlisted_runs_fixture.hpp
@@ -57,6 +57,13 @@
 			running.insert(running.end(), report.running.begin(), report.running.end());
 		}
 
+		/// Waits without taking any report.
+		void await_listings(int count)
+		{
+			const auto before = script.listings;
+			REQUIRE(run_until([&] { return script.listings > before + count; }));
+		}
+
 		/// Collects reports until listings that began after this call have been applied.
 		void collect_listings(int count = 4)
 		{
