Agents: what a full list of ends hides is not concluded, and a run that is started again is not lost

Cause: the absence of a run from a listing was taken as proof that it never started, or had been stopped, also while 500 ends were listed and its own could follow; and a run that had disappeared behind a full list counted as lost after a repeated order had started it again. Change: only listings with room for further ends count as complete; a confirmed start is no disappeared run any more, and a run whose start is pending is not compared. Parameters that shadowed a type are renamed.

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -33,9 +33,9 @@
 		/// A fencing token for an incarnation. It is above those of its former incarnations unless the clock of the
 		/// instance was set back, and above those of earlier processes of its agent, since the worker's clock has
 		/// advanced since.
-		std::int64_t fencing_token_of(const worker_incarnation& incarnation, std::int64_t worker_clock_ms) noexcept
+		std::int64_t fencing_token_of(const worker_incarnation& worker, std::int64_t worker_clock_ms) noexcept
 		{
-			const auto start_time = incarnation.start_time().value_or(worker_start_time{});
+			const auto start_time = worker.start_time().value_or(worker_start_time{});
 			return static_cast<std::int64_t>(start_time.value) + worker_clock_ms;
 		}
 
@@ -364,7 +364,9 @@
 		if (failed_listings_ >= max_failed_listings)
 			request_report_();
 		failed_listings_ = 0;
-		++listing_count_;
+		// While the list of ends is full, the absence of a run proves nothing: its end may be listed later.
+		if (listing.ended.size() < max_listed_ends)
+			++listing_count_;
 		note_unlisted_runs(listing);
 		absl::flat_hash_map<task_run, tracked_run> listed_runs;
 		for (auto& run : listing.running)
@@ -429,7 +431,8 @@
 	{
 		auto had = take_overdue_confirmations(listing);
 		for (const auto& [id, run] : runs_)
-			had.push_back(id);
+			if (!pending_starts_.contains(id)) // the answer to the start tells what has become of it
+				had.push_back(id);
 		for (const auto& id : find_unlisted_runs(disappeared_, had, listing))
 		{
 			log_event(event::run_unlisted,
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -196,7 +196,7 @@
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
 		std::int64_t first_listed_end_{}; ///< Number of the first end in the latest listing; 0 if it had none.
-		std::uint64_t listing_count_{};   ///< Number of answered listing calls; lets coroutines wait for a new listing.
+		std::uint64_t listing_count_{};   ///< Number of complete listings; lets coroutines wait for a new one.
 		int failed_listings_{};
 		bool has_just_stated_start_time_{}; ///< The latest listing call was answered, and changed nothing.
 		bool has_listing_{};
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -275,7 +275,8 @@
 		// of 240 agents received 1,350 reports a second instead of 2,500.
 		unreported_starts_.push_back(id);
 		record_confirmed(ages_, id, boottime_now());
+		disappeared_.ids.erase(id); // a repeated order has started it again
 		if (!runs_.contains(id))
-			confirmed_unlisted_.emplace(id, listing_count_);
+			confirmed_unlisted_.insert_or_assign(id, listing_count_);
 	}
 }
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -155,7 +155,7 @@
 		void on_report(agent_peer& peer, wire::job_report&& report);
 		void note_worker(agent_peer& peer, const wire::job_report& report);
 		/// Handles the first report of an incarnation.
-		void begin_incarnation(agent_peer& peer, const worker_incarnation& incarnation, const wire::job_report& report,
+		void begin_incarnation(agent_peer& peer, const worker_incarnation& reported, const wire::job_report& report,
 							   instant now);
 		void note_ends(agent_peer& peer, const wire::job_report& report, instant now);
 		/// Records the end of a run on the agent's worker.
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -87,14 +87,14 @@
 			wake();
 	}
 
-	void job_term::begin_incarnation(agent_peer& peer, const worker_incarnation& incarnation,
+	void job_term::begin_incarnation(agent_peer& peer, const worker_incarnation& reported,
 									 const wire::job_report& report, instant now)
 	{
 		auto& worker = peer.worker;
 		const auto previous = std::exchange(worker, {});
-		worker.current_incarnation = incarnation;
+		worker.current_incarnation = reported;
 		worker.first_report = now;
-		agent_of_worker_[incarnation] = {peer.name(), to_string(peer.agent_address())};
+		agent_of_worker_[reported] = {peer.name(), to_string(peer.agent_address())};
 		take_over_late_runs(peer, report, now);
 		const auto reported_loss = report.__isset.lost ? from_wire(report.lost, now) : lost_worker{};
 		handle_earlier_incarnations(peer, previous, reported_loss, now);
--- a/packages/jobs/include/trailjunction/jobs/worker_incarnation.hpp
+++ b/packages/jobs/include/trailjunction/jobs/worker_incarnation.hpp
@@ -53,15 +53,15 @@
 
 		[[nodiscard]] friend auto operator<=>(const worker_incarnation&, const worker_incarnation&) = default;
 
-		friend std::ostream& operator<<(std::ostream& out, const worker_incarnation& incarnation)
+		friend std::ostream& operator<<(std::ostream& out, const worker_incarnation& worker)
 		{
-			return out << incarnation.str();
+			return out << worker.str();
 		}
 		template <typename Hash>
-		friend Hash AbslHashValue(Hash state, const worker_incarnation& incarnation)
+		friend Hash AbslHashValue(Hash state, const worker_incarnation& worker)
 		{
-			return Hash::combine(std::move(state), incarnation.id_, incarnation.start_time_.has_value(),
-								 incarnation.start_time_.value_or(worker_start_time{}));
+			return Hash::combine(std::move(state), worker.id_, worker.start_time_.has_value(),
+								 worker.start_time_.value_or(worker_start_time{}));
 		}
 
 	private:
@@ -70,15 +70,14 @@
 	};
 
 	/// \brief Whether a name that may lack the start time can stand for an incarnation.
-	[[nodiscard]] inline bool may_refer_to(const worker_incarnation& name,
-										   const worker_incarnation& incarnation) noexcept
+	[[nodiscard]] inline bool may_refer_to(const worker_incarnation& name, const worker_incarnation& worker) noexcept
 	{
-		return name.id() == incarnation.id() && (!name.start_time() || name.start_time() == incarnation.start_time());
+		return name.id() == worker.id() && (!name.start_time() || name.start_time() == worker.start_time());
 	}
 
 	/// \brief The incarnation without its start time, as services name workers that know only their ids.
-	[[nodiscard]] inline worker_incarnation without_start_time(const worker_incarnation& incarnation)
+	[[nodiscard]] inline worker_incarnation without_start_time(const worker_incarnation& worker)
 	{
-		return worker_incarnation{incarnation.id()};
+		return worker_incarnation{worker.id()};
 	}
 }
--- a/packages/wire/include/trailjunction/wire/job_messages.hpp
+++ b/packages/wire/include/trailjunction/wire/job_messages.hpp
@@ -15,11 +15,11 @@
 
 	/// \brief Sets the fields of a message that name a worker's incarnation.
 	template <typename Message>
-	void set_worker(Message& message, const worker_incarnation& incarnation)
+	void set_worker(Message& message, const worker_incarnation& worker)
 	{
-		message.worker = incarnation.id();
-		if (incarnation.start_time())
-			message.__set_worker_start_ms(static_cast<std::int64_t>(incarnation.start_time()->value));
+		message.worker = worker.id();
+		if (worker.start_time())
+			message.__set_worker_start_ms(static_cast<std::int64_t>(worker.start_time()->value));
 	}
 	/// \brief The incarnation that a message names; without a start time if its sender knew none.
 	template <typename Message>
