Agents: a closed listing connection is followed by a call at once

Cause, by reading of the two builds: since acknowledgements go only over an open connection, a call that found none counted as failed and was followed by a pause of 0.1 s. A late call to the former incarnation could be carried out in that time, before any call of this one. Change: no pause; the next call, which changes nothing, opens a connection at once and shuts late calls out by its token. Not shown by a test of its own; the storm is run again by hand.

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -345,6 +345,13 @@
 					co_await pause_for(io_, listing_delay);
 				continue;
 			}
+			if (order.open_connection_only && result.outcome == order_outcome::not_sent)
+			{
+				// The incarnation may have ended with its connection: another one must be asked before a late call to
+				// the former one reaches it.
+				failed_listings_ = std::max(failed_listings_, 1);
+				continue;
+			}
 			// No answer may mean that the worker is overloaded or unreachable; a closed port after its notice means
 			// that its process has ended.
 			if (result.outcome == order_outcome::no_listener && announced_exit_ && !worker_exited_)
