Storm: workers restart under their ids, long-running tasks run

storm_options::restarts_in_place (by hand: TRAILJUNCTION_STORM_RESTARTS) adds restarts in place, drawn from a random sequence of their own, so that plans without them stay as they were: alone, of several workers at once, twice in a row, near a restart or a pause of the agent or the owner, among late calls and heartbeats, and at a start time that is not later than the one before. Every third seed has no other faults then. Three long-running tasks run meanwhile; after all faults each of them must have exactly one run, and once more after every worker has restarted in place without another fault near.

--- a/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
@@ -60,6 +60,9 @@
 		/// \param work Run time of each task.
 		/// \returns The HTTP status; 0 without a response.
 		[[nodiscard]] int submit(int entry, const std::string& id, int tasks, millis work);
+		/// \brief Submits a job of identical long-running tasks, which run until the job is cancelled.
+		/// \returns The HTTP status; 0 without a response.
+		[[nodiscard]] int submit_long_running(int entry, const std::string& id, int tasks);
 		/// \brief The state of a job as an entry reports it; empty if it reports none.
 		[[nodiscard]] std::string state(int entry, const std::string& id);
 		/// \brief Cancels a job. \returns The HTTP status; 0 without a response.
--- a/packages/testkit/src/job_cluster.cpp
+++ b/packages/testkit/src/job_cluster.cpp
@@ -29,6 +29,8 @@
 		constexpr auto poll_interval = millis{10};
 		constexpr auto row_poll_interval = millis{2};
 		constexpr std::size_t log_tail_bytes = 6'000;
+		/// Run time of a long-running task, which no test reaches.
+		constexpr const char* long_running_work_ms = "600000";
 		constexpr const char* host = "jobs.example";
 		constexpr const char* prefix = "/merges/";
 		constexpr const char* readiness_job = "00000000000000ff"; // submitted by wait_ready()
@@ -191,6 +193,15 @@
 		return status_of(call(entry, "POST", id, body));
 	}
 
+	int job_cluster::submit_long_running(int entry, const std::string& id, int tasks)
+	{
+		const auto body = json::serialize(json::object{
+			{"spec", long_running_work_ms},
+			{"phases",
+			 json::array{json::object{{"count", tasks}, {"cpu", 500}, {"memMb", 256}, {"longRunning", true}}}}});
+		return status_of(call(entry, "POST", id, body));
+	}
+
 	std::string job_cluster::state(int entry, const std::string& id)
 	{
 		const auto result = call(entry, "GET", id, "");
--- a/tests/job_storm.cpp
+++ b/tests/job_storm.cpp
@@ -11,6 +11,8 @@
 ///
 /// - TRAILJUNCTION_STORM_MS: the period in which faults begin, 20000 by default. A shorter plan is a prefix of a longer
 ///   one with the same seed, except that its long jobs are shorter.
+/// - TRAILJUNCTION_STORM_RESTARTS: if set, workers also restart under their ids and long-running tasks run during the
+///   storm. Every third seed has no other faults then.
 /// - TRAILJUNCTION_STORM_PROGRAMS: the build directory of the programs under test, such as that of an older version.
 /// - TRAILJUNCTION_KEEP_LOGS: keeps the logs of the programs in the directory for temporary files.
 ///
@@ -44,6 +46,13 @@
 	constexpr int min_start_delay_ms = 420;
 	constexpr int max_start_delay_ms = 800;
 
+	void add_restarts(storm_options& options)
+	{
+		constexpr std::uint64_t calm_seed_period = 3;
+		options.restarts_in_place = true;
+		options.other_faults = options.seed % calm_seed_period != 0;
+	}
+
 	storm_options options_of(std::uint64_t seed)
 	{
 		storm_options out;
@@ -56,6 +65,8 @@
 			REQUIRE(absl::SimpleAtoi(text, &period_ms));
 			out.fault_period = millis{period_ms};
 		}
+		if (const char* text = std::getenv("TRAILJUNCTION_STORM_RESTARTS"); text != nullptr)
+			add_restarts(out);
 		constexpr std::uint64_t slow_start_seed_period = 4;
 		if (seed % slow_start_seed_period != 1)
 			return out;
@@ -131,6 +142,9 @@
 		if (!system.wait_ready())
 			return "not ready:\n" + system.logs();
 		configure_workers(system, options);
+		const auto begin = boottime_now();
+		const auto long_running =
+			options.restarts_in_place ? submit_long_running_jobs(system) : std::vector<storm_job>{};
 		std::atomic<bool> is_over{};
 		std::vector<std::future<std::vector<storm_job>>> submitted;
 		for (int i = 0; i < clients; ++i)
@@ -150,6 +164,10 @@
 		if (found)
 			return report;
 		found = find_unfinished(system, jobs);
+		if (!found)
+			found = find_idle_long_running(system, long_running, begin);
+		if (!found)
+			found = find_not_restarted(system, options, long_running);
 		if (!found)
 			found = find_concurrent_runs(system.all_started_runs());
 		return found ? report_violation(system, *found, events) : std::string{};
--- a/tests/job_storm.hpp
+++ b/tests/job_storm.hpp
@@ -24,6 +24,11 @@
 		millis fault_period{20'000}; ///< Period in which faults begin.
 		/// Constant delay of starts, by worker; empty for none.
 		std::vector<call_delay> start_delays;
+		/// Whether the plan contains faults other than restarts of workers under their ids.
+		bool other_faults{true};
+		/// Whether workers restart under their ids, too, and long-running tasks run during the storm. The other faults
+		/// of the plan are the same in either case.
+		bool restarts_in_place{};
 	};
 
 	/// \brief The build directory of the programs: TRAILJUNCTION_STORM_PROGRAMS, or that of the tests.
@@ -63,6 +68,9 @@
 
 	/// \brief Generates the fault plan of one storm, ordered by time.
 	[[nodiscard]] std::vector<fault_event> generate_faults(const storm_options& options);
+	/// \brief Restarts a worker under the id that it has.
+	/// \param downtime The time without a worker.
+	void restart_in_place(job_cluster& system, int worker, millis downtime);
 	/// \brief Ends all faults: resumes and restarts processes, reconnects connections and resets the stand-ins' faults.
 	void clear_faults(job_cluster& system, const storm_options& options);
 
@@ -92,6 +100,17 @@
 
 	/// \brief Finds a task that had two concurrent runs, or that was started after an acknowledged end `done`.
 	[[nodiscard]] std::optional<violation> find_concurrent_runs(std::vector<worker_standin::started_run> runs);
+	/// \brief Submits the jobs of long-running tasks; to be called before the first fault.
+	/// \returns All of them; storm_job::accepted is not set if one was not accepted in time.
+	[[nodiscard]] std::vector<storm_job> submit_long_running_jobs(job_cluster& system);
+	/// \brief Finds a long-running task that does not have exactly one run; to be called after all faults have ended.
+	/// \param after Runs that began earlier are not counted.
+	[[nodiscard]] std::optional<violation> find_idle_long_running(job_cluster& system,
+																  const std::vector<storm_job>& jobs, instant after);
+	/// \brief Restarts each worker under its id without any other fault, and finds a long-running task that does not
+	/// run again; to be called after all faults have ended.
+	[[nodiscard]] std::optional<violation> find_not_restarted(job_cluster& system, const storm_options& options,
+															  const std::vector<storm_job>& jobs);
 	/// \brief Finds an accepted job that did not end as required; to be called after all faults have ended.
 	[[nodiscard]] std::optional<violation> find_unfinished(job_cluster& system, const std::vector<storm_job>& jobs);
 	/// \brief The report on a violation: the fault events, the starts, calls and log lines of the task, and the ends of
--- a/tests/job_storm_checks.cpp
+++ b/tests/job_storm_checks.cpp
@@ -69,6 +69,15 @@
 			return when ? absl::StrCat(log_time(*when)) : "-";
 		}
 
+		/// The runs of a task that go on and began at \p after or later.
+		std::int64_t active_run_count(const std::vector<worker_standin::started_run>& runs, const std::string& task,
+									  instant after)
+		{
+			return std::count_if(runs.begin(), runs.end(),
+								 [&](const worker_standin::started_run& run)
+								 { return run.task == task && !run.ended_at && run.started_at >= after; });
+		}
+
 		std::string describe_run(const worker_standin::started_run& run)
 		{
 			return absl::StrCat(log_time(run.started_at), " ", run.task, " run ", run.run, " on ", run.incarnation,
@@ -117,6 +126,48 @@
 		return jobs;
 	}
 
+	std::vector<storm_job> submit_long_running_jobs(job_cluster& system)
+	{
+		constexpr const char* ids[] = {"f000000000000001", "f000000000000002"};
+		std::vector<storm_job> jobs;
+		for (const char* id : ids)
+		{
+			storm_job job;
+			job.id = id;
+			job.tasks = static_cast<int>(jobs.size()) + 1;
+			job.accepted = job_cluster::wait_until(
+				[&] { return system.submit_long_running(0, job.id, job.tasks) == 200; }, settle_timeout);
+			jobs.push_back(std::move(job));
+		}
+		return jobs;
+	}
+
+	std::optional<violation> find_idle_long_running(job_cluster& system, const std::vector<storm_job>& jobs,
+													instant after)
+	{
+		for (const auto& job : jobs)
+			for (int i = 0; i < job.tasks; ++i)
+			{
+				const auto task = task_name(job, i);
+				const bool runs_once = job_cluster::wait_until(
+					[&] { return active_run_count(system.all_started_runs(), task, after) == 1; }, settle_timeout);
+				if (!runs_once)
+					return violation{task, absl::StrCat("a long-running task has ",
+														active_run_count(system.all_started_runs(), task, after),
+														" runs that began after ", log_time(after))};
+			}
+		return std::nullopt;
+	}
+
+	std::optional<violation> find_not_restarted(job_cluster& system, const storm_options& options,
+												const std::vector<storm_job>& jobs)
+	{
+		const auto restarted_at = boottime_now();
+		for (int i = 0; i < options.workers; ++i)
+			restart_in_place(system, i, millis{0});
+		return find_idle_long_running(system, jobs, restarted_at);
+	}
+
 	std::optional<violation> find_concurrent_runs(std::vector<worker_standin::started_run> runs)
 	{
 		std::stable_sort(runs.begin(), runs.end(),
--- a/tests/job_storm_faults.cpp
+++ b/tests/job_storm_faults.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 
 namespace trailjunction::testkit
 {
@@ -301,6 +302,162 @@
 			}
 		}
 
+		/// The time between two incarnations of a worker: none, shorter than the silence of two heartbeats, or longer.
+		millis any_downtime(fault_plan& plan)
+		{
+			switch (plan.random.between(0, 3))
+			{
+			case 0:
+			case 1:
+				return millis{0};
+			case 2:
+				return plan.random.duration(50, 300);
+			default:
+				return plan.random.duration(500, 3'000);
+			}
+		}
+
+		void add_restart_in_place(fault_plan& plan, millis at, int worker, millis downtime)
+		{
+			plan.add(at,
+					 absl::StrCat("worker ", worker + 1, " restarts under its id, down for ", downtime.count(), " ms"),
+					 [=](job_cluster& system) { restart_in_place(system, worker, downtime); });
+		}
+
+		void restart_any_worker(fault_plan& plan, millis at)
+		{
+			const auto downtime = any_downtime(plan);
+			add_restart_in_place(plan, at, plan.any_worker(), downtime);
+		}
+
+		void restart_several_workers(fault_plan& plan, millis at)
+		{
+			const int first_worker = plan.any_worker();
+			const int count = plan.random.between(2, plan.options.workers);
+			const auto downtime = any_downtime(plan);
+			for (int i = 0; i < count; ++i)
+				add_restart_in_place(plan, at, (first_worker + i) % plan.options.workers, downtime);
+		}
+
+		void restart_worker_twice(fault_plan& plan, millis at)
+		{
+			const int chosen_worker = plan.any_worker();
+			const auto downtime = any_downtime(plan);
+			const auto second_downtime = any_downtime(plan);
+			const auto second_at = at + downtime + plan.random.duration(0, 500);
+			add_restart_in_place(plan, at, chosen_worker, downtime);
+			add_restart_in_place(plan, second_at, chosen_worker, second_downtime);
+		}
+
+		/// A time around \p at, so that either of two faults may come first.
+		millis time_near(fault_plan& plan, millis at)
+		{
+			return at + plan.random.duration(-300, 300);
+		}
+
+		void restart_worker_and_agent(fault_plan& plan, millis at)
+		{
+			const int chosen_worker = plan.any_worker();
+			const auto killed_at = time_near(plan, at);
+			add_restart_in_place(plan, at, chosen_worker, any_downtime(plan));
+			plan.add(killed_at, absl::StrCat("agent ", chosen_worker + 1, " killed"),
+					 [chosen_worker](job_cluster& system) { system.agent(chosen_worker).kill(); });
+			plan.add(killed_at + plan.random.duration(0, 1'000),
+					 absl::StrCat("agent ", chosen_worker + 1, " restarted"),
+					 [chosen_worker](job_cluster& system) { system.restart_agent(chosen_worker); });
+		}
+
+		void restart_worker_and_pause_agent(fault_plan& plan, millis at)
+		{
+			const int chosen_worker = plan.any_worker();
+			const auto paused_at = time_near(plan, at);
+			add_restart_in_place(plan, at, chosen_worker, any_downtime(plan));
+			plan.add(paused_at, absl::StrCat("agent ", chosen_worker + 1, " paused"),
+					 [chosen_worker](job_cluster& system) { system.agent(chosen_worker).signal(SIGSTOP); });
+			plan.add(paused_at + plan.random.duration(300, 4'000),
+					 absl::StrCat("agent ", chosen_worker + 1, " resumed"),
+					 [chosen_worker](job_cluster& system) { system.agent(chosen_worker).signal(SIGCONT); });
+		}
+
+		/// Surrounds a restart by calls and heartbeats that the next incarnation gets or that arrive after its own.
+		void restart_worker_among_late_calls(fault_plan& plan, millis at)
+		{
+			const int chosen_worker = plan.any_worker();
+			const int order_count = plan.random.between(0, 3);
+			const int stop_count = plan.random.between(0, 2);
+			const int hold_count = plan.random.between(0, 2);
+			const int heartbeat_count = plan.random.between(0, 3);
+			const auto delay = plan.random.duration(100, 2'000);
+			const auto lead = plan.random.duration(50, 500);
+			plan.add_worker_fault(at - lead, lead + plan.random.duration(0, 200), chosen_worker,
+								  "late calls and heartbeats",
+								  [=](worker_faults& faults, bool on)
+								  {
+									  faults.late_orders = on ? order_count : 0;
+									  faults.late_stops = on ? stop_count : 0;
+									  faults.late_holds = on ? hold_count : 0;
+									  faults.late_heartbeats = on ? heartbeat_count : 0;
+									  faults.late_delay = delay;
+								  });
+			add_restart_in_place(plan, at, chosen_worker, any_downtime(plan));
+		}
+
+		/// Restarts a worker whose instance's clock was set back, so that its start time is not later than before.
+		void restart_worker_at_earlier_time(fault_plan& plan, millis at)
+		{
+			const int chosen_worker = plan.any_worker();
+			const auto step_back = plan.random.one_in(2) ? millis{0} : plan.random.duration(1, 60'000);
+			plan.add(
+				at,
+				absl::StrCat("clock of worker ", chosen_worker + 1, " set ", step_back.count(), " ms before its start"),
+				[=](job_cluster& system)
+				{
+					system.with_worker(chosen_worker, [&](worker_standin& worker)
+									   { worker.next_start_time_ms = worker.start_time_ms() - step_back.count(); });
+				});
+			add_restart_in_place(plan, at, chosen_worker, any_downtime(plan));
+		}
+
+		void add_restart_fault(fault_plan& plan, millis at)
+		{
+			switch (plan.random.between(0, 12))
+			{
+			case 0:
+			case 1:
+				return restart_several_workers(plan, at);
+			case 2:
+				return restart_worker_twice(plan, at);
+			case 3:
+				return restart_worker_and_agent(plan, at);
+			case 4:
+				return restart_worker_and_pause_agent(plan, at);
+			case 5:
+				restart_any_worker(plan, at);
+				return restart_entry(plan, time_near(plan, at));
+			case 6:
+				restart_any_worker(plan, at);
+				return pause_entry(plan, time_near(plan, at));
+			case 7:
+			case 8:
+				return restart_worker_among_late_calls(plan, at);
+			case 9:
+				return restart_worker_at_earlier_time(plan, at);
+			default:
+				return restart_any_worker(plan, at);
+			}
+		}
+
+		/// Adds restarts in place, drawn from a sequence of their own so that the other faults of the plan are the same
+		/// without them.
+		void add_restarts_in_place(fault_plan& plan)
+		{
+			constexpr std::uint64_t sequence_offset = 1'000'000'007;
+			fault_plan restarts{plan.options, seeded_random{plan.options.seed + sequence_offset}, {}};
+			for (auto at = first_fault_at; at < plan.options.fault_period; at += restarts.random.duration(500, 3'000))
+				add_restart_fault(restarts, at);
+			std::move(restarts.events.begin(), restarts.events.end(), std::back_inserter(plan.events));
+		}
+
 		void add_random_fault(fault_plan& plan, millis at)
 		{
 			switch (plan.random.between(0, 15))
@@ -335,13 +492,21 @@
 	std::vector<fault_event> generate_faults(const storm_options& options)
 	{
 		fault_plan plan{options, seeded_random{options.seed}, {}};
-		for (auto at = first_fault_at; at < options.fault_period; at += plan.random.duration(100, 1'500))
-			add_random_fault(plan, at);
+		if (options.other_faults)
+			for (auto at = first_fault_at; at < options.fault_period; at += plan.random.duration(100, 1'500))
+				add_random_fault(plan, at);
+		if (options.restarts_in_place)
+			add_restarts_in_place(plan);
 		std::stable_sort(plan.events.begin(), plan.events.end(),
 						 [](const fault_event& a, const fault_event& b) { return a.at < b.at; });
 		return std::move(plan.events);
 	}
 
+	void restart_in_place(job_cluster& system, int worker, millis downtime)
+	{
+		system.with_worker(worker, [&](worker_standin& standin) { standin.restart_in_place(downtime); });
+	}
+
 	void clear_faults(job_cluster& system, const storm_options& options)
 	{
 		system.with_store([](memory_store& store) { store.faults = {}; });
