Crashes: a run that its agent has not given to the worker is not blamed

Cause: a run that was placed on a crashed worker and whose order had been refused, or dropped since its incarnation had gone (E442), counted with age 0, as a start that crashed the worker at once. This does not need a restart under the same id. Change: an agent's report of a lost incarnation has the ages of all runs that it gave to the worker; a run that is not in it was not there. An agent forgets the age of a run that it refuses. Without such a report (the agent has gone too) the run is suspected as before.

--- a/model/restarts.pml
+++ b/model/restarts.pml
@@ -10,6 +10,10 @@
  * start was in transit when its call was sent, and none was sent since. An implementation knows this of starts that were
  * answered, or sent longer ago than any call may be delayed.
  *
+ * The agents do not wait for settled listings, and owners add the platform's longest lease but not the delay of a call:
+ * they rely on no call being delayed over two restarts, a settled start or a lease. Connections are not modelled; the
+ * agents acknowledge only on one that the incarnation has answered on.
+ *
  * step            rule
  * hear            a heartbeat of another incarnation causes a probe: a listing call with the highest token so far
  * handle_probe    the agent switches if the answer names that incarnation and its token is above the one in use
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -266,6 +266,7 @@
 		record_refusal(refusal_history_, {id, reason});
 		unreported_refusals_.push_back({id, reason});
 		attributes_.erase(id);
+		ages_.erase(id); // it was not on the worker, so it can't have crashed it
 		request_report_();
 	}
 
--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -178,6 +178,7 @@
 		/// Ages of its runs as reported by its agent. Available to a new owner, too, and without the time for which an
 		/// order waited for the store.
 		absl::flat_hash_map<task_run, crash_age> reported_ages;
+		bool ages_reported{}; ///< The agent has reported this loss; a run without an age there was not on the worker.
 	};
 
 	/// \brief Age of a run when its worker crashed; 0 if the time of its order is not known.
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -205,6 +205,8 @@
 			};
 			if (const auto* reported = reported_age(run_id, worker))
 				return within(reported->upper_bound.value_or(reported->lower_bound));
+			if (worker.ages_reported)
+				return std::nullopt; // its order was lost, dropped or refused
 			const auto age = age_at_crash(task.ordered_at, worker, policy);
 			const bool is_known = worker.last_response && task.ordered_at != instant{};
 			if (is_known || !age)
--- a/packages/wire/src/job_messages.cpp
+++ b/packages/wire/src/job_messages.cpp
@@ -78,6 +78,7 @@
 				age.upper_bound = millis{run.ordered_ms};
 			out.reported_ages.emplace(from_wire(run.what), age);
 		}
+		out.ages_reported = true;
 		return out;
 	}
 
