Agents: only runs of late orders to an incarnation that had a lease here are stopped

What callers would see: work thrown away, found in reading the change: a restarted agent that hears a late heartbeat of a former incarnation first took the runs of the present one, started by its predecessor, for late orders, and stopped them. Cause: the time from which such runs are stopped was set for any former incarnation, also for one that never had a lease in this process. Evidence: the new test fails without the change (2 stops). Change: it is set only where this process had a lease for the former incarnation; then nothing else can run on the next one. After: passes, and the test of late orders too.

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -164,7 +164,8 @@
 	void run_manager::begin_incarnation(const worker_heartbeat& heartbeat)
 	{
 		record_lost_incarnation();
-		if (worker_)
+		// Without a lease here, the runs of the next incarnation may have been started by an earlier process.
+		if (lease_deadline_ms_ > 0)
 			former_lease_end_ = lease_end_time();
 		announced_exit_ = false;
 		worker_exited_ = false;
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -72,14 +72,22 @@
 			restarted_worker_fixture& test_;
 		};
 
-		explicit restarted_worker_fixture(millis lease = millis{5'000})
+		explicit restarted_worker_fixture(millis lease = millis{5'000}, bool is_confirmed = true)
 		{
 			runs.set_lease(lease);
 			runs.on_heartbeat(heartbeat_of(first, clock_ms, 57));
 			await_calls(2);
+			if (is_confirmed)
+				confirm(first, 0);
+		}
+
+		/// The owner's answer to a report of the incarnation.
+		void confirm(const worker_incarnation& confirmed, std::int64_t ends_kept)
+		{
 			wire::job_confirm confirmation;
-			set_worker(confirmation, first);
+			set_worker(confirmation, confirmed);
 			confirmation.stamp_ms = runs.report(true).stamp_ms;
+			confirmation.ends_kept = ends_kept;
 			runs.confirm(confirmation);
 		}
 
@@ -166,11 +174,7 @@
 	restarted_worker_fixture test;
 	test.listing.ended.push_back({57, run_manager_fixture::some_run, run_outcome::done, ""});
 	test.await_calls(3);
-	wire::job_confirm confirmation;
-	set_worker(confirmation, first);
-	confirmation.stamp_ms = test.runs.report(true).stamp_ms;
-	confirmation.ends_kept = 57;
-	test.runs.confirm(confirmation);
+	test.confirm(first, 57);
 	test.await_calls(2);
 	REQUIRE(test.orders.back().ends_kept == 57);
 	REQUIRE(test.orders.back().deadline_ms > 0);
@@ -186,11 +190,7 @@
 TEST_CASE("an end is acknowledged only while the worker lists one that is", "[jobs]")
 {
 	restarted_worker_fixture test;
-	wire::job_confirm confirmation;
-	set_worker(confirmation, first);
-	confirmation.stamp_ms = test.runs.report(true).stamp_ms;
-	confirmation.ends_kept = 57;
-	test.runs.confirm(confirmation);
+	test.confirm(first, 57);
 	test.await_calls(3);
 	CHECK(test.orders.back().ends_kept == 0);
 }
@@ -235,15 +235,24 @@
 		CHECK(test.run_until([&] { return test.stops > 0; }));
 		return;
 	}
-	wire::job_confirm confirmation;
-	set_worker(confirmation, second);
-	confirmation.stamp_ms = test.runs.report(true).stamp_ms;
-	test.runs.confirm(confirmation);
+	test.confirm(second, 0);
 	const auto former_lease_over = boottime_now() + millis{1'500};
 	REQUIRE(test.run_until([&] { return boottime_now() > former_lease_over; }));
 	CHECK(test.stops == 0);
 }
 
+TEST_CASE("a restarted agent that hears an old heartbeat first stops no run of its worker", "[jobs]")
+{
+	// Guards against work that is thrown away: the runs were started by the agent's predecessor.
+	restarted_worker_fixture test{millis{5'000}, false};
+	test.restart(second);
+	test.listing.running.push_back({run_manager_fixture::some_run, "", 10, 0});
+	test.runs.on_heartbeat(heartbeat_of(second, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == second; }));
+	test.await_calls(4);
+	CHECK(test.stops == 0);
+}
+
 TEST_CASE("a notice without a start time that comes before heartbeats of a ready worker is not its notice", "[jobs]")
 {
 	restarted_worker_fixture test;
