--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -31,6 +31,10 @@
 	inline constexpr auto worker_call_timeout = millis{400};
 	/// \brief Delay before a failed call is retried, so that a worker that fails at once is not called in a busy loop.
 	inline constexpr auto worker_retry_delay = millis{100};
+	/// \brief Consecutive failed listings after which the worker counts as unresponsive.
+	inline constexpr int max_failed_listings = 2;
+	/// \brief First step by which a fencing token is raised that a worker refuses; it doubles with each refusal.
+	inline constexpr auto first_fencing_token_step = millis{1'000};
 
 	/// \brief Carries out an owner's orders on the worker and reports their outcomes.
 	/// \details Keeps no state that the worker does not list again: an agent that restarts learns everything from the
