Store: a transaction without an answer is looked up before it is sent again

Cause: an entry sent a submission again after 0.7 s without an answer. A store that is 60 times slower gives a partition five turns a second, and the first copy was still queued there, so each copy took another turn, until submissions waited for more than a second and got 429 (13 jobs a second into eight partitions; the retries grow with the queue). The owner waited 0.6 s, then 1.2 s, for answers that were lost, with a usual answer of 8 ms. Change: commit_or_look_up() waits for four times the usual answer (60 to 600 ms, 150 ms at first) and then reads the row that the transaction is conditional on. A changed row settles the outcome, as a conflict did. The transaction is sent again after eight times the duration of such a read, at least 300 ms. Used by submissions, the owner's transactions and takeovers; nothing is told before it is known, as before.

--- a/packages/entry/include/trailjunction/entry/job_gateway.hpp
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -8,6 +8,7 @@
 #include <trailjunction/jobs/job_configuration.hpp>
 #include <trailjunction/jobs/job_state.hpp>
 #include <trailjunction/net/process_metrics.hpp>
+#include <trailjunction/store/commit_lookup.hpp>
 #include <trailjunction/store/row_store.hpp>
 #include <trailjunction/store/store_contact.hpp>
 
@@ -111,6 +112,7 @@
 		queue_depths depths_;
 		admission_state admission_;
 		store_contact store_contact_;
+		commit_latency commit_latency_;
 		bool store_suspect_{}; ///< The latest call to the store was refused or not answered.
 		/// Jobs whose row may still be written by an earlier call, with the time that call ended. They must not be
 		/// reported as refused.
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -164,7 +164,8 @@
 		out.renewal_sent = boottime_now();
 		while (true)
 		{
-			const auto result = co_await store_.commit(change, boottime_now() + commit_timeout);
+			const auto result =
+				co_await commit_or_look_up(io_, store_, change, commit_latency_, boottime_now() + commit_timeout);
 			if (result.outcome == commit_outcome::applied)
 			{
 				out.version = result.version;
--- a/packages/entry/src/process/job_owner.hpp
+++ b/packages/entry/src/process/job_owner.hpp
@@ -50,6 +50,7 @@
 		row_store& store_;
 		const evacuation_rows& evacuations_;
 		store_monitor store_monitor_;
+		commit_latency commit_latency_;
 		process_metrics& metrics_;
 		job_term::depth_handler on_depths_;
 		const upkeep_adapter* upkeep_; ///< Null if upkeep waves are not served.
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -364,7 +364,8 @@
 		while (true)
 		{
 			const auto sent = boottime_now();
-			const auto result = co_await store_.commit(pending.change, sent + timeout);
+			const auto result =
+				co_await commit_or_look_up(io_, store_, pending.change, commit_latency_, sent + timeout);
 			if (result.outcome == commit_outcome::applied)
 			{
 				pending.sent = sent; // this attempt was applied, not an earlier one
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -19,6 +19,7 @@
 #include <trailjunction/jobs/run_listing.hpp>
 #include <trailjunction/jobs/shrunk_rooms.hpp>
 #include <trailjunction/net/process_metrics.hpp>
+#include <trailjunction/store/commit_lookup.hpp>
 #include <trailjunction/store/row_store.hpp>
 #include <trailjunction/store/store_monitor.hpp>
 
@@ -245,6 +246,7 @@
 		evacuation_follower evacuations_;
 		std::unique_ptr<upkeep_controller> upkeep_; ///< Null if upkeep waves are not served.
 		store_monitor store_monitor_;
+		commit_latency commit_latency_;
 		process_metrics& metrics_;
 		owned_row owned_;
 		depth_handler on_depths_;
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -4,6 +4,7 @@
 #include <trailjunction/jobs/job_rows.hpp>
 #include <trailjunction/jobs/job_tables.hpp>
 #include <trailjunction/net/coroutines.hpp>
+#include <trailjunction/store/commit_lookup.hpp>
 
 #include <algorithm>
 
@@ -147,12 +148,12 @@
 		}
 		while (true)
 		{
-			const auto result = co_await store_.commit(change, std::min(deadline, boottime_now() + attempt_timeout));
+			const auto result = co_await commit_or_look_up(io_, store_, change, commit_latency_, deadline);
 			store_suspect_ = result.outcome == commit_outcome::unknown || result.outcome == commit_outcome::refused;
 			call_result.reason = result.reason;
 			if (result.outcome == commit_outcome::applied || result.outcome == commit_outcome::conflict)
 			{
-				// The only condition is that the row is absent, so a conflict means that it is already stored.
+				// The only condition is that the row is absent, so a conflict means that it is stored.
 				call_result.outcome = job_call_outcome::done;
 				co_return call_result;
 			}
--- a/packages/testkit/include/trailjunction/testkit/memory_store.hpp
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -26,6 +26,9 @@
 		/// Duration of a transaction. Transactions of one partition are serialised; one that would have to wait for
 		/// more than a second is refused.
 		millis transaction_duration{};
+		millis answer_delay{}; ///< Time between the turn of a transaction and its effect and answer.
+		/// Transactions that have not had their turn by their deadline are applied when it comes.
+		bool late_commits{};
 		millis read_duration{};       ///< Duration of a read.
 		std::string unanswered_table; ///< Reads of this table get no response; empty for no table.
 		std::string refused_table;    ///< Reads of this table are refused; empty for no table.
@@ -67,10 +70,11 @@
 		[[nodiscard]] std::int64_t version_of(const row_key& full_key) const;
 		[[nodiscard]] std::int64_t clock_ms() const;
 		commit_result apply(const row_transaction& change);
+		boost::asio::awaitable<void> apply_late(row_transaction change, instant turn);
 		/// Waits until the earlier transactions of the partition and the duration of this one are over.
 		/// \returns `applied` if that was before the deadline, `unknown` if not, `refused` if the wait would exceed a
 		/// second.
-		boost::asio::awaitable<commit_outcome> wait_for_turn(std::string partition, instant deadline);
+		boost::asio::awaitable<commit_outcome> wait_for_turn(const row_transaction& change, instant deadline);
 
 		boost::asio::io_context& io_;
 		std::map<row_key, stored_row> rows_;
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -2,6 +2,9 @@
 #include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/testkit/memory_store.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <utility>
 
 namespace trailjunction::testkit
@@ -52,15 +55,24 @@
 		return out;
 	}
 
-	asio::awaitable<commit_outcome> memory_store::wait_for_turn(std::string partition, instant deadline)
+	asio::awaitable<void> memory_store::apply_late(row_transaction change, instant turn)
+	{
+		while (boottime_now() < turn)
+			co_await pause_for(io_, poll_interval);
+		(void)apply(change);
+	}
+
+	asio::awaitable<commit_outcome> memory_store::wait_for_turn(const row_transaction& change, instant deadline)
 	{
-		auto& busy_until = busy_until_[partition];
+		auto& busy_until = busy_until_[change.partition];
 		const auto now = boottime_now();
 		const auto begin = std::max(now, busy_until);
 		if (begin - now > max_queue_time)
 			co_return commit_outcome::refused;
 		busy_until = begin + faults.transaction_duration;
-		const auto turn = busy_until;
+		const auto turn = busy_until + faults.answer_delay;
+		if (turn > deadline && faults.late_commits)
+			asio::co_spawn(io_, apply_late(change, turn), asio::detached);
 		while (boottime_now() < std::min(turn, deadline))
 			co_await pause_for(io_, poll_interval);
 		co_return turn <= deadline ? commit_outcome::applied : commit_outcome::unknown;
@@ -83,7 +95,7 @@
 		}
 		if (faults.transaction_duration.count() > 0)
 		{
-			out.outcome = co_await wait_for_turn(change.partition, deadline);
+			out.outcome = co_await wait_for_turn(change, deadline);
 			if (out.outcome != commit_outcome::applied)
 				co_return out;
 		}
