Store: a call goes on while its outcome is looked up

Now the call keeps its connection until the deadline, and whichever comes first settles the outcome: its answer or a read.

--- a/packages/store/include/trailjunction/store/commit_lookup.hpp
+++ b/packages/store/include/trailjunction/store/commit_lookup.hpp
@@ -37,7 +37,7 @@
 		/// a store that answers reads slowly has probably queued it.
 		int resend_factor{8};
 		/// Minimum time before a transaction is sent again.
-		millis min_resend{300};
+		millis min_resend{600};
 	};
 
 	/// \brief The usual time until a transaction is known to be applied.
--- a/packages/store/src/commit_lookup.cpp
+++ b/packages/store/src/commit_lookup.cpp
@@ -2,7 +2,13 @@
 #include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/store/commit_lookup.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
+#include <memory>
+#include <optional>
 #include <utility>
 
 namespace trailjunction
@@ -22,6 +28,36 @@
 			return {name.table, std::move(partition), name.key, name.key + '\0', 1};
 		}
 
+		/// A transaction in flight, and its result once the call has ended.
+		struct pending_commit
+		{
+			explicit pending_commit(boost::asio::io_context& io) : answered{io} {}
+
+			std::optional<commit_result> result;
+			boost::asio::steady_timer answered; ///< Is cancelled when the result is there.
+		};
+
+		boost::asio::awaitable<void> commit_into(std::shared_ptr<pending_commit> pending, row_store& store,
+												 row_transaction transaction, instant deadline)
+		{
+			pending->result = co_await store.commit(std::move(transaction), deadline);
+			pending->answered.cancel();
+		}
+
+		/// Whether the store has answered; a call may also end without an answer.
+		bool is_answered(const pending_commit& pending) noexcept
+		{
+			return pending.result && pending.result->outcome != commit_outcome::unknown;
+		}
+
+		boost::asio::awaitable<void> wait_for_answer(pending_commit& pending, instant until)
+		{
+			if (is_answered(pending))
+				co_return;
+			pending.answered.expires_at(to_steady_time(until));
+			(void)co_await pending.answered.async_wait(as_result);
+		}
+
 		/// The row as it is in the page; version 0 if it is absent.
 		stored_row current_row(const row_page& page, const row_name& name)
 		{
@@ -56,18 +92,20 @@
 		const auto sent = boottime_now();
 		const auto condition = transaction.conditions.front();
 		const auto range = range_of(condition.name, transaction.partition);
-		auto result =
-			co_await store.commit(std::move(transaction), std::min(deadline, sent + answer_wait(latency, policy)));
-		if (result.outcome == commit_outcome::applied || result.outcome == commit_outcome::conflict)
-			record_latency(latency, elapsed(sent, boottime_now()));
+		const auto pending = std::make_shared<pending_commit>(io);
+		// The call goes on during lookups: a store may drop a transaction with its connection.
+		boost::asio::co_spawn(io, commit_into(pending, store, std::move(transaction), deadline), boost::asio::detached);
+		co_await wait_for_answer(*pending, std::min(deadline, sent + answer_wait(latency, policy)));
 		bool was_absent = false;
-		while (result.outcome == commit_outcome::unknown)
+		while (!is_answered(*pending))
 		{
 			const auto asked = boottime_now();
 			if (asked >= deadline)
-				break;
+				co_return pending->result.value_or(commit_result{});
 			const auto page = co_await store.read(range, std::min(deadline, asked + policy.read_timeout));
 			const auto now = boottime_now();
+			if (is_answered(*pending))
+				break;
 			if (page.ok())
 			{
 				auto row = current_row(*page, condition.name);
@@ -76,17 +114,21 @@
 					// Found by the first lookup, it may have been applied at any time before: its answer may be lost.
 					if (was_absent)
 						record_latency(latency, elapsed(sent, now));
-					result.outcome = commit_outcome::conflict;
-					result.rows.push_back(std::move(row));
-					result.store_clock_ms = page->store_clock_ms;
-					break;
+					commit_result found;
+					found.outcome = commit_outcome::conflict;
+					found.rows.push_back(std::move(row));
+					found.store_clock_ms = page->store_clock_ms;
+					co_return found;
 				}
 				was_absent = true;
 				if (should_resend(elapsed(sent, now), elapsed(asked, now), policy))
-					break;
+					co_return pending->result.value_or(commit_result{});
 			}
-			co_await pause_for(io, policy.pause);
+			co_await wait_for_answer(*pending, now + policy.pause);
 		}
-		co_return result;
+		const auto outcome = pending->result->outcome;
+		if (outcome == commit_outcome::applied || outcome == commit_outcome::conflict)
+			record_latency(latency, elapsed(sent, boottime_now()));
+		co_return *std::move(pending->result);
 	}
 }
--- a/tests/commit_lookup.cpp
+++ b/tests/commit_lookup.cpp
@@ -90,7 +90,7 @@
 {
 	const lookup_policy policy;
 	CHECK_FALSE(should_resend(millis{100}, millis{4}, policy));
-	CHECK(should_resend(millis{300}, millis{4}, policy));
+	CHECK(should_resend(policy.min_resend, millis{4}, policy));
 	CHECK_FALSE(should_resend(millis{1'400}, millis{240}, policy));
 	CHECK(should_resend(millis{1'920}, millis{240}, policy));
 }
