Crashes: the loss of nearly all workers counts against no task

Cause: each crash counted against all runs of its worker. That others went down with it was used only against runs that had got older before, or from the third counted crash on; after a power loss of entries and agents too nobody knows when a worker went down, so nothing was known to go together. Change: a crash does not count if the worker would have gone down anyway with a probability of 0.9, estimated from the others of its fleet or data centre (rule of succession). Workers that ran the same job, a run known to be younger than 0.5 s, or a task with a counted crash are no evidence, so jobs that crash all of their workers stay bounded. A crash that nobody saw counts as of the takeover. Inspected once a round, after new crashes.

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -89,6 +89,7 @@
 		suspect_started = 454,
 		blame_lifted = 455,
 		run_unlisted = 456,
+		tasks_cleared = 457,
 		job_turned_away = 460,
 		wave_begun = 480,
 		wave_refused = 481,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -70,6 +70,7 @@
 			event::upkeep_moved_on,      event::wave_completed,
 			event::wave_overdue,         event::waves_not_served,
 			event::instances_unknown,    event::run_unlisted,
+			event::tasks_cleared,
 		};
 	}
 
@@ -223,6 +224,8 @@
 			return "blame_lifted";
 		case event::run_unlisted:
 			return "run_unlisted";
+		case event::tasks_cleared:
+			return "tasks_cleared";
 		case event::job_turned_away:
 			return "job_turned_away";
 		case event::wave_begun:
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -30,8 +30,10 @@
 		resources capacity;
 		bool draining{};
 		bool responsive{};
-		std::optional<instant> last_response;     ///< When the worker last answered its agent.
-		instant first_report{};                   ///< When the agent first reported this incarnation.
+		std::optional<instant> last_response; ///< When the worker last answered its agent.
+		instant first_report{};               ///< When the agent first reported this incarnation.
+		/// When owners learnt of this incarnation; the epoch if a previous owner stored it.
+		instant known_since{};
 		instant last_report{};                    ///< When the agent last reported the worker.
 		std::optional<instant> predecessor_crash; ///< When the previous incarnation was found to have crashed.
 		double filler_pace{1.0};                  ///< The share of full speed at which fillers may run, 0 to 1.
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -160,6 +160,7 @@
 			const auto now = boottime_now();
 			placing_requested_ = false;
 			handle_expired_leases(now);
+			clear_mass_losses();
 			move_tasks_for_upkeep(now);
 			if (may_act(now) && !releasing_ && !has_stale_input(now))
 			{
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -214,6 +214,8 @@
 		void handle_lost_worker(lost_worker worker, bool crashed, std::string_view why, instant now);
 		/// Records a crash and the workers that have been silent since about the same time.
 		void record_crash(lost_worker& worker, instant now);
+		/// Clears tasks of the crashes of nearly all workers at the same time.
+		void clear_mass_losses();
 		/// Workers that have not answered their agents since about \p heard although their agents report.
 		[[nodiscard]] std::vector<worker_incarnation>
 		find_silent_workers(instant last_response, const worker_incarnation& except, instant now) const;
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -10,6 +10,7 @@
 #include "../upkeep/upkeep_controller.hpp"
 
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/jobs/mass_losses.hpp>
 #include <trailjunction/wire/job_messages.hpp>
 
 #include <absl/strings/str_join.h>
@@ -56,13 +57,28 @@
 
 	void job_term::record_crash(lost_worker& worker, instant now)
 	{
-		if (!worker.last_response)
-			return;
-		worker.silent_workers = find_silent_workers(*worker.last_response, worker.incarnation, now);
-		for (const auto& key : record_worker_crash(table_, worker, default_crash_policy))
+		auto recorded = worker;
+		if (worker.last_response)
+			worker.silent_workers = find_silent_workers(*worker.last_response, worker.incarnation, now);
+		else
+			recorded.last_response = began_at_; // neither its agent nor this owner was there: it was before this term
+		for (const auto& key : record_worker_crash(table_, recorded, default_crash_policy))
 			log_event(event::task_cleared, {{"task", to_string(key)}, {"why", "worker crashed together with others"}});
 	}
 
+	void job_term::clear_mass_losses()
+	{
+		if (!table_.crashes.changed)
+			return;
+		std::vector<worker_sighting> sightings;
+		for (const auto& [name, peer] : peers_)
+			if (!peer->worker.current_incarnation.empty() && peer->worker.last_response)
+				sightings.push_back({peer->worker.known_since, *peer->worker.last_response, peer->data_centre()});
+		const auto cleared = trailjunction::clear_mass_losses(table_, sightings, default_crash_policy);
+		if (!cleared.empty())
+			log_event(event::tasks_cleared, {{"tasks", cleared.size()}, {"workers_up", sightings.size()}});
+	}
+
 	void job_term::handle_lost_worker(lost_worker worker, bool crashed, std::string_view why, instant now)
 	{
 		// A worker that may have gone down for the upkeep of its instance does not count as crashed.
@@ -170,6 +186,7 @@
 			lost_worker lost{worker, is_previous ? before.last_response : std::nullopt, {}, {}};
 			if (reported_loss.incarnation == worker)
 				lost = reported_loss;
+			lost.data_centre = peer.data_centre();
 			handle_lost_worker(std::move(lost), crashed, "restarted", now);
 		}
 	}
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -94,6 +94,7 @@
 		const auto previous = std::exchange(worker, {});
 		worker.current_incarnation = reported;
 		worker.first_report = now;
+		worker.known_since = agent_of_worker_.contains(reported) ? instant{} : now;
 		agent_of_worker_[reported] = {peer.name(), to_string(peer.agent_address())};
 		take_over_late_runs(peer, report, now);
 		const auto reported_loss = report.__isset.lost ? from_wire(report.lost, now) : lost_worker{};
--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -25,6 +25,7 @@
 
 #include "job_ids.hpp"
 
+#include <trailjunction/core/ids.hpp>
 #include <trailjunction/core/units.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -106,6 +107,8 @@
 		/// A live worker responds to its agent every 0.4 s, and the agent reports every 0.5 s. If a run was ordered
 		/// later than this after the worker's last response, the worker had already crashed.
 		millis max_response_gap{1'000};
+		/// A crash does not count if the worker would have gone down with at least this probability without its tasks.
+		double min_external_loss{0.9};
 	};
 
 	/// \brief The crashes that count against a task, and what is known of their timing.
@@ -179,6 +182,7 @@
 		/// order waited for the store.
 		absl::flat_hash_map<task_run, crash_age> reported_ages;
 		bool ages_reported{}; ///< The agent has reported this loss; a run without an age there was not on the worker.
+		data_centre_id data_centre; ///< Empty if unknown.
 	};
 
 	/// \brief Age of a run when its worker crashed; 0 if the time of its order is not known.
--- a/packages/jobs/include/trailjunction/jobs/job_crashes.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_crashes.hpp
@@ -65,6 +65,10 @@
 	/// \returns Whether there was any blame.
 	bool lift_blame(job_table& table, const task_run& run_id, const crash_policy& policy, instant last_response);
 
+	/// \brief Stops counting the crash of a worker against a task, and against the other members of its gang.
+	/// \returns Whether it had counted.
+	bool discount_crash(job_table& table, const task_key& key, const worker_incarnation& worker);
+
 	/// \brief Whether the crash of a worker counts against a task.
 	[[nodiscard]] bool counts_against(const job_table& table, const task_key& key,
 									  const worker_incarnation& worker) noexcept;
--- a/packages/jobs/include/trailjunction/jobs/recent_crashes.hpp
+++ b/packages/jobs/include/trailjunction/jobs/recent_crashes.hpp
@@ -9,8 +9,11 @@
 #include "crash_suspicion.hpp"
 #include "job_ids.hpp"
 
+#include <trailjunction/core/ids.hpp>
 #include <trailjunction/core/units.hpp>
 
+#include <absl/container/flat_hash_set.h>
+
 #include <cstddef>
 #include <span>
 #include <vector>
@@ -36,19 +39,22 @@
 		/// workers at the same time have the same number.
 		std::size_t max_counted{};
 		std::vector<counted_crash> counted_crashes;
+		data_centre_id data_centre;       ///< Where the worker was; empty if unknown.
+		absl::flat_hash_set<job_id> jobs; ///< Jobs of which it had runs.
+		std::vector<task_key> suspects;   ///< Tasks against which the crash was counted.
+		bool had_new_run{};               ///< It had a run that is known to be younger than crash_policy::prompt_age.
 	};
 
 	/// \brief The latest crashes; their last responses are at most crash_policy::retention apart.
 	struct recent_crashes
 	{
 		std::vector<worker_crash> entries;
+		bool changed{}; ///< Crashes were added since clear_mass_losses() last inspected them.
 	};
 
-	/// \brief Adds a crash and removes old ones.
-	/// \param max_counted See worker_crash.
+	/// \brief Adds a crash, unless it is known, and removes old ones.
 	/// \returns Whether the crash is new.
-	bool add_worker_crash(recent_crashes& recent, const worker_incarnation& worker, instant last_response,
-						  std::size_t max_counted, const crash_policy& policy);
+	bool add_worker_crash(recent_crashes& recent, worker_crash crash, const crash_policy& policy);
 
 	/// \brief The crash of that worker, or nullptr.
 	[[nodiscard]] worker_crash* find_worker_crash(recent_crashes& recent, const worker_incarnation& worker) noexcept;
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -133,9 +133,12 @@
 				if (correlation.correlated)
 					mark_correlated(member.crashes, worker);
 			}
-			if (!lost.age || !counts || is_settled)
+			if (!lost.age || !counts)
 				return;
-			if (auto* crash = find_worker_crash(table.crashes, worker); crash != nullptr)
+			auto* crash = find_worker_crash(table.crashes, worker);
+			if (crash != nullptr)
+				crash->suspects.push_back(lost.run_id.task);
+			if (crash != nullptr && !is_settled)
 				crash->counted_crashes.push_back({lost.run_id.task, outlived, sibling_outlived});
 		}
 
@@ -214,6 +217,35 @@
 			return within(age_since_confirmation(task, worker).value_or(millis{0}));
 		}
 
+		/// Whether the worker had a run that is known to have been so young that its start may have crashed the worker.
+		bool had_new_run(const job_table& table, const lost_worker& worker, const crash_policy& policy)
+		{
+			const auto placed = table.placed.find(worker.incarnation);
+			if (placed == table.placed.end())
+				return false;
+			return std::any_of(placed->second.begin(), placed->second.end(),
+							   [&](const task_key& key)
+							   {
+								   const auto& task = *find_task(table, key);
+								   const auto bounds = bounds_of_age({key, task.run}, task, worker);
+								   return bounds.upper_bound && *bounds.upper_bound <= policy.prompt_age;
+							   });
+		}
+
+		worker_crash make_worker_crash(const job_table& table, const lost_worker& worker, const crash_policy& policy)
+		{
+			worker_crash out;
+			out.worker = worker.incarnation;
+			out.last_response = *worker.last_response;
+			out.max_counted = max_counted_on(table, worker.incarnation);
+			out.data_centre = worker.data_centre;
+			out.had_new_run = had_new_run(table, worker, policy);
+			if (const auto placed = table.placed.find(worker.incarnation); placed != table.placed.end())
+				for (const auto& key : placed->second)
+					out.jobs.insert(key.job);
+			return out;
+		}
+
 		/// Weight of a run by its age. If its start time is unknown, a worker's confirmation gives a lower bound of its
 		/// age.
 		double weight_by_age(const job_task& task, const lost_run& lost, const lost_worker& worker,
@@ -331,8 +363,7 @@
 	std::vector<task_key> record_worker_crash(job_table& table, const lost_worker& worker, const crash_policy& policy)
 	{
 		std::vector<task_key> out;
-		if (!worker.last_response || !add_worker_crash(table.crashes, worker.incarnation, *worker.last_response,
-													   max_counted_on(table, worker.incarnation), policy))
+		if (!worker.last_response || !add_worker_crash(table.crashes, make_worker_crash(table, worker, policy), policy))
 			return out;
 		for (auto& crash : table.crashes.entries)
 		{
@@ -389,6 +420,19 @@
 		return true;
 	}
 
+	bool discount_crash(job_table& table, const task_key& key, const worker_incarnation& worker)
+	{
+		auto* task = find_task(table, key);
+		if (task == nullptr)
+			return false;
+		bool any = false;
+		for (auto& member : tasks_sharing_record(*find_job(table, key.job), key, *task))
+			any = discount_crash(member.crashes, worker) || any;
+		if (any)
+			table.unsaved.insert(key.job);
+		return any;
+	}
+
 	bool counts_against(const job_table& table, const task_key& key, const worker_incarnation& worker) noexcept
 	{
 		const auto* task = find_task(table, key);
--- a/packages/jobs/src/recent_crashes.cpp
+++ b/packages/jobs/src/recent_crashes.cpp
@@ -2,6 +2,7 @@
 #include <trailjunction/jobs/recent_crashes.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace trailjunction
 {
@@ -17,14 +18,14 @@
 		return found == recent.entries.end() ? nullptr : &*found;
 	}
 
-	bool add_worker_crash(recent_crashes& recent, const worker_incarnation& worker, instant last_response,
-						  std::size_t max_counted, const crash_policy& policy)
+	bool add_worker_crash(recent_crashes& recent, worker_crash crash, const crash_policy& policy)
 	{
-		if (find_worker_crash(recent, worker) != nullptr)
+		if (find_worker_crash(recent, crash.worker) != nullptr)
 			return false;
-		std::erase_if(recent.entries, [&](const worker_crash& crash)
-					  { return crash.last_response + policy.retention < last_response; });
-		recent.entries.push_back({worker, last_response, max_counted, {}});
+		std::erase_if(recent.entries, [&](const worker_crash& other)
+					  { return other.last_response + policy.retention < crash.last_response; });
+		recent.entries.push_back(std::move(crash));
+		recent.changed = true;
 		return true;
 	}
 
