Owners: the lease follows the store's speed, and standbys read the row less often

Cause: one lease of 1.5 s, long enough for a store that is 60 times slower, also while it answers in 8 ms; a look each 0.4 s, by each entry. Change: the owner writes its lease into its row, twelve times its usual transaction, 0.8 to 1.5 s; rivals count that one, or the longest where a row of an earlier version states none. The owner counts the shorter of two that a rival may have read. Standbys read after half to all of two thirds of the longest lease: first sight of a lost owner's last version is by the earliest of all standbys.

--- a/packages/entry/src/job_entry_settings.cpp
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -21,8 +21,7 @@
 		constexpr auto max_lease = millis{1'500};
 		/// Runs survive a fault of this many contact times, if the worker allows it.
 		constexpr int contact_times_per_run_lease = 2;
-		constexpr int renewals_per_lease = 4;
-		constexpr int observations_per_lease = 4;
+		constexpr int observations_per_lease = 3;
 
 		constexpr double min_calls_per_s = 0.1;
 		constexpr double max_calls_per_s = 10'000.0;
@@ -107,8 +106,8 @@
 	{
 		ownership_times out;
 		out.lease = std::min(max_lease, settings.contact / leases_per_contact_time);
-		out.renew_every = out.lease / renewals_per_lease;
-		out.observe_every = out.lease / observations_per_lease;
+		out.observe_every = 2 * out.lease / 3;
+		out.observe_again_after = out.lease / observations_per_lease;
 		out.takeover_delay = takeover_delay_for(settings.processors);
 		return out;
 	}
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -7,6 +7,7 @@
 #include <trailjunction/net/coroutines.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace trailjunction
 {
@@ -20,14 +21,18 @@
 		/// Limits the exponential pause after consecutive failed loads to 3.2 s. This exceeds the lease, so that a
 		/// member that cannot load the jobs leaves the row to others.
 		constexpr int max_pause_doublings = 5;
-		/// Spreads the takeover attempts of several standbys. Losing an attempt costs only a wasted transaction.
-		constexpr std::uint64_t max_jitter_ms = 60;
 
 		row_name owner_row()
 		{
 			return {owner_table, owner_key};
 		}
 
+		std::optional<millis> stated_lease(const stored::ownership& row)
+		{
+			// A lease of no time would let every standby take the row over at once.
+			return row.__isset.lease_ms && row.lease_ms > 0 ? std::optional{millis{row.lease_ms}} : std::nullopt;
+		}
+
 		row_range owner_range()
 		{
 			return {owner_table, job_partition, owner_key, "", 1};
@@ -92,7 +97,9 @@
 
 	millis job_owner::time_to_next_read(instant now) const
 	{
-		const auto regular = times_.observe_every + millis{random_u64() % max_jitter_ms};
+		const auto draw =
+			static_cast<double>(random_u64()) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+		const auto regular = observation_interval(observation_, times_, draw);
 		const auto due = takeover_due(observation_, times_);
 		if (!due || *due <= now)
 			return regular;
@@ -125,7 +132,8 @@
 		if (observation_.version != page->rows.front().version)
 			publish_depths(*row, page->store_clock_ms, now);
 		last_row_ = *row;
-		record_observation(observation_, page->rows.front().version, {row->released, is_own_row(*row)}, now);
+		record_observation(observation_, page->rows.front().version,
+						   {row->released, is_own_row(*row), stated_lease(*row)}, now);
 	}
 
 	bool job_owner::is_own_row(const stored::ownership& row) const
@@ -151,6 +159,7 @@
 	asio::awaitable<std::optional<owned_row>> job_owner::take_over()
 	{
 		owned_row out;
+		out.lease = times_.lease; // what rivals assume of a row that states none
 		out.row.epoch = last_row_.epoch + 1;
 		out.row.member = settings_.member.str();
 		out.row.incarnation = incarnation_;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -110,7 +110,7 @@
 
 	bool job_term::may_act(instant now) const noexcept
 	{
-		return !over_ && holds_lease(owned_.renewal_sent, ownership_times_, now);
+		return !over_ && holds_lease(owned_.renewal_sent, owned_.lease, now);
 	}
 
 	void job_term::wake()
@@ -131,7 +131,7 @@
 		{
 			const auto now = boottime_now();
 			const bool work = placing_requested_ || releasing_ || !table_.unsaved.empty();
-			const auto due = work ? committed_at_ + commit_gap_ : committed_at_ + ownership_times_.renew_every;
+			const auto due = work ? committed_at_ + commit_gap_ : committed_at_ + renewal_interval(owned_.lease);
 			if (now >= due)
 				co_return;
 			work_timer_.expires_at(to_steady_time(due));
@@ -193,6 +193,9 @@
 		out.change.conditions.push_back({owner_row(), owned_.version});
 		++owned_.row.sequence;
 		owned_.row.released = releasing_;
+		const auto lease = lease_for(commit_latency_.usual, ownership_times_);
+		owned_.row.__set_lease_ms(lease.count());
+		owned_.lease = std::min(owned_.lease, lease); // a rival may read this row before its answer arrives
 		owned_.row.loaded = loaded;
 		owned_.row.depths.clear();
 		if (loaded)
@@ -221,8 +224,8 @@
 	{
 		while (loading_ && !over_)
 		{
-			co_await pause_for(io_, std::min(ownership_times_.renew_every, renewal_poll_interval));
-			if (!loading_ || over_ || boottime_now() < owned_.renewal_sent + ownership_times_.renew_every)
+			co_await pause_for(io_, renewal_poll_interval);
+			if (!loading_ || over_ || boottime_now() < owned_.renewal_sent + renewal_interval(owned_.lease))
 				continue;
 			batch renewal;
 			add_owner_row(renewal, false);
@@ -398,6 +401,7 @@
 		}
 		store_monitor_.record_success();
 		owned_.renewal_sent = pending.sent;
+		owned_.lease = millis{owned_.row.lease_ms};
 		committed_at_ = boottime_now();
 		const std::chrono::duration<double> took = committed_at_ - pending.sent;
 		metrics_.histogram("job_commit", "Time of a transaction that keeps the jobs.").Observe(took.count());
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -47,6 +47,7 @@
 		std::int64_t version{};
 		instant renewal_sent{};
 		std::int64_t store_ms{}; ///< The store's clock at the renewal, in ms.
+		millis lease{1'500};     ///< The shortest lease that a rival may have read since the renewal was sent.
 	};
 
 	/// \brief Schedules and tracks all jobs during one term of ownership.
--- a/packages/jobs/include/trailjunction/jobs/ownership.hpp
+++ b/packages/jobs/include/trailjunction/jobs/ownership.hpp
@@ -17,12 +17,16 @@
 	/// \brief Durations of leases, renewals and takeovers.
 	struct ownership_times
 	{
-		/// How long an owner may act after its last renewal; derived in the entry's settings.
+		/// Longest time for which an owner may act after its last renewal; derived in the entry's settings.
 		millis lease{1'500};
+		/// Lease of an owner whose store answers quickly. A renewal that is sent after a quarter of it still arrives in
+		/// time if the store becomes 60 times slower at that moment.
+		millis min_lease{800};
 		millis margin{100}; ///< Added by rivals to allow for clocks that run at different rates.
-		/// Renewal interval of an owner with nothing else to write: several tries per lease.
-		millis renew_every{400};
-		millis observe_every{500}; ///< Interval at which a standby reads the row: three reads per lease.
+		/// Longest interval at which a standby reads the row of an owner that renews it. All standbys together still see a lost
+		/// owner's last version early, and each of them gets the counts of waiting jobs in time.
+		millis observe_every{1'000};
+		millis observe_again_after{500}; ///< The same after a read has failed.
 		/// How long this member leaves a free row to members with more processors; see takeover_delay_for().
 		millis takeover_delay{0};
 	};
@@ -43,6 +47,7 @@
 		/// The row was written by a process that is certainly gone: it served at the address that this process now
 		/// holds.
 		bool by_predecessor{};
+		std::optional<millis> lease; ///< The writer's lease if the row states it.
 	};
 
 	/// \brief What the row states about its writer.
@@ -50,8 +55,29 @@
 	{
 		bool released{};       ///< The writer has given the row up in a planned way.
 		bool by_predecessor{}; ///< See ownership_observation.
+		std::optional<millis> lease;
 	};
 
+	/// \brief The lease that an owner writes into its row.
+	/// \details Short while the store answers quickly, so that a lost owner is replaced early; up to the longest one if
+	/// the store is slow, so that a renewal arrives in time.
+	/// \param usual_commit Usual time until a transaction is known to be applied; empty if none was timed.
+	[[nodiscard]] millis lease_for(std::optional<millis> usual_commit, const ownership_times& times) noexcept;
+
+	/// \brief Renewal interval of an owner with nothing else to write: several tries per lease.
+	[[nodiscard]] constexpr millis renewal_interval(millis lease) noexcept
+	{
+		constexpr int renewals_per_lease = 4;
+		return lease / renewals_per_lease;
+	}
+
+	/// \brief The time until a standby reads the row again, unless it can be taken over earlier.
+	/// \details Between half of the interval and all of it: standbys that read in step would all see a released row
+	/// late, and at the same time.
+	/// \param draw A random number from 0 to 1.
+	[[nodiscard]] millis observation_interval(const ownership_observation& observation, const ownership_times& times,
+											  double draw) noexcept;
+
 	/// \brief Records a successful read of the row.
 	void record_observation(ownership_observation& observation, std::int64_t version, row_writer writer,
 							instant answered) noexcept;
@@ -70,7 +96,8 @@
 
 	/// \brief Whether an owner may still order starts and confirm runs.
 	/// \param renewal_sent When the latest successful renewal was sent.
-	[[nodiscard]] bool holds_lease(instant renewal_sent, const ownership_times& times, instant now) noexcept;
+	/// \param lease The shortest lease that a rival may have read since.
+	[[nodiscard]] bool holds_lease(instant renewal_sent, millis lease, instant now) noexcept;
 
 	/// \brief When an overloaded owner hands the row over.
 	struct handover_policy
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -132,6 +132,7 @@
 	8: string address,          // where the owner accepts callers; held by one process at a time
 	9: i64 handed_on_ms,        // when a lagging owner last handed the row on, in ms of the store's clock, or 0
 	10: forecast room,
+	11: optional i64 lease_ms,  // how long the owner may act after it sent this row; unset by earlier versions
 }
 
 /** The worker of an agent, as last reported to an owner; written by the owner of the shard. */
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -29,6 +29,23 @@
 		observation.version = version;
 		observation.released = writer.released;
 		observation.by_predecessor = writer.by_predecessor;
+		observation.lease = writer.lease;
+	}
+
+	millis lease_for(std::optional<millis> usual_commit, const ownership_times& times) noexcept
+	{
+		// A renewal that is sent after a quarter of the lease may take two thirds of it, eight times as long as usual.
+		constexpr int commits_per_lease = 12;
+		if (!usual_commit)
+			return times.lease;
+		return std::clamp(commits_per_lease * *usual_commit, std::min(times.min_lease, times.lease), times.lease);
+	}
+
+	millis observation_interval(const ownership_observation& observation, const ownership_times& times,
+								double draw) noexcept
+	{
+		const auto longest = observation.unchanged_since ? times.observe_every : times.observe_again_after;
+		return std::chrono::duration_cast<millis>((0.5 + 0.5 * draw) * longest);
 	}
 
 	void record_failed_read(ownership_observation& observation) noexcept
@@ -44,7 +61,8 @@
 			return *observation.unchanged_since;
 		if (observation.version == 0 || observation.released)
 			return *observation.unchanged_since + times.takeover_delay;
-		return *observation.unchanged_since + times.lease + times.margin + times.takeover_delay;
+		return *observation.unchanged_since + observation.lease.value_or(times.lease) + times.margin +
+			   times.takeover_delay;
 	}
 
 	bool may_take_over(const ownership_observation& observation, const ownership_times& times, instant now) noexcept
@@ -53,9 +71,9 @@
 		return due && now >= *due;
 	}
 
-	bool holds_lease(instant renewal_sent, const ownership_times& times, instant now) noexcept
+	bool holds_lease(instant renewal_sent, millis lease, instant now) noexcept
 	{
-		return now - renewal_sent < times.lease;
+		return now - renewal_sent < lease;
 	}
 
 	void note_lag(owner_lag& state, std::chrono::nanoseconds lag, const handover_policy& policy, instant now) noexcept
--- a/tests/jobs.cpp
+++ b/tests/jobs.cpp
@@ -216,8 +216,8 @@
 	CHECK(!may_take_over(observation, times, start + times.lease + times.margin));
 	record_observation(observation, 8, {.released = true}, start + times.lease);
 	CHECK(may_take_over(observation, times, start + times.lease));
-	CHECK(holds_lease(start, times, start + times.lease - millis{1}));
-	CHECK(!holds_lease(start, times, start + times.lease));
+	CHECK(holds_lease(start, times.lease, start + times.lease - millis{1}));
+	CHECK(!holds_lease(start, times.lease, start + times.lease));
 }
 
 TEST_CASE("a run lease expires on the owner's clock no earlier than on the slowest worker's clock", "[jobs]")
