Owners: senseless leases in a row are ignored; commit lookups read as steps

A row that states a lease of zero or less is taken for one of an earlier version (the longest lease), and a stated one counts for a minute at the most: otherwise a corrupt row would let every standby take over at once, or none for ever.

--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -22,6 +22,9 @@
 		/// member that cannot load the jobs leaves the row to others.
 		constexpr int max_pause_doublings = 5;
 
+		/// Upper bound of a lease that a row states; far above those that owners write.
+		constexpr auto max_stated_lease = millis{60'000};
+
 		row_name owner_row()
 		{
 			return {owner_table, owner_key};
@@ -29,8 +32,10 @@
 
 		std::optional<millis> stated_lease(const stored::ownership& row)
 		{
-			// A lease of no time would let every standby take the row over at once.
-			return row.__isset.lease_ms && row.lease_ms > 0 ? std::optional{millis{row.lease_ms}} : std::nullopt;
+			// A lease of no time would let every standby take the row over at once, an endless one would let none.
+			if (!row.__isset.lease_ms || row.lease_ms <= 0)
+				return std::nullopt;
+			return std::min(millis{row.lease_ms}, max_stated_lease);
 		}
 
 		row_range owner_range()
--- a/packages/store/src/commit_lookup.cpp
+++ b/packages/store/src/commit_lookup.cpp
@@ -65,6 +65,27 @@
 			out.name = name;
 			return page.rows.empty() ? out : page.rows.front();
 		}
+
+		/// What the row shows about a transaction that is conditional on \p condition; empty if it may still be
+		/// applied.
+		std::optional<commit_result> outcome_shown_by(const row_page& page, const row_condition& condition)
+		{
+			auto row = current_row(page, condition.name);
+			if (row.version == condition.version)
+				return std::nullopt;
+			commit_result out;
+			out.outcome = commit_outcome::conflict;
+			out.rows.push_back(std::move(row));
+			out.store_clock_ms = page.store_clock_ms;
+			return out;
+		}
+
+		commit_result result_without_answer(const pending_commit& pending)
+		{
+			commit_result out;
+			out.reason = "no answer in time";
+			return pending.result.value_or(std::move(out));
+		}
 	}
 
 	void record_latency(commit_latency& latency, millis took) noexcept
@@ -101,28 +122,22 @@
 		{
 			const auto asked = boottime_now();
 			if (asked >= deadline)
-				co_return pending->result.value_or(commit_result{});
+				co_return result_without_answer(*pending);
 			const auto page = co_await store.read(range, std::min(deadline, asked + policy.read_timeout));
 			const auto now = boottime_now();
 			if (is_answered(*pending))
 				break;
 			if (page.ok())
 			{
-				auto row = current_row(*page, condition.name);
-				if (row.version != condition.version)
-				{
-					// Found by the first lookup, it may have been applied at any time before: its answer may be lost.
-					if (was_absent)
-						record_latency(latency, elapsed(sent, now));
-					commit_result found;
-					found.outcome = commit_outcome::conflict;
-					found.rows.push_back(std::move(row));
-					found.store_clock_ms = page->store_clock_ms;
-					co_return found;
-				}
+				auto shown = outcome_shown_by(*page, condition);
+				// If the first lookup finds it, it may have been applied long before: its answer may be lost.
+				if (shown && was_absent)
+					record_latency(latency, elapsed(sent, now));
+				if (shown)
+					co_return *std::move(shown);
 				was_absent = true;
 				if (should_resend(elapsed(sent, now), elapsed(asked, now), policy))
-					co_return pending->result.value_or(commit_result{});
+					co_return result_without_answer(*pending);
 			}
 			co_await wait_for_answer(*pending, now + policy.pause);
 		}
--- a/tests/commit_lookup.cpp
+++ b/tests/commit_lookup.cpp
@@ -32,6 +32,13 @@
 				boost::asio::detached);
 		}
 
+		job_call_outcome submit_one()
+		{
+			submit(1, millis{3'000});
+			REQUIRE(run_until_answered(1));
+			return outcomes.front();
+		}
+
 		void run_for(millis time)
 		{
 			const auto end = boottime_now() + time;
@@ -99,9 +106,7 @@
 {
 	submitting_fleet fleet;
 	fleet.store.faults.lost_responses = 1;
-	fleet.submit(1, millis{3'000});
-	REQUIRE(fleet.run_until_answered(1));
-	CHECK(fleet.outcomes.front() == job_call_outcome::done);
+	CHECK(fleet.submit_one() == job_call_outcome::done);
 	CHECK(fleet.store.requested_commits.size() == 1);
 }
 
@@ -110,9 +115,7 @@
 	submitting_fleet fleet;
 	fleet.store.faults.lost_responses = 1;
 	fleet.store.faults.discard_lost_commits = true;
-	fleet.submit(1, millis{3'000});
-	REQUIRE(fleet.run_until_answered(1));
-	CHECK(fleet.outcomes.front() == job_call_outcome::done);
+	CHECK(fleet.submit_one() == job_call_outcome::done);
 	CHECK(fleet.store.requested_commits.size() == 2);
 }
 
