Crashes: searches among recent crashes begin at the latest and end at the second match

Cause: each lost run gathered the jobs of its worker again before it was known that the crash is recorded, and compared all crashes of the last 10 s, for a count of which only "at least two" matters. Change: a recorded crash is found first, from the latest on, and the count ends at min_correlated_workers. The decisions are the same; tests of crashes pass unchanged. Also comments and format.

--- a/packages/jobs/include/trailjunction/jobs/mass_losses.hpp
+++ b/packages/jobs/include/trailjunction/jobs/mass_losses.hpp
@@ -32,8 +32,9 @@
 	}
 
 	/// \brief Stops counting the crashes of workers that would have gone down without their tasks.
-	/// \param sightings Of each worker the present incarnation. One that was known before a crash and has answered
-	/// since has survived it. \returns Tasks against which a crash no longer counts.
+	/// \param sightings The present incarnation of each worker. One that was known before a crash and has answered
+	/// since then has survived it.
+	/// \returns Tasks against which a crash no longer counts.
 	std::vector<task_key> clear_mass_losses(job_table& table, std::span<const worker_sighting> sightings,
 											const crash_policy& policy);
 }
--- a/packages/jobs/include/trailjunction/jobs/ownership.hpp
+++ b/packages/jobs/include/trailjunction/jobs/ownership.hpp
@@ -23,8 +23,8 @@
 		/// time if the store becomes 60 times slower at that moment.
 		millis min_lease{800};
 		millis margin{100}; ///< Added by rivals to allow for clocks that run at different rates.
-		/// Longest interval at which a standby reads the row of an owner that renews it. All standbys together still see a lost
-		/// owner's last version early, and each of them gets the counts of waiting jobs in time.
+		/// Longest interval at which a standby reads the row of an owner that renews it. The earliest of all standbys
+		/// still sees a lost owner's last version soon, and each gets the counts of waiting jobs in time.
 		millis observe_every{1'000};
 		millis observe_again_after{500}; ///< The same after a read has failed.
 		/// How long this member leaves a free row to members with more processors; see takeover_delay_for().
--- a/packages/jobs/include/trailjunction/jobs/recent_crashes.hpp
+++ b/packages/jobs/include/trailjunction/jobs/recent_crashes.hpp
@@ -65,8 +65,8 @@
 	/// \brief Whether two last responses are so close that the crashes after them may have had one cause.
 	[[nodiscard]] bool in_correlation_window(instant left, instant right, const crash_policy& policy) noexcept;
 
-	/// \brief Number of other workers that crashed at the same time.
-	/// \param own Workers that crashed under the task itself; they are left out.
+	/// \brief Number of other workers that crashed at the same time, counted up to
+	/// crash_policy::min_correlated_workers. \param own Workers that crashed under the task itself; they are left out.
 	/// \param counted_limit Workers that ran a task with at least this many counted crashes are left out, too.
 	[[nodiscard]] std::size_t count_correlated_crashes(const recent_crashes& recent, instant last_response,
 													   std::span<const worker_incarnation> own,
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -363,8 +363,9 @@
 	std::vector<task_key> record_worker_crash(job_table& table, const lost_worker& worker, const crash_policy& policy)
 	{
 		std::vector<task_key> out;
-		if (!worker.last_response || !add_worker_crash(table.crashes, make_worker_crash(table, worker, policy), policy))
+		if (!worker.last_response || find_worker_crash(table.crashes, worker.incarnation) != nullptr)
 			return out;
+		(void)add_worker_crash(table.crashes, make_worker_crash(table, worker, policy), policy);
 		for (auto& crash : table.crashes.entries)
 		{
 			if (!in_correlation_window(crash.last_response, *worker.last_response, policy))
--- a/packages/jobs/src/ownership.cpp
+++ b/packages/jobs/src/ownership.cpp
@@ -34,7 +34,7 @@
 
 	millis lease_for(std::optional<millis> usual_commit, const ownership_times& times) noexcept
 	{
-		// A renewal that is sent after a quarter of the lease may take two thirds of it, eight times as long as usual.
+		// Leaves nine times the usual time to a renewal that is sent after a quarter of the lease.
 		constexpr int commits_per_lease = 12;
 		if (!usual_commit)
 			return times.lease;
--- a/packages/jobs/src/recent_crashes.cpp
+++ b/packages/jobs/src/recent_crashes.cpp
@@ -13,9 +13,10 @@
 
 	worker_crash* find_worker_crash(recent_crashes& recent, const worker_incarnation& worker) noexcept
 	{
-		const auto found = std::find_if(recent.entries.begin(), recent.entries.end(),
+		// Nearly always the latest one is asked for.
+		const auto found = std::find_if(recent.entries.rbegin(), recent.entries.rend(),
 										[&](const worker_crash& crash) { return crash.worker == worker; });
-		return found == recent.entries.end() ? nullptr : &*found;
+		return found == recent.entries.rend() ? nullptr : &*found;
 	}
 
 	bool add_worker_crash(recent_crashes& recent, worker_crash crash, const crash_policy& policy)
@@ -38,13 +39,15 @@
 										 std::span<const worker_incarnation> own, std::size_t counted_limit,
 										 const crash_policy& policy) noexcept
 	{
-		return static_cast<std::size_t>(
-			std::count_if(recent.entries.begin(), recent.entries.end(),
-						  [&](const worker_crash& crash)
-						  {
-							  return in_correlation_window(crash.last_response, last_response, policy) &&
-									 crash.max_counted < counted_limit &&
-									 std::find(own.begin(), own.end(), crash.worker) == own.end();
-						  }));
+		const auto counts = [&](const worker_crash& crash)
+		{
+			return in_correlation_window(crash.last_response, last_response, policy) &&
+				   crash.max_counted < counted_limit && std::find(own.begin(), own.end(), crash.worker) == own.end();
+		};
+		std::size_t out = 0;
+		for (auto crash = recent.entries.rbegin(); crash != recent.entries.rend(); ++crash)
+			if (counts(*crash) && ++out == policy.min_correlated_workers)
+				break;
+		return out;
 	}
 }
