Crashes: those that another run of the task has outlived do not add up against it

Cause: a run that is alive at an age clears the earlier crashes, but only if a report of it arrives before its own worker crashes; and crashes at ages that contradict each other still added up, unless others shared them and the older one came first. What counts towards the limit is the largest set of crashes that one cause in the task can explain, by the margins of has_outlived() (count_consistent). The limits themselves are unchanged, and so are all tests of them. The row keeps the age at each crash; rows of earlier versions have none and count in full. Reasons: docs/design/crash-suspicion.md.

--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -14,7 +14,11 @@
 /// Its *count* is not divided and does not depend on blame. A task is given up after a third or fourth worker in a row
 /// has crashed under it if its last run had started alone, and after a fifth in any case. The count therefore bounds
 /// the starts of a task however blame is divided. A run that continues for long enough, or ends, clears both for its
-/// task.
+/// task; a run that got as old before its own worker crashed clears the crashes before it.
+///
+/// Only crashes that one cause in the task can explain count together. A task that crashes its workers does so after
+/// about the same time, so no run of it gets far older than the run of another such crash. Crashes that contradict each
+/// other in this way, in whichever order they came, do not add up; see count_consistent().
 ///
 /// Crashes of several workers at the same time (correlated crashes) are not counted in two cases. First, the run was
 /// younger than an earlier run of the task had become: a task that crashes its workers does so after about the same
@@ -111,10 +115,18 @@
 		double min_external_loss{0.9};
 	};
 
+	/// \brief Bounds of the time between the start of a run and its worker's crash.
+	struct crash_age
+	{
+		millis lower_bound{};              ///< The worker had confirmed the run this long before.
+		std::optional<millis> upper_bound; ///< The run had been ordered this long before; empty if that is not known.
+	};
+
 	/// \brief The crashes that count against a task, and what is known of their timing.
 	struct crash_record
 	{
 		std::vector<worker_incarnation> workers;    ///< Workers that crashed under its latest runs, in order.
+		std::vector<crash_age> ages;                ///< Of the runs on #workers, in the same order.
 		std::vector<worker_incarnation> correlated; ///< Those of #workers whose crash is correlated.
 		millis max_age{};                           ///< Highest age of a run when its worker crashed, by upper bounds.
 		double blame{};                             ///< Sum of its shares of the blame of these crashes.
@@ -125,18 +137,15 @@
 		std::optional<millis> earliest_crash;
 	};
 
-	/// \brief Bounds of the time between the start of a run and its worker's crash.
-	struct crash_age
-	{
-		millis lower_bound{};              ///< The worker had confirmed the run this long before.
-		std::optional<millis> upper_bound; ///< The run had been ordered this long before; empty if that is not known.
-	};
-
 	/// \brief Whether an earlier run of the task reached an age so far above \p age that the task did not cause a crash
 	/// at that age.
 	/// \param age Upper bound of the age of the run at the crash.
 	[[nodiscard]] bool has_outlived(const crash_record& record, millis age, const crash_policy& policy) noexcept;
 
+	/// \brief The most counted crashes that a single cause in the task can explain: no run among them got so much older
+	/// than another one that it would have crashed its worker before. Ages that are not known contradict nothing.
+	[[nodiscard]] std::size_t count_consistent(const crash_record& record, const crash_policy& policy) noexcept;
+
 	/// \brief Whether a single cause in the task can explain all its crashes: a task that crashes its workers does so
 	/// after about the same time each.
 	[[nodiscard]] bool fits_one_cause(const crash_record& record, const crash_policy& policy) noexcept;
@@ -191,8 +200,11 @@
 													 const crash_policy& policy) noexcept;
 
 	/// \brief Counts a crash against a task; each worker counts once.
+	/// \param age The age that counts as that of the run; an estimate if \p bounds has no upper bound.
+	/// \param bounds Certain bounds of the age.
 	/// \param blame The task's share of the blame.
-	void add_crash(crash_record& record, const worker_incarnation& worker, millis age, double blame);
+	void add_crash(crash_record& record, const worker_incarnation& worker, millis age, const crash_age& bounds,
+				   double blame);
 
 	/// \brief Removes a crash that did not happen, together with the mean blame of the counted crashes.
 	/// \returns Whether the crash had been counted.
@@ -208,6 +220,10 @@
 	/// \brief Whether a run of age \p running clears its task.
 	[[nodiscard]] bool is_cleared_by(const crash_record& record, millis running, const crash_policy& policy) noexcept;
 
+	/// \brief Forgets the earlier crashes if a run that was lost with its worker had got so old that it had cleared its
+	/// task, whether its worker's last report arrived or not.
+	void clear_outlived_crashes(crash_record& record, const crash_age& lost, const crash_policy& policy);
+
 	/// \brief Whether the task must not be started again.
 	/// \param alone Whether the latest run was started alone, so that the crash was its own. A run that started beside
 	/// others after a long wait may have been on the worker by chance: it is tried once or twice more.
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -63,6 +63,8 @@
 	12: optional i64 crash_soonest_ms, // lowest upper bound of that age; unset if unknown
 	13: i32 failed_run,         // the latest run whose failure is counted
 	14: i32 crashed_run,        // the latest run whose crash is counted
+	15: list<i64> crash_survived_each_ms, // lower bounds of the ages at the crashes in crashed; may be shorter
+	16: list<i64> crash_latest_each_ms,   // upper bounds of these ages, or -1 if unknown; may be shorter
 }
 
 /** The progress of a job; written only by the owner of its shard. */
--- a/packages/jobs/src/crash_suspicion.cpp
+++ b/packages/jobs/src/crash_suspicion.cpp
@@ -30,13 +30,43 @@
 				return policy.max_prompt_crashes;
 			return record.correlated.empty() ? policy.max_crashes : policy.max_colocated_crashes;
 		}
+
+		/// Whether a run that reached \p survived shows that the task does not crash its workers at the age \p age.
+		bool contradicts(millis survived, millis age, const crash_policy& policy) noexcept
+		{
+			const auto latest =
+				policy.age_factor * static_cast<double>(age.count()) + static_cast<double>(policy.age_margin.count());
+			return static_cast<double>(survived.count()) > latest;
+		}
+
+		/// Number of crashes that a cause which takes at least \p earliest, and occurs at that age once, can explain.
+		std::size_t count_from(const crash_record& record, millis earliest, const crash_policy& policy) noexcept
+		{
+			const auto fits = [&](const crash_age& age)
+			{
+				return age.upper_bound.value_or(millis::max()) >= earliest &&
+					   !contradicts(age.lower_bound, earliest, policy);
+			};
+			return static_cast<std::size_t>(std::count_if(record.ages.begin(), record.ages.end(), fits));
+		}
 	}
 
 	bool has_outlived(const crash_record& record, millis age, const crash_policy& policy) noexcept
 	{
-		const auto latest =
-			policy.age_factor * static_cast<double>(age.count()) + static_cast<double>(policy.age_margin.count());
-		return static_cast<double>(record.longest_survived.count()) > latest;
+		return contradicts(record.longest_survived, age, policy);
+	}
+
+	std::size_t count_consistent(const crash_record& record, const crash_policy& policy) noexcept
+	{
+		// The run with the lowest upper bound in a consistent set decides which others fit.
+		std::size_t unknown = 0;
+		std::size_t out = 0;
+		for (const auto& age : record.ages)
+			if (age.upper_bound)
+				out = std::max(out, count_from(record, *age.upper_bound, policy));
+			else
+				++unknown;
+		return std::max(out, unknown);
 	}
 
 	bool fits_one_cause(const crash_record& record, const crash_policy& policy) noexcept
@@ -53,7 +83,7 @@
 
 	suspicion suspicion_of(const crash_record& record, const crash_policy& policy) noexcept
 	{
-		if (record.workers.size() + 1 >= crash_limit(record, policy))
+		if (count_consistent(record, policy) + 1 >= crash_limit(record, policy))
 			return suspicion::likely;
 		if (record.blame < policy.suspected_threshold)
 			return suspicion::none;
@@ -78,11 +108,13 @@
 		return age > policy.max_suspect_age ? std::nullopt : std::optional{age};
 	}
 
-	void add_crash(crash_record& record, const worker_incarnation& worker, millis age, double blame)
+	void add_crash(crash_record& record, const worker_incarnation& worker, millis age, const crash_age& bounds,
+				   double blame)
 	{
 		if (std::find(record.workers.begin(), record.workers.end(), worker) != record.workers.end())
 			return;
 		record.workers.push_back(worker);
+		record.ages.push_back(bounds);
 		record.max_age = std::max(record.max_age, age);
 		record.blame += blame;
 	}
@@ -90,8 +122,11 @@
 	bool remove_crash(crash_record& record, const worker_incarnation& worker)
 	{
 		const auto before = record.workers.size();
-		if (std::erase(record.workers, worker) == 0)
+		const auto found = std::find(record.workers.begin(), record.workers.end(), worker);
+		if (found == record.workers.end())
 			return false;
+		record.ages.erase(record.ages.begin() + (found - record.workers.begin()));
+		record.workers.erase(found);
 		std::erase(record.correlated, worker);
 		record.blame *= static_cast<double>(record.workers.size()) / static_cast<double>(before);
 		if (record.workers.empty())
@@ -124,8 +159,17 @@
 		return running >= std::min(needed, policy.max_suspect_age);
 	}
 
+	void clear_outlived_crashes(crash_record& record, const crash_age& lost, const crash_policy& policy)
+	{
+		if (record.workers.empty() || !is_cleared_by(record, lost.lower_bound, policy))
+			return;
+		const auto longest_survived = record.longest_survived;
+		record = {};
+		record.longest_survived = longest_survived;
+	}
+
 	bool is_given_up(const crash_record& record, bool alone, const crash_policy& policy) noexcept
 	{
-		return record.workers.size() >= (alone ? crash_limit(record, policy) : policy.max_colocated_crashes);
+		return count_consistent(record, policy) >= (alone ? crash_limit(record, policy) : policy.max_colocated_crashes);
 	}
 }
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -112,6 +112,8 @@
 		{
 			const auto run = task.run;
 			const crash_age bounds{lost.age_bounds.lower_bound, lost.age ? lost.age_bounds.upper_bound : std::nullopt};
+			for (auto& member : tasks_sharing_record(job, lost.run_id.task, task))
+				clear_outlived_crashes(member.crashes, bounds, policy);
 			crash_correlation correlation;
 			if (lost.last_response)
 				correlation =
@@ -129,7 +131,7 @@
 				member.crashed_run = run;
 				if (!counts)
 					continue;
-				add_crash(member.crashes, worker, *lost.age, lost.blame);
+				add_crash(member.crashes, worker, *lost.age, bounds, lost.blame);
 				if (correlation.correlated)
 					mark_correlated(member.crashes, worker);
 			}
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -18,6 +18,9 @@
 		/// Rows store blame in whole millionths.
 		constexpr double blame_ppm = 1'000'000.0;
 
+		/// Stands for an age without a known upper bound in rows.
+		constexpr std::int64_t unknown_age_ms = -1;
+
 		template <typename Row>
 		std::string encode(const Row& row)
 		{
@@ -138,14 +141,26 @@
 			return index >= 0 && static_cast<std::size_t>(index) < row.workers.size();
 		}
 
+		/// The bounds of the age of the run in the crash at a position of from.crashed; unknown in rows of earlier
+		/// versions.
+		crash_age age_bounds_at(const stored::task& from, std::size_t position)
+		{
+			crash_age out;
+			if (position < from.crash_survived_each_ms.size())
+				out.lower_bound = millis{from.crash_survived_each_ms[position]};
+			if (position < from.crash_latest_each_ms.size() && from.crash_latest_each_ms[position] != unknown_age_ms)
+				out.upper_bound = millis{from.crash_latest_each_ms[position]};
+			return out;
+		}
+
 		absl::StatusOr<crash_record> read_crashes(const stored::progress& row, const stored::task& from)
 		{
 			crash_record out;
-			for (const auto index : from.crashed)
+			for (std::size_t i = 0; i < from.crashed.size(); ++i)
 			{
-				if (!is_worker_index(row, index))
+				if (!is_worker_index(row, from.crashed[i]))
 					return absl::DataLossError("a stored crash refers to an unknown worker");
-				add_crash(out, worker_at(row, index), millis{from.crash_age_ms}, 0.0);
+				add_crash(out, worker_at(row, from.crashed[i]), millis{from.crash_age_ms}, age_bounds_at(from, i), 0.0);
 			}
 			for (const auto index : from.crash_shared)
 			{
@@ -215,6 +230,11 @@
 				to.checkpoint = from.checkpoint;
 			for (const auto& worker : from.crashes.workers)
 				to.crashed.push_back(worker_index(row, worker));
+			for (const auto& age : from.crashes.ages)
+			{
+				to.crash_survived_each_ms.push_back(age.lower_bound.count());
+				to.crash_latest_each_ms.push_back(age.upper_bound.value_or(millis{unknown_age_ms}).count());
+			}
 			to.crash_age_ms = from.crashes.max_age.count();
 			for (const auto& worker : from.crashes.correlated)
 				to.crash_shared.push_back(worker_index(row, worker));
