Owners: one that alone hears nothing of requests to empty a data centre gives the row up

Cause: what an owner knows of these requests may not be older than half of the bound, and nothing ended the wait for them, while the wait for submissions hands the row on after 6 s. The memory store can silence the feed of one table.

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -162,6 +162,7 @@
 			handle_expired_leases(now);
 			clear_mass_losses();
 			move_tasks_for_upkeep(now);
+			log_stale_input(now);
 			if (may_act(now) && !releasing_ && !has_stale_input(now))
 			{
 				move_from_shrunk_rooms(now);
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -119,7 +119,9 @@
 		boost::asio::awaitable<absl::StatusOr<row_page>> read_with_retries(std::vector<row_range> ranges);
 		/// Whether nothing may be started because cancellations or evacuation requests may have been missed for too
 		/// long.
-		[[nodiscard]] bool has_stale_input(instant now);
+		[[nodiscard]] bool has_stale_input(instant now) const noexcept;
+		void log_stale_input(instant now);
+		[[nodiscard]] millis evacuations_age(instant now) const noexcept;
 		[[nodiscard]] bool has_recent_submissions(millis max_age, instant now) const noexcept;
 		void add_progress_removals(batch& out);
 		boost::asio::awaitable<void> remove_expired_submissions();
@@ -297,7 +299,7 @@
 		bool renewing_{}; ///< renew_while_loading() is running.
 		bool logged_stale_input_{};
 		owner_lag loop_lag_;
-		owner_lag feed_lag_; ///< Lag of the submission feed while the store answers other requests.
+		owner_lag feed_lag_; ///< Lag of the feeds without which nothing starts, while the store answers other requests.
 		bool handed_over_{};
 		std::int64_t agents_version_{};
 		boost::asio::steady_timer work_timer_;
--- a/packages/entry/src/process/job_term_load.cpp
+++ b/packages/entry/src/process/job_term_load.cpp
@@ -30,17 +30,25 @@
 		return now - submissions_known_at_ <= max_age;
 	}
 
-	bool job_term::has_stale_input(instant now)
+	bool job_term::has_stale_input(instant now) const noexcept
 	{
-		const auto requests_known_at = evacuations_.current().current_at.value_or(began_at_);
-		const bool is_stale = !has_recent_submissions(max_cancellations_age, now) ||
-							  !evacuations_are_current(evacuations_.current(), max_evacuation_age(), now);
+		return !has_recent_submissions(max_cancellations_age, now) ||
+			   !evacuations_are_current(evacuations_.current(), max_evacuation_age(), now);
+	}
+
+	millis job_term::evacuations_age(instant now) const noexcept
+	{
+		return std::chrono::duration_cast<millis>(now - evacuations_.current().current_at.value_or(began_at_));
+	}
+
+	void job_term::log_stale_input(instant now)
+	{
+		const bool is_stale = has_stale_input(now);
 		if (is_stale && !logged_stale_input_)
 			log_event(event::owner_behind,
 					  {{"feed_age_ms", std::chrono::duration_cast<millis>(now - submissions_known_at_).count()},
-					   {"evacuations_age_ms", std::chrono::duration_cast<millis>(now - requests_known_at).count()}});
+					   {"evacuations_age_ms", evacuations_age(now).count()}});
 		logged_stale_input_ = is_stale;
-		return is_stale;
 	}
 
 	asio::awaitable<void> job_term::monitor_load()
@@ -64,9 +72,9 @@
 	void job_term::hand_over_if_behind(std::chrono::nanoseconds lag, instant now)
 	{
 		note_lag(loop_lag_, lag, default_handover, now);
-		// If the store answers nothing at all, another owner would not receive submissions either.
+		// If the store answers nothing at all, another owner would not receive submissions or requests either.
 		const bool store_answers = now - committed_at_ <= max_commit_age;
-		note_behind(feed_lag_, store_answers && !has_recent_submissions(max_cancellations_age, now), now);
+		note_behind(feed_lag_, store_answers && has_stale_input(now), now);
 		const auto last_handover_ms = owned_.row.handed_on_ms;
 		const auto since_last_handover =
 			last_handover_ms > 0 ? std::optional{millis{store_now_ms(now) - last_handover_ms}} : std::nullopt;
@@ -77,7 +85,8 @@
 		log_event(event::owner_handed_on,
 				  {{"epoch", owned_.row.epoch},
 				   {"lag_ms", std::chrono::duration_cast<millis>(lag).count()},
-				   {"feed_age_ms", std::chrono::duration_cast<millis>(now - submissions_known_at_).count()}});
+				   {"feed_age_ms", std::chrono::duration_cast<millis>(now - submissions_known_at_).count()},
+				   {"evacuations_age_ms", evacuations_age(now).count()}});
 		owned_.row.handed_on_ms = store_now_ms(now);
 		handed_over_ = true;
 		release();
--- a/packages/testkit/include/trailjunction/testkit/memory_store.hpp
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -32,6 +32,7 @@
 		millis read_duration{};       ///< Duration of a read.
 		std::string unanswered_table; ///< Reads of this table get no response; empty for no table.
 		std::string refused_table;    ///< Reads of this table are refused; empty for no table.
+		std::string silent_feed;      ///< Calls that follow this table get no response; empty for no table.
 	};
 
 	/// \brief Keeps rows in memory, checks the conditions of transactions and assigns versions. Runs on one io_context.
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -149,7 +149,8 @@
 		row_page out;
 		while (true)
 		{
-			if (faults.hold_feeds)
+			const bool silent = !faults.silent_feed.empty() && faults.silent_feed == table;
+			if (faults.hold_feeds || silent)
 			{
 				if (boottime_now() >= deadline)
 					co_return absl::DeadlineExceededError("no answer");
