Workers: failures during a probation do not prolong it

Callers would see: a task waits although its worker has room, for as long as runs of several jobs go on failing there; where it is the only worker of its service, without a bound. Long-running tasks may fail at any moment, so a worker full of them that fail 0.6 s apart was avoided for all of a minute. Cause: each failure began the probation of 3 s anew. Change: ends during a probation are ignored, since these runs were there before it, and after it only new failures count. Evidence: tests/idle_long_running.cpp, simulated time, a failure each 0.1, 0.6 and 2 s over 60 s. Before: avoided without end in all three; after: 3 s at a time, then it takes starts until runs of two jobs have failed again.

--- a/packages/jobs/include/trailjunction/jobs/worker_trust.hpp
+++ b/packages/jobs/include/trailjunction/jobs/worker_trust.hpp
@@ -19,7 +19,9 @@
 		/// Failures must come from at least this many jobs: one faulty job says nothing about the worker.
 		int distinct_jobs{2};
 		double failed_share{0.5}; ///< Least share of failures among the ends in the window.
-		millis probation{3'000};  ///< Time without new work after the last such failure.
+		/// Time without new work. Failures within it do not prolong it: the worker may be the only one that can run a
+		/// task, and runs that it still has may fail one after the other for a long time.
+		millis probation{3'000};
 	};
 
 	/// \brief The outcomes of a worker's recent runs.
@@ -32,6 +34,7 @@
 			bool failed{};
 		};
 		std::deque<finished_run> recent_runs;
+		instant probation_until{}; ///< Ends of runs before this time are ignored.
 		instant avoided_until{};
 		int no_room_refusals{}; ///< Starts refused for lack of room since the last one that was not.
 	};
@@ -53,6 +56,6 @@
 	void record_room(worker_trust& trust) noexcept;
 
 	/// \brief Records the end of a run.
-	/// \returns Whether the worker gets no new work for a while because of it.
+	/// \returns Whether a probation begins with it, in which the worker gets no new work.
 	bool record_run_end(worker_trust& trust, const job_id& job, bool failed, const trust_policy& policy, instant now);
 }
--- a/packages/jobs/src/worker_trust.cpp
+++ b/packages/jobs/src/worker_trust.cpp
@@ -23,6 +23,9 @@
 
 	bool record_run_end(worker_trust& trust, const job_id& job, bool failed, const trust_policy& policy, instant now)
 	{
+		// What fails now was there before the probation and would prolong it for as long as such runs last.
+		if (now < trust.probation_until)
+			return false;
 		auto& recent = trust.recent_runs;
 		recent.push_back({now, job, failed});
 		while (now - recent.front().ended_at > policy.window)
@@ -41,7 +44,9 @@
 		if (failed_jobs.size() < static_cast<std::size_t>(policy.distinct_jobs) ||
 			static_cast<double>(failures) < policy.failed_share * static_cast<double>(recent.size()))
 			return false;
-		trust.avoided_until = now + policy.probation;
+		recent.clear(); // after the probation, only new failures count
+		trust.probation_until = now + policy.probation;
+		trust.avoided_until = std::max(trust.avoided_until, trust.probation_until);
 		return true;
 	}
 }
--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -9,6 +9,58 @@
 using namespace trailjunction;
 using namespace trailjunction::job_fixtures;
 
+// waiting, and kept from workers
+
+namespace
+{
+	/// A worker on which runs of many jobs fail at a regular interval, and for how long it is avoided.
+	struct failing_worker
+	{
+		void fail_until(instant end)
+		{
+			constexpr auto step = millis{10};
+			for (; now < end; now += step)
+			{
+				if (now >= next_failure)
+				{
+					next_failure += interval;
+					(void)record_run_end(trust, job_id{std::to_string(++failures)}, true, policy, now);
+				}
+				const bool avoided = now < trust.avoided_until;
+				avoided_for = avoided ? avoided_for + step : millis{0};
+				accepting_for = avoided ? millis{0} : accepting_for + step;
+				longest_avoided = std::max(longest_avoided, avoided_for);
+				longest_accepting =
+					std::max(longest_accepting, now > start + policy.window ? accepting_for : millis{0});
+			}
+		}
+
+		explicit failing_worker(millis failure_interval) : interval{failure_interval} {}
+
+		trust_policy policy;
+		millis interval;
+		worker_trust trust;
+		instant now{start};
+		instant next_failure{start};
+		int failures{};
+		millis avoided_for{};
+		millis accepting_for{};
+		millis longest_avoided{};
+		millis longest_accepting{}; ///< After the first window.
+	};
+}
+
+TEST_CASE("a worker whose runs go on failing is avoided for one probation at a time", "[jobs]")
+{
+	// Guards against a worker, perhaps the only one of its service, that is avoided for as long as the runs that it
+	// still has fail one after the other.
+	failing_worker worker{GENERATE(millis{100}, millis{600}, millis{2'000})};
+	worker.fail_until(start + std::chrono::seconds{60});
+	CHECK(worker.longest_avoided > millis{0});
+	CHECK(worker.longest_avoided <= worker.policy.probation);
+	CHECK(worker.longest_accepting >= worker.interval);
+}
+
 // owners that start nothing
 
 TEST_CASE("an owner that alone hears nothing of evacuation requests releases the row", "[jobs]")
