Workers: pauses grow after refused starts of any kind, and count once for starts ordered together

Cause: a start that was settled as never started brought no pause at all, one refused as unhealthy always 1 s. Change: both grow like the pause for want of room, up to 4.8 s, until the worker starts something or its capacity changes. Refusals during a pause do not double it: ten starts refused at once brought the longest pause at the first sign. Evidence: tests/refusing_workers.cpp, 40 refusing workers and one that takes the task, now for three reasons. With unhealthy workers the round needs more of them than 40 to close; that size was not run.

--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -11,8 +11,9 @@
 {
 	namespace
 	{
-		constexpr no_room_policy default_no_room_policy{};
-		constexpr auto unhealthy_pause = millis{1'000};
+		constexpr refusal_policy default_refusal_policy{};
+		/// A worker that refuses all starts, or cannot be reached, seldom recovers sooner.
+		constexpr refusal_policy unhealthy_policy{.first_pause = millis{1'000}};
 		/// Interval between two stop orders of one run. It is twice the report interval; normally the first report
 		/// already says that the run has ended.
 		constexpr auto stop_repeat_interval = millis{1'000};
@@ -116,7 +117,7 @@
 		worker.labels = report.labels;
 		const resources capacity{report.capacity.cpu_milli, report.capacity.memory_mib, report.capacity.accelerators};
 		if (capacity != worker.capacity)
-			record_room(worker.trust);
+			forget_refused_starts(worker.trust);
 		worker.capacity = capacity;
 		worker.draining = report.draining;
 		worker.responsive = report.responsive;
@@ -153,7 +154,6 @@
 
 	void job_term::note_refusals(agent_peer& peer, const wire::job_report& report, instant now)
 	{
-		auto& avoided_until = peer.worker.trust.avoided_until;
 		for (const auto& row : report.refused)
 		{
 			const auto refusal = from_wire(row);
@@ -172,16 +172,15 @@
 				end_run(table_, refusal.run_id, run_outcome::lapsed, "", now);
 				continue;
 			case start_refusal::no_room:
-				record_no_room(peer.worker.trust, default_no_room_policy, now);
+			case start_refusal::never_started:
+				record_refused_start(peer.worker.trust, default_refusal_policy, now);
 				break;
 			case start_refusal::unhealthy:
-				avoided_until = std::max(avoided_until, now + unhealthy_pause);
+				record_refused_start(peer.worker.trust, unhealthy_policy, now);
 				break;
 			case start_refusal::leaving:
 				peer.worker.draining = true;
 				break;
-			case start_refusal::never_started:
-				break;
 			}
 			release_run(table_, refusal.run_id, now);
 		}
@@ -204,7 +203,7 @@
 				continue;
 			}
 			confirm_run(table_, run_id, now);
-			record_room(peer.worker.trust);
+			forget_refused_starts(peer.worker.trust);
 		}
 		for (const auto& row : report.running)
 		{
--- a/packages/jobs/include/trailjunction/jobs/worker_trust.hpp
+++ b/packages/jobs/include/trailjunction/jobs/worker_trust.hpp
@@ -36,24 +36,24 @@
 		std::deque<finished_run> recent_runs;
 		instant probation_until{}; ///< Ends of runs before this time are ignored.
 		instant avoided_until{};
-		int no_room_refusals{}; ///< Starts refused for lack of room since the last one that was not.
+		int refusals_in_a_row{}; ///< Pauses after refused starts since the last one that was not refused.
 	};
 
-	/// \brief How long a worker gets no new starts after it has refused one for lack of room: the owner's view of it is
-	/// out of date.
+	/// \brief How long a worker gets no new starts after it has refused one for a reason of its own.
 	/// \details Doubles with each further refusal. With a constant pause a task could be refused by the same workers
-	/// over and over, without reaching one that has room.
-	struct no_room_policy
+	/// over and over, without reaching one that takes it.
+	struct refusal_policy
 	{
 		millis first_pause{300};
 		millis longest_pause{4'800};
 	};
 
-	/// \brief Records a start that the worker has refused for lack of room.
-	void record_no_room(worker_trust& trust, const no_room_policy& policy, instant now) noexcept;
+	/// \brief Records a start that the worker has refused for a reason of its own.
+	/// \details Starts that were ordered together count once: refusals during a pause do not prolong it.
+	void record_refused_start(worker_trust& trust, const refusal_policy& policy, instant now) noexcept;
 
 	/// \brief Records that the worker has started a run, or that its capacity has changed.
-	void record_room(worker_trust& trust) noexcept;
+	void forget_refused_starts(worker_trust& trust) noexcept;
 
 	/// \brief Records the end of a run.
 	/// \returns Whether a probation begins with it, in which the worker gets no new work.
--- a/packages/jobs/src/worker_trust.cpp
+++ b/packages/jobs/src/worker_trust.cpp
@@ -7,18 +7,20 @@
 
 namespace trailjunction
 {
-	void record_no_room(worker_trust& trust, const no_room_policy& policy, instant now) noexcept
+	void record_refused_start(worker_trust& trust, const refusal_policy& policy, instant now) noexcept
 	{
+		if (now < trust.avoided_until)
+			return; // ordered together with a start whose refusal has been counted
 		auto pause = policy.first_pause;
-		for (int i = 0; i < trust.no_room_refusals && pause < policy.longest_pause; ++i)
+		for (int i = 0; i < trust.refusals_in_a_row && pause < policy.longest_pause; ++i)
 			pause *= 2;
-		++trust.no_room_refusals;
-		trust.avoided_until = std::max(trust.avoided_until, now + std::min(pause, policy.longest_pause));
+		++trust.refusals_in_a_row;
+		trust.avoided_until = now + std::min(pause, policy.longest_pause);
 	}
 
-	void record_room(worker_trust& trust) noexcept
+	void forget_refused_starts(worker_trust& trust) noexcept
 	{
-		trust.no_room_refusals = 0;
+		trust.refusals_in_a_row = 0;
 	}
 
 	bool record_run_end(worker_trust& trust, const job_id& job, bool failed, const trust_policy& policy, instant now)
--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -61,6 +61,22 @@
 	CHECK(worker.longest_accepting >= worker.interval);
 }
 
+TEST_CASE("a worker that refuses starts again and again is tried again within the longest pause", "[jobs]")
+{
+	worker_trust trust;
+	const refusal_policy policy;
+	auto now = start;
+	for (int i = 0; i < 100; ++i)
+	{
+		record_refused_start(trust, policy, now);
+		CHECK(trust.avoided_until - now <= policy.longest_pause);
+		now = trust.avoided_until;
+	}
+	forget_refused_starts(trust);
+	record_refused_start(trust, policy, now);
+	CHECK(trust.avoided_until - now == policy.first_pause);
+}
+
 // owners that start nothing
 
 TEST_CASE("an owner that alone hears nothing of evacuation requests releases the row", "[jobs]")
--- a/tests/refusing_workers.cpp
+++ b/tests/refusing_workers.cpp
@@ -15,10 +15,10 @@
 {
 	constexpr const char* preferred_rack = "r1";
 
-	/// An owner, agents whose workers refuse every start for lack of room, and one agent whose worker takes it.
+	/// An owner, agents whose workers refuse every start for one reason, and one agent whose worker takes it.
 	struct refusing_fleet : owner_fixture
 	{
-		explicit refusing_fleet(std::size_t refusing_count)
+		refusing_fleet(std::size_t refusing_count, start_refusal refusal) : reason{refusal}
 		{
 			settings.member = member_id{"entry-1"};
 			for (std::size_t i = 0; i < refusing_count; ++i)
@@ -77,7 +77,7 @@
 				{
 					auto report = next_report(agent);
 					const auto run_id = from_wire(agent.received_starts[handled_starts[i]].what);
-					report.refused.push_back(to_wire(refused_run{run_id, start_refusal::no_room}));
+					report.refused.push_back(to_wire(refused_run{run_id, reason}));
 					agent.send_report(std::move(report));
 				}
 			}
@@ -103,6 +103,7 @@
 								[](const auto& agent) { return agent->received_confirms.empty(); });
 		}
 
+		start_refusal reason;
 		std::vector<std::unique_ptr<agent_standin>> refusing_agents;
 		std::unique_ptr<agent_standin> accepting_agent;
 		std::vector<std::size_t> handled_starts; ///< By refusing agent.
@@ -113,7 +114,7 @@
 TEST_CASE("a task reaches a worker with room although many preferred workers keep refusing it", "[jobs]")
 {
 	// Guards against a cycle: the first worker that refused is tried again before all others have been tried.
-	refusing_fleet test{40};
+	refusing_fleet test{40, GENERATE(start_refusal::no_room, start_refusal::unhealthy, start_refusal::never_started)};
 	test.begin_term();
 	REQUIRE(test.run_until([&] { return test.has_confirmed_all(); }));
 	test.submit_long_running_task();
