Placement: a long-running filler waits for a harmless place for 2 s at most

Callers would see: one of several long-running fillers without a run for good, although workers could take it. Cause: a filler waits where it would do too much harm or run too slowly unless its job starves, and a job with any task running does not starve. A running sibling is no substitute for a task that lasts. Change: a long-running filler starves by its own wait, however full the service is; each one that starves gets its least harmful place. Other fillers and all other tasks are placed as before. Evidence: tests/idle_long_running.cpp, decisions alone. Before: not placed after 2 s (nor ever: the condition has no time in it); after: placed from 2 s on, not before. The existing tests of starving jobs pass unchanged.

--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -40,7 +40,8 @@
 		millis run_time{}; ///< Expected run time of the task.
 		double merit{};    ///< See job_merit.hpp; 0 for long-running tasks.
 		/// No task of the occurrence runs and none has changed its state for some time. If the service has spare room,
-		/// the job gets one place regardless of the harm to other tasks.
+		/// the job gets one place regardless of the harm to other tasks. A long-running filler is starving if it has
+		/// waited for that time itself, and gets its place however full the service is.
 		bool starving{};
 		/// How strongly the task is suspected of crashing workers, which decides how it may be started.
 		suspicion crash_suspicion{suspicion::none};
@@ -52,8 +53,8 @@
 	/// its remaining work shrinks, so started jobs finish before others begin.
 	///
 	/// \param waiting As returned by waiting_tasks(): the tasks of each group are consecutive.
-	/// \returns Tasks of the same group and occurrence stay consecutive; within them, those with the same crash
-	/// suspicion do.
+	/// \returns Tasks of the same group and occurrence stay consecutive; within them, starving tasks come first, and
+	/// those with the same crash suspicion stay consecutive.
 	[[nodiscard]] std::vector<placement_request> order_requests(const job_table& table, std::vector<task_key> waiting,
 																decision_time at);
 }
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -203,11 +203,15 @@
 		{
 			auto common = requests.front(); // the requests of a group have the same requirements
 			group_costs costs{workers, common, context};
+			bool any_starving_placed = false;
 			for (const auto& next : requests)
 			{
-				if (next.crash_suspicion != common.crash_suspicion)
+				// Only one task of a starving job is placed regardless of the harm.
+				const bool starving = next.starving && (next.group->long_running || !any_starving_placed);
+				if (next.crash_suspicion != common.crash_suspicion || starving != common.starving)
 				{
 					common.crash_suspicion = next.crash_suspicion;
+					common.starving = starving;
 					costs.update_all(common);
 				}
 				if (next.crash_suspicion == suspicion::likely &&
@@ -216,14 +220,11 @@
 				const auto found = costs.best_for(next);
 				if (!found)
 					return &next;
-				// Only one task of a starving job is placed regardless of the harm.
-				const bool starved = std::exchange(common.starving, false);
+				any_starving_placed = any_starving_placed || starving;
 				note_serving(workers[*found], next.key, *next.job, context);
 				add_suspect(workers[*found], next.crash_suspicion);
 				costs.place_on(*found, common);
 				out.push_back({next.key, *found});
-				if (starved)
-					costs.update_all(common);
 			}
 			return nullptr;
 		}
@@ -346,7 +347,8 @@
 		auto requests = order_requests(table, std::move(waiting), at);
 		std::vector<const placement_request*> unplaced;
 		for (auto& request : requests)
-			request.starving = request.starving && has_room_to_spare(workers, request.job->queue.service, policy);
+			request.starving = request.starving && (request.group->long_running ||
+													has_room_to_spare(workers, request.job->queue.service, policy));
 		std::vector<placement> out;
 		for (std::size_t i = 0; i < requests.size();)
 		{
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -41,7 +41,8 @@
 			return std::chrono::duration_cast<millis>(at.now - job.accepted_at);
 		}
 
-		/// A job without a running task is starving after this time and gets a place where it does the least harm.
+		/// A job without a running task, or a long-running task, is starving after this time and gets a place where it
+		/// does the least harm.
 		/// Users tolerate three seconds, and an order takes up to one second on a slow store.
 		constexpr auto starves_after = millis{2'000};
 
@@ -60,6 +61,14 @@
 			return now - changed >= starves_after;
 		}
 
+		/// Other tasks of its group are no substitute for a long-running task. Only fillers are held back by the harm
+		/// that they do.
+		bool is_starving_filler(const placement_request& request, instant now) noexcept
+		{
+			return request.group->filler && request.group->long_running &&
+				   now - request.task->phase_since >= starves_after;
+		}
+
 		job_progress progress_of(const job_state& job, std::span<const millis> times, const task_key& key,
 								 decision_time at)
 		{
@@ -167,17 +176,21 @@
 			{
 				out.push_back(group.first);
 				out.back().task = find_task(table, waiting[i]);
+				out.back().starving = out.back().starving || is_starving_filler(out.back(), at.now);
 				if (!out.back().group->gang)
 					out.back().crash_suspicion = effective_suspicion(*out.back().job, waiting[i], at.now);
 				out.back().key = std::move(waiting[i]);
 			}
-			const auto less_suspect = [](const placement_request& left, const placement_request& right)
+			// A task that finds no place holds up those after it, so those that may be placed anywhere come first.
+			const auto is_before = [](const placement_request& left, const placement_request& right)
 			{
+				if (left.starving != right.starving)
+					return left.starving;
 				return left.crash_suspicion < right.crash_suspicion;
 			};
 			const auto begin = out.begin() + static_cast<std::ptrdiff_t>(first);
-			if (!std::is_sorted(begin, out.end(), less_suspect))
-				std::stable_sort(begin, out.end(), less_suspect);
+			if (!std::is_sorted(begin, out.end(), is_before))
+				std::stable_sort(begin, out.end(), is_before);
 		}
 		return out;
 	}
--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -9,6 +9,16 @@
 using namespace trailjunction;
 using namespace trailjunction::job_fixtures;
 
+namespace
+{
+	task_group long_running_group(std::uint32_t count, std::int64_t cpu)
+	{
+		auto out = group_of(count, cpu);
+		out.long_running = true;
+		return out;
+	}
+}
+
 // waiting, and kept from workers
 
 namespace
@@ -61,6 +71,56 @@
 	CHECK(worker.longest_accepting >= worker.interval);
 }
 
+TEST_CASE("a long-running filler waits for a harmless place for a limited time, also while its siblings run", "[jobs]")
+{
+	// Guards against a task that is kept from all workers for good because a sibling runs, which is no substitute.
+	auto filler = long_running_group(2, 1'000);
+	filler.filler = true;
+	filler.image = "f";
+	job_table table;
+	add_job(table, job_of("batch", {group_of(1, 8'000)}));
+	add_job(table, job_of("fillers", {filler}));
+	assign(table, {job_id{"batch"}, 0, 0, 0}, worker_incarnation{"w1"}, start);
+	assign(table, {job_id{"fillers"}, 0, 0, 0}, worker_incarnation{"w2"}, start);
+	const task_key waiting{job_id{"fillers"}, 0, 0, 1};
+	find_task(table, waiting)->phase_since = start;
+	const auto place_at = [&](millis waited)
+	{
+		const placement_policy policy;
+		const pressure_model pressures;
+		std::vector<worker_room> rooms{room_of("w1")}; // its processors are all in use
+		charge_workers(rooms, table, pressures, policy);
+		return place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {start + waited, 0});
+	};
+	CHECK(place_at(millis{500}).empty());
+	const auto placed = place_at(millis{2'000});
+	REQUIRE(placed.size() == 1);
+	CHECK(placed[0].task == waiting);
+}
+
+TEST_CASE("all long-running fillers that have waited for too long get a place, before those that have not", "[jobs]")
+{
+	auto filler = long_running_group(3, 1'000);
+	filler.filler = true;
+	filler.image = "f";
+	job_table table;
+	add_job(table, job_of("batch", {group_of(1, 8'000)}));
+	add_job(table, job_of("fillers", {filler}));
+	assign(table, {job_id{"batch"}, 0, 0, 0}, worker_incarnation{"w1"}, start);
+	const auto now = start + std::chrono::seconds{10};
+	find_task(table, {job_id{"fillers"}, 0, 0, 0})->phase_since = now;
+	find_task(table, {job_id{"fillers"}, 0, 0, 1})->phase_since = start;
+	find_task(table, {job_id{"fillers"}, 0, 0, 2})->phase_since = start;
+	const placement_policy policy;
+	const pressure_model pressures;
+	std::vector<worker_room> rooms{room_of("w1")};
+	charge_workers(rooms, table, pressures, policy);
+	const auto placed = place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {now, 0});
+	REQUIRE(placed.size() == 2);
+	CHECK(placed[0].task.index == 1);
+	CHECK(placed[1].task.index == 2);
+}
+
 TEST_CASE("a worker that refuses starts again and again is tried again within the longest pause", "[jobs]")
 {
 	worker_trust trust;
