Agents: a start without an answer is settled by its deadline too, not only by a stop

Callers would see: a task that counts as ordered and has no run, for as long as its worker answers listings but refuses or answers no stop. Cause: only the answer to a stop ended the wait for the start. Change: the worker refuses a start whose deadline has passed, so two listings later than that settle it as never started. The time is counted on the worker's clock from a reading after the last order, twice the longest delay of a start, since that reading may have been under way for as long as a call may take. Nothing is concluded behind a full list of ends, as before. Evidence: tests/idle_long_running.cpp, stops refused as unhealthy, malformed or unanswered, first and repeated orders.

--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -21,6 +21,10 @@
 	{
 		/// Time after which the worker refuses a start, so that a delayed order cannot take effect later.
 		constexpr auto max_start_delay = millis{1'500};
+		/// Time on the worker's clock after which no start of a run can take effect any more, counted from a reading of
+		/// that clock after the last order. Twice max_start_delay, since the reading may have been under way for the
+		/// timeout of a call.
+		constexpr auto start_settled_after = 2 * max_start_delay;
 		/// Minimum time left for a start; with less the worker would refuse it as late.
 		constexpr auto min_start_time_left = millis{100};
 		/// Maximum age of the heartbeat whose capacity a start may rely on: by the users' requirements, a reduced
@@ -33,6 +37,7 @@
 		constexpr std::string_view by_agent = "agent";
 		constexpr std::string_view by_worker = "worker";
 		constexpr std::string_view by_stop = "stop";
+		constexpr std::string_view by_deadline = "deadline";
 		constexpr std::string_view by_refusal_history = "refused_before";
 	}
 
@@ -186,6 +191,8 @@
 	{
 		++open_orders_;
 		log_event(event::start_unanswered, {{"task", to_string(id.task)}, {"run", id.run}});
+		const auto clock_before_ms = worker_clock_ms_;
+		std::optional<std::int64_t> settled_at_ms; // on the worker's clock
 		while (is_current(incarnation_id))
 		{
 			if (runs_.contains(id))
@@ -201,7 +208,12 @@
 			if (!is_current(incarnation_id))
 				break;
 			record_result(result, boottime_now());
-			if (result.outcome != order_outcome::done && result.outcome != order_outcome::superseded)
+			const bool stopped = result.outcome == order_outcome::done || result.outcome == order_outcome::superseded;
+			// It also refuses a start whose deadline has passed, which settles it if the worker answers no stop.
+			if (!settled_at_ms && worker_clock_ms_ > clock_before_ms)
+				settled_at_ms = worker_clock_ms_ + start_settled_after.count();
+			const bool expired = settled_at_ms && worker_clock_ms_ > *settled_at_ms;
+			if (!stopped && !expired)
 			{
 				co_await pause_for(io_, worker_retry_delay);
 				continue;
@@ -209,7 +221,7 @@
 			const bool listed = co_await wait_for_listing(incarnation_id);
 			if (listed && !runs_.contains(id) && !has_ended(id))
 			{
-				refuse(id, start_refusal::never_started, {true, by_stop});
+				refuse(id, start_refusal::never_started, {true, stopped ? by_stop : by_deadline});
 				break;
 			}
 		}
--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -154,3 +154,45 @@
 	REQUIRE(row.ok());
 	CHECK(row->released);
 }
+
+// ordered, and neither started nor refused
+
+namespace
+{
+	/// An agent whose worker answers listings while its clock advances, and leaves a start without an answer.
+	struct unanswered_start : run_manager_fixture::fixture
+	{
+		unanswered_start()
+		{
+			script.on_start = []
+			{
+				return order_result{order_outcome::unknown, 0};
+			};
+			script.on_list = [this]
+			{
+				clock_ms += clock_step_ms;
+				return listing_result{{order_outcome::done, clock_ms}, {}};
+			};
+		}
+
+		static constexpr std::int64_t clock_step_ms = 100;
+		std::int64_t clock_ms{1'000};
+	};
+}
+
+TEST_CASE("a start without an answer is settled after its deadline, also if the worker refuses to stop the run",
+		  "[jobs]")
+{
+	// Guards against a task that counts as ordered for as long as its worker refuses stops but answers listings.
+	unanswered_start test;
+	const auto outcome = GENERATE(order_outcome::unhealthy, order_outcome::invalid, order_outcome::unknown);
+	test.script.on_stop = [outcome]
+	{
+		return order_result{outcome, 0};
+	};
+	test.order_start(GENERATE(false, true));
+	REQUIRE(test.run_until_reported());
+	REQUIRE(test.refused.size() == 1);
+	CHECK(from_wire(test.refused[0].what) == run_manager_fixture::some_run);
+	CHECK(test.clock_ms > 2'500); // no earlier than the deadline of the start, on the worker's clock
+}
