Owners: a silent feed of agents is replaced by a read of their rows

Callers would see: tasks wait although agents with room have come, for as long as this owner's feed of agents is silent while the rest of the store answers. Cause: the rows were read again only where the store had forgotten the history, not after a feed without an answer; the feed of evacuation requests already did so. Change: any failure of the feed is followed by a read. Evidence: tests/idle_long_running.cpp.

--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -343,8 +343,8 @@
 				agents_version_ = std::max(agents_version_, page->version);
 				continue;
 			}
-			if (absl::IsOutOfRange(page.status()))
-				co_await reread_agents();
+			// The failed feed may have missed changes, and may go on failing while reads are answered.
+			co_await reread_agents();
 			co_await pause_for(io_, retry_backoff);
 		}
 	}
--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -155,6 +155,20 @@
 	CHECK(row->released);
 }
 
+TEST_CASE("an owner whose feed of agents is silent reads them and finds a new one", "[jobs]")
+{
+	// Guards against an owner that never places a task on the workers that have come since its feed fell silent.
+	job_term_fixture::scene test;
+	test.begin_term();
+	REQUIRE(test.run_until([&] { return !test.agent.received_confirms.empty(); }));
+	test.store.faults.silent_feed = agents_table;
+	testkit::agent_standin added{test.io};
+	stored::agent row;
+	row.address = to_string(added.link_address());
+	test.store.put(agent_partition, agents_table, "agent-2", encode_agent(row));
+	CHECK(test.run_until([&] { return added.claim_count > 0; }));
+}
+
 // ordered, and neither started nor refused
 
 namespace
