Owners: one that is cut off from most of its agents gives the row up

Callers would see: nothing starts any more, and what runs elsewhere ends with its lease, while an owner that reaches the store but not the other instances renews its row for good. None was seen; found by reading. Change: if fewer than half of the agents that this owner has heard (or none at all) have reported in the last 4 s, for 3 s, and its transactions are answered, it hands the row on (E446, `cut_off`), as for its feeds at most once a minute over all owners. Agents that it never heard may be gone for good and do not count. Where most instances are really gone, this costs one takeover. A member that is the only one takes its own row back after abstain_for. Evidence: tests/idle_long_running.cpp.

--- a/packages/entry/src/connection/agent_peer.cpp
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -71,6 +71,7 @@
 	{
 		if (!message.__isset.job_status || stopped_)
 			return;
+		heard_at_ = boottime_now();
 		// The first report that names a worker is a full one; reports before it come from an agent without a worker.
 		reported_ = reported_ || !message.job_status.worker.empty();
 		on_report_(*this, std::move(message.job_status));
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -79,6 +79,11 @@
 		{
 			return is_connected() && reported_;
 		}
+		/// \brief When the latest report arrived; empty if there was none.
+		[[nodiscard]] std::optional<instant> heard_at() const noexcept
+		{
+			return heard_at_;
+		}
 		/// \brief Sends a message if the link is open. The next full report reveals messages that were lost.
 		void send(const wire::envelope& message);
 
@@ -107,6 +112,7 @@
 		wire::job_claim claim_;
 		report_handler on_report_;
 		std::shared_ptr<link> link_;
+		std::optional<instant> heard_at_;
 		bool reported_{}; ///< Whether the agent has sent a full report over the current link.
 		bool stopped_{};
 	};
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -136,6 +136,8 @@
 		void wake();
 		boost::asio::awaitable<void> monitor_load();
 		void log_load(instant now);
+		/// Whether most agents that this owner has heard, or all if it has heard none, have fallen silent.
+		[[nodiscard]] bool is_cut_off_from_agents(instant now) const noexcept;
 		void hand_over_if_behind(std::chrono::nanoseconds lag, instant now);
 		[[nodiscard]] std::int64_t store_now_ms(instant now) const noexcept;
 		[[nodiscard]] bool may_act(instant now) const noexcept;
@@ -300,6 +302,7 @@
 		bool logged_stale_input_{};
 		owner_lag loop_lag_;
 		owner_lag feed_lag_; ///< Lag of the feeds without which nothing starts, while the store answers other requests.
+		owner_lag agent_lag_; ///< Silence of most agents while the store answers.
 		bool handed_over_{};
 		std::int64_t agents_version_{};
 		boost::asio::steady_timer work_timer_;
--- a/packages/entry/src/process/job_term_load.cpp
+++ b/packages/entry/src/process/job_term_load.cpp
@@ -23,6 +23,9 @@
 		/// Maximum age of the latest commit at which the store counts as answering. The row is renewed more often than
 		/// this.
 		constexpr auto max_commit_age = millis{1'000};
+		/// Maximum time without a report of an agent: a link that has gone silent is closed and dialled again within
+		/// it.
+		constexpr auto max_agent_silence = millis{4'000};
 	}
 
 	bool job_term::has_recent_submissions(millis max_age, instant now) const noexcept
@@ -69,24 +72,43 @@
 		}
 	}
 
+	bool job_term::is_cut_off_from_agents(instant now) const noexcept
+	{
+		std::size_t known = 0;
+		std::size_t reporting = 0;
+		for (const auto& [name, peer] : peers_)
+		{
+			const auto heard_at = peer->heard_at();
+			known += heard_at ? 1 : 0;
+			reporting += heard_at && now - *heard_at <= max_agent_silence ? 1 : 0;
+		}
+		// An agent that was never heard may be gone for good; if none was heard, this instance may be the one cut off.
+		return !peers_.empty() && 2 * reporting < std::max<std::size_t>(known, 1);
+	}
+
 	void job_term::hand_over_if_behind(std::chrono::nanoseconds lag, instant now)
 	{
 		note_lag(loop_lag_, lag, default_handover, now);
 		// If the store answers nothing at all, another owner would not receive submissions or requests either.
 		const bool store_answers = now - committed_at_ <= max_commit_age;
 		note_behind(feed_lag_, store_answers && has_stale_input(now), now);
+		// An owner that is cut off from other instances would keep the row while the leases of their workers expire.
+		note_behind(agent_lag_, store_answers && is_cut_off_from_agents(now), now);
 		const auto last_handover_ms = owned_.row.handed_on_ms;
 		const auto since_last_handover =
 			last_handover_ms > 0 ? std::optional{millis{store_now_ms(now) - last_handover_ms}} : std::nullopt;
-		const bool feed_is_late = should_hand_over(feed_lag_, since_last_handover, default_handover, now);
-		if (over_ || releasing_ ||
-			(!feed_is_late && !should_hand_over(loop_lag_, since_last_handover, default_handover, now)))
+		const auto is_due = [&](const owner_lag& lag_of_input)
+		{
+			return should_hand_over(lag_of_input, since_last_handover, default_handover, now);
+		};
+		if (over_ || releasing_ || !(is_due(loop_lag_) || is_due(feed_lag_) || is_due(agent_lag_)))
 			return;
 		log_event(event::owner_handed_on,
 				  {{"epoch", owned_.row.epoch},
 				   {"lag_ms", std::chrono::duration_cast<millis>(lag).count()},
 				   {"feed_age_ms", std::chrono::duration_cast<millis>(now - submissions_known_at_).count()},
-				   {"evacuations_age_ms", evacuations_age(now).count()}});
+				   {"evacuations_age_ms", evacuations_age(now).count()},
+				   {"cut_off", is_cut_off_from_agents(now) ? 1 : 0}});
 		owned_.row.handed_on_ms = store_now_ms(now);
 		handed_over_ = true;
 		release();
--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -155,6 +155,64 @@
 	CHECK(row->released);
 }
 
+namespace
+{
+	/// An owner that has heard of several agents, some of which it then reaches no longer.
+	struct partitioned_owner : job_term_fixture::scene
+	{
+		explicit partitioned_owner(std::size_t others)
+		{
+			for (std::size_t i = 0; i < others; ++i)
+			{
+				other_agents.push_back(std::make_unique<testkit::agent_standin>(io));
+				other_agents.back()->full_report = job_term_fixture::report_of("other-" + std::to_string(i));
+				set_address(i, other_agents.back()->link_address());
+			}
+			begin_term();
+			REQUIRE(run_until([&] { return !agent.received_confirms.empty() && has_confirmed_others(); }));
+		}
+
+		void cut_off_others()
+		{
+			for (std::size_t i = 0; i < other_agents.size(); ++i)
+				set_address(i, endpoint{boost::asio::ip::address_v4::loopback(), 1}); // nobody listens there
+		}
+
+		void set_address(std::size_t other, const endpoint& address)
+		{
+			stored::agent row;
+			row.address = to_string(address);
+			store.put(agent_partition, agents_table, "other-" + std::to_string(other), encode_agent(row));
+		}
+
+		[[nodiscard]] bool has_confirmed_others() const
+		{
+			return std::none_of(other_agents.begin(), other_agents.end(),
+								[](const auto& other) { return other->received_confirms.empty(); });
+		}
+
+		std::vector<std::unique_ptr<testkit::agent_standin>> other_agents;
+	};
+}
+
+TEST_CASE("an owner that hears of fewer than half of its agents although the store answers releases the row", "[jobs]")
+{
+	// Guards against an owner that is cut off from other machines: it renews the row while all leases there expire.
+	partitioned_owner test{2};
+	test.cut_off_others();
+	REQUIRE(test.run_until([&] { return test.term_over; }));
+	CHECK(test.term->handed_over());
+}
+
+TEST_CASE("an owner that hears of half of its agents keeps the row", "[jobs]")
+{
+	partitioned_owner test{1};
+	test.cut_off_others();
+	const auto end = boottime_now() + std::chrono::seconds{9};
+	(void)test.run_until([&] { return test.term_over || boottime_now() > end; });
+	CHECK_FALSE(test.term_over);
+}
+
 TEST_CASE("an owner whose feed of agents is silent reads them and finds a new one", "[jobs]")
 {
 	// Guards against an owner that never places a task on the workers that have come since its feed fell silent.
