Agents: rows of a listing that cannot be read are neither left out nor listed for good

Callers would see: a task that runs twice, since a running row that could not be read looked like a run that is gone; and a worker whose ends are never heard any more, once its list of 500 is full of ends with unreadable names, which nobody acknowledged. A full list with one such end also looked as if it had room. Change: an end keeps its number and is acknowledged like any other, of no known task. Evidence: tests/worker_client.cpp, two tests; before: outcome `done` with the rows left out; after: as described.

--- a/tests/worker_client.cpp
+++ b/tests/worker_client.cpp
@@ -93,3 +93,26 @@
 	CHECK(start_outcome_of(R"({"clockMs":12})") == order_outcome::done);
 	CHECK(start_outcome_of(R"({"clockMs":12,"born":1700000000001})") == order_outcome::unknown);
 }
+
+TEST_CASE("a listing with a running row that cannot be read proves nothing", "[jobs]")
+{
+	// Guards against a run that counts as gone, and is started a second time, because its row could not be read.
+	CHECK(listing_of(R"({"clockMs":12,"running":[["no task name",2,"",10]],"finished":[]})").outcome ==
+		  order_outcome::unknown);
+	CHECK(listing_of(R"({"clockMs":12,"running":["no row"],"finished":[]})").outcome == order_outcome::unknown);
+}
+
+TEST_CASE("an end whose task cannot be read keeps its number, so that it can be acknowledged", "[jobs]")
+{
+	// Guards against a list of ends that stays full of rows that nobody acknowledges, and against a full list that
+	// looks as if it had room.
+	const auto listed = listing_of(
+		R"({"clockMs":12,"running":[],"finished":[[7,"no task name",2,"done",""],[8,"00000000000000a1.0.0.0",1,"done",""]]})");
+	REQUIRE(listed.outcome == order_outcome::done);
+	REQUIRE(listed.listing.ended.size() == 2);
+	CHECK(listed.listing.ended[0].number == 7);
+	CHECK(listed.listing.ended[0].run_id == task_run{});
+	CHECK(
+		listing_of(R"({"clockMs":12,"running":[],"finished":[["x","00000000000000a1.0.0.0",1,"done",""]]})").outcome ==
+		order_outcome::unknown);
+}
