--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -121,6 +121,31 @@
 	CHECK(placed[1].task.index == 2);
 }
 
+TEST_CASE("a long-running task waits for a worker of its own for a limited time", "[jobs]")
+{
+	job_table table;
+	add_job(table, job_of("batch", {group_of(1, 1'000)}));
+	add_job(table, job_of("serving", {long_running_group(1, 1'000)}));
+	assign(table, {job_id{"batch"}, 0, 0, 0}, worker_incarnation{"w1"}, start);
+	const task_key waiting{job_id{"serving"}, 0, 0, 0};
+	auto& task = *find_task(table, waiting);
+	task.phase_since = start;
+	task.crashes.blame = 1.0; // has to start alone
+	find_task(table, {job_id{"batch"}, 0, 0, 0})->suspicion_at_start = suspicion::suspected;
+	find_task(table, {job_id{"batch"}, 0, 0, 0})->crashes.blame = 0.2;
+	const auto place_at = [&](millis waited)
+	{
+		const placement_policy policy;
+		const pressure_model pressures;
+		std::vector<worker_room> rooms{room_of("w1")};
+		charge_workers(rooms, table, pressures, policy);
+		return place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {start + waited, 0}).size();
+	};
+	const crash_policy policy;
+	CHECK(place_at(policy.isolation_timeout_long_running - millis{1}) == 0);
+	CHECK(place_at(policy.isolation_timeout_long_running) == 1);
+}
+
 TEST_CASE("a worker that refuses starts again and again is tried again within the longest pause", "[jobs]")
 {
 	worker_trust trust;
