--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -293,3 +293,31 @@
 	CHECK(from_wire(test.refused[0].what) == run_manager_fixture::some_run);
 	CHECK(test.clock_ms > 2'500); // no earlier than the deadline of the start, on the worker's clock
 }
+
+// stored by one owner, and read by the next
+
+TEST_CASE("a new owner reserves a worker for a run that was started beside others for a limited time", "[jobs]")
+{
+	// A successor does not know how the run was started, so nothing else starts on its worker until it has lasted.
+	job_table table;
+	add_job(table, job_of("serving", {long_running_group(1, 1'000)}));
+	const task_key key{job_id{"serving"}, 0, 0, 0};
+	auto& task = *find_task(table, key);
+	task.phase_since = start;
+	add_crash(task.crashes, worker_incarnation{"w0"}, millis{1'000}, 1.0);
+	const crash_policy policy;
+	const auto run_id = assign(table, key, worker_incarnation{"w1"}, start + policy.isolation_timeout_long_running);
+	const auto is_reserved = [](const job_table& jobs)
+	{
+		std::vector<worker_room> rooms{room_of("w1")};
+		charge_workers(rooms, jobs, pressure_model{}, placement_policy{});
+		return rooms[0].reserved;
+	};
+	REQUIRE_FALSE(is_reserved(table));
+	const auto taken_over = start + std::chrono::seconds{10};
+	auto successor = successor_of(table, taken_over);
+	CHECK(is_reserved(successor));
+	confirm_run(successor, run_id, taken_over);
+	CHECK(lift_blame(successor, run_id, policy, taken_over + policy.lift_blame_after));
+	CHECK_FALSE(is_reserved(successor));
+}
