Crashes: a long-running task is held back instead of failing its job

Callers saw: a job of long-running tasks shown as failed, and all its tasks stopped for good, after five workers had crashed under one of them, though such tasks are to be started again however they end, and only ends "failed" may fail a job. A later owner cleared the same task 0.1 s after it was given up; nothing took that back. Cause: record_lost_run() failed the job of any task over the limit of crashes, once and for ever. Change: over the limit a long-running task is held back for 4 s, 16 s, 64 s and at last 120 s, then it starts alone; the other tasks of its job go on. Each round of the owner asks whether the limit still holds, so that evidence which arrives late releases the task at once. The row keeps the end of the hold in the store's clock, for takeovers; the phase stays "waiting", so that earlier versions start the task and lose nothing. Events E458, E459; counter tasks_held_back. Jobs that end by themselves are given up as before (E452).

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -90,6 +90,8 @@
 		blame_lifted = 455,
 		run_unlisted = 456,
 		tasks_cleared = 457,
+		task_held_back = 458,
+		task_released = 459,
 		job_turned_away = 460,
 		wave_begun = 480,
 		wave_refused = 481,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -24,7 +24,7 @@
 			event::worker_quarantined,   event::config_refused,      event::settings_refused,   event::worker_silent,
 			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,     event::job_refused,
 			event::job_unknown,          event::row_unreadable,      event::runs_overlap,       event::owner_behind,
-			event::owner_handed_on,      event::task_given_up,       event::instance_suspended,
+			event::owner_handed_on,      event::task_given_up,       event::instance_suspended, event::task_held_back,
 		};
 
 		constexpr std::initializer_list<event> event_list = {
@@ -70,7 +70,8 @@
 			event::upkeep_moved_on,      event::wave_completed,
 			event::wave_overdue,         event::waves_not_served,
 			event::instances_unknown,    event::run_unlisted,
-			event::tasks_cleared,
+			event::tasks_cleared,        event::task_held_back,
+			event::task_released,
 		};
 	}
 
@@ -224,6 +225,10 @@
 			return "blame_lifted";
 		case event::run_unlisted:
 			return "run_unlisted";
+		case event::task_held_back:
+			return "task_held_back";
+		case event::task_released:
+			return "task_released";
 		case event::tasks_cleared:
 			return "tasks_cleared";
 		case event::job_turned_away:
--- a/packages/entry/src/client/log_report.cpp
+++ b/packages/entry/src/client/log_report.cpp
@@ -39,6 +39,7 @@
 				{"worker_lapsed", report_mark_kind::worker},
 				{"worker_avoided", report_mark_kind::worker},
 				{"task_given_up", report_mark_kind::worker},
+				{"task_held_back", report_mark_kind::worker},
 				{"platform_unreachable", report_mark_kind::store},
 				{"platform_back", report_mark_kind::store},
 			};
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -161,6 +161,7 @@
 			placing_requested_ = false;
 			handle_expired_leases(now);
 			clear_mass_losses();
+			release_held_tasks(now);
 			move_tasks_for_upkeep(now);
 			log_stale_input(now);
 			if (may_act(now) && !releasing_ && !has_stale_input(now))
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -221,6 +221,8 @@
 		void record_crash(lost_worker& worker, instant now);
 		/// Clears tasks of the crashes of nearly all workers at the same time.
 		void clear_mass_losses();
+		/// Ends the hold of tasks whose time is over or whose crashes no longer count.
+		void release_held_tasks(instant now);
 		/// Workers that have not answered their agents since about \p heard although their agents report.
 		[[nodiscard]] std::vector<worker_incarnation>
 		find_silent_workers(instant last_response, const worker_incarnation& except, instant now) const;
@@ -240,10 +242,13 @@
 		/// Requeues the runs of a worker that reported a planned end.
 		void handle_planned_end(const agent_peer& peer, const wire::job_report& report, instant now);
 		void handle_lost_run(const lost_run& lost, const worker_incarnation& worker, instant now);
+		void log_held_back(const task_key& key, instant now);
 		/// Clears tasks whose runs on the worker have lasted long enough, and tasks suspected of crashing the worker
 		/// although it still responds.
 		void clear_suspects(const agent_peer& peer);
 		void restore_suspects(const job_state& job);
+		/// Converts the times until which tasks are held back from the store's clock.
+		void restore_held_tasks(job_state& job, instant now) const;
 		/// Removes entries of suspects_ that no longer count against their task.
 		void drop_cleared_suspects();
 
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -10,6 +10,7 @@
 #include "../upkeep/upkeep_controller.hpp"
 
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/jobs/held_tasks.hpp>
 #include <trailjunction/jobs/mass_losses.hpp>
 #include <trailjunction/wire/job_messages.hpp>
 
@@ -125,6 +126,8 @@
 										  {"next_start", to_string(suspicion_of(crashes))}});
 		metrics_.counter("tasks_suspected", "Times that a task was suspected of having crashed its worker.")
 			.Increment();
+		if (effect == end_effect::held_back)
+			log_held_back(key, now);
 		if (effect != end_effect::job_over)
 			return;
 		log_event(event::task_given_up, {{"task", to_string(key)}, {"workers", names_of(crashes)}});
@@ -132,6 +135,41 @@
 			.Increment();
 	}
 
+	void job_term::log_held_back(const task_key& key, instant now)
+	{
+		const auto& task = *find_task(table_, key);
+		log_event(event::task_held_back,
+				  {{"task", to_string(key)},
+				   {"workers", names_of(task.crashes)},
+				   {"hold_ms", std::chrono::duration_cast<millis>(task.held_until - now).count()}});
+		metrics_
+			.counter("tasks_held_back", "Times that a long-running task was held back since workers crashed under it.")
+			.Increment();
+	}
+
+	void job_term::release_held_tasks(instant now)
+	{
+		for (const auto& released : release_held_back(table_, default_crash_policy, now))
+			log_event(event::task_released, {{"task", to_string(released.task)}, {"why", to_string(released.reason)}});
+		for (const auto& key : table_.held_back)
+			if (auto& task = *find_task(table_, key); task.held_until_ms == 0)
+			{
+				task.held_until_ms = store_now_ms(task.held_until);
+				table_.unsaved.insert(key.job);
+			}
+	}
+
+	void job_term::restore_held_tasks(job_state& job, instant now) const
+	{
+		for (auto& task : job.tasks)
+			if (task.held_until_ms != 0)
+			{
+				const auto held_until = owned_.renewal_sent + millis{task.held_until_ms - owned_.store_ms};
+				// not longer than the whole time, should the store's clock have been set back
+				task.held_until = std::clamp(held_until, now, task.held_until);
+			}
+	}
+
 	std::vector<worker_incarnation> job_term::earlier_incarnations(const agent_peer& peer) const
 	{
 		// An agent reports an incarnation only after it has answered, and an agent has only one worker. So the earlier
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -217,6 +217,7 @@
 			}
 			log_taken_up(*job);
 			restore_suspects(*job);
+			restore_held_tasks(*job, now);
 			record_predicted_wait(*job);
 			add_job(table_, *std::move(job));
 		}
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -6,6 +6,7 @@
 #include "../upkeep/upkeep_controller.hpp"
 
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/jobs/held_tasks.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -102,6 +103,7 @@
 		const busy_scope scope{meter_, owner_duty::placing};
 		const decision_time decided_at{now, unix_now_ms()};
 		auto waiting = waiting_tasks(table_, decided_at.unix_ms);
+		remove_held_back(table_, waiting, now); // they must not delay the upkeep of instances
 		waiting_count_ = waiting.size();
 		if (waiting.empty())
 			return;
--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -13,8 +13,8 @@
 ///
 /// Its *count* is not divided and does not depend on blame. A task is given up after a third or fourth worker in a row
 /// has crashed under it if its last run had started alone, and after a fifth in any case. The count therefore bounds
-/// the starts of a task however blame is divided. A run that continues for long enough, or ends, clears both for its
-/// task; a run that got as old before its own worker crashed clears the crashes before it.
+/// the starts of a task however blame is divided. A long-running task is held back instead, see held_tasks.hpp. A run
+/// that continues for long enough, or ends, clears both; a run that got as old before it was lost clears earlier ones.
 ///
 /// Only crashes that one cause in the task can explain count together. A task that crashes its workers does so after
 /// about the same time, so no run of it gets far older than the run of another such crash. Crashes that contradict each
@@ -105,6 +105,15 @@
 		millis isolation_timeout_long_running{1'500};
 		/// The same for a task that ends by itself: isolating its next crash is worth the longer wait.
 		millis isolation_timeout{5'000};
+		/// A long-running task is held back for this long after max_prompt_crashes crashes. Users miss it after 3 s and
+		/// tolerate 6 s after its last run.
+		millis first_hold{4'000};
+		/// The time grows by this factor with each further crash. With first_hold, a task that crashes each worker at
+		/// once starts five times within a minute: users accept two more starts after three workers have crashed.
+		int hold_growth{4};
+		/// The longest time for which a task is held back. A task that crashes its workers costs one crash in this
+		/// time; a harmless one returns within it once whatever crashed its workers is over.
+		millis max_hold{120'000};
 		/// A run older than this is not suspected of a crash. Long-running tasks see workers crash for other reasons
 		/// from time to time and must not be given up for that. No run needs longer than this to clear its task.
 		millis max_suspect_age{10'000};
@@ -122,6 +131,10 @@
 		std::optional<millis> upper_bound; ///< The run had been ordered this long before; empty if that is not known.
 	};
 
+	/// \brief The earliest crashes of a task are forgotten beyond this number, to limit the size of its stored row.
+	/// Higher than any limit of crash_policy and than the number at which crash_policy::max_hold is reached.
+	inline constexpr std::size_t max_recorded_crashes = 16;
+
 	/// \brief The crashes that count against a task, and what is known of their timing.
 	struct crash_record
 	{
@@ -224,7 +237,7 @@
 	/// task, whether its worker's last report arrived or not.
 	void clear_outlived_crashes(crash_record& record, const crash_age& lost, const crash_policy& policy);
 
-	/// \brief Whether the task must not be started again.
+	/// \brief Whether the task must not be started again or, if it is long-running, is held back.
 	/// \param alone Whether the latest run was started alone, so that the crash was its own. A run that started beside
 	/// others after a long wait may have been on the worker by chance: it is tried once or twice more.
 	[[nodiscard]] bool is_given_up(const crash_record& record, bool alone, const crash_policy& policy) noexcept;
--- a/packages/jobs/include/trailjunction/jobs/job_crashes.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_crashes.hpp
@@ -17,7 +17,7 @@
 	[[nodiscard]] suspicion task_suspicion(const job_state& job, const task_key& key);
 
 	/// \brief How a waiting task may be started now: task_suspicion(), but a task that has waited to start alone for
-	/// its isolation timeout starts like any suspected task.
+	/// its isolation timeout starts like any suspected task. The time for which it was held back does not count.
 	[[nodiscard]] suspicion effective_suspicion(const job_state& job, const task_key& key, instant now);
 
 	/// \brief How a placed run restricts its worker: as it was started, or less if its task was cleared since.
@@ -48,8 +48,8 @@
 														  bool crashed, const crash_policy& policy);
 
 	/// \brief Records that a run has ended with its worker. A task under which too many workers have crashed fails, and
-	/// its job with it, even if the task is long-running. A crash under a member of a gang counts against all members,
-	/// once per run.
+	/// its job with it; a long-running task is held back instead. A crash under a member of a gang counts against all
+	/// members, once per run.
 	/// \details A correlated crash does not count if an earlier run of the task got older.
 	end_effect record_lost_run(job_table& table, const lost_run& lost, const worker_incarnation& worker,
 							   const crash_policy& policy, instant now);
--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -47,7 +47,11 @@
 		std::uint32_t crashed_run{};                   ///< The latest run whose crash is counted.
 		std::int64_t measurement{}; ///< The last figure that the worker reported; see job_run in wire.thrift.
 		instant stop_ordered_at{};  ///< When its worker was last ordered to stop the latest run; not stored.
-		bool is_serving{};          ///< Its worker reports that the latest run serves callers; long-running tasks only.
+		/// Not started before this because too many workers have crashed under it; instant{} if it is not held back.
+		/// Once this time has passed, the task waits to be started alone. See held_tasks.hpp.
+		instant held_until{};
+		std::int64_t held_until_ms{}; ///< held_until in ms of the store's clock; 0 if that is not known yet.
+		bool is_serving{}; ///< Its worker reports that the latest run serves callers; long-running tasks only.
 	};
 
 	/// \brief The status of a job.
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -52,6 +52,8 @@
 		absl::flat_hash_set<worker_incarnation> changed_workers;
 		/// Jobs that runs_to_stop() inspects: those that ended while they had runs, and those with gangs.
 		absl::flat_hash_set<job_id> stop_candidates;
+		/// Tasks whose job_task::held_until has not passed when release_held_back() last inspected them.
+		absl::flat_hash_set<task_key> held_back;
 		planned_moves moves; ///< Runs that are stopped so that their tasks continue elsewhere.
 		recent_crashes crashes;
 		run_times run_time_model; ///< Measured run times of tasks, by queue.
@@ -99,9 +101,10 @@
 	/// \brief Effect of the end of a run.
 	enum class end_effect : std::uint8_t
 	{
-		ignored,  ///< Not the latest run, or it had ended before.
-		recorded, ///< The job continues.
-		job_over, ///< The job has ended with this run.
+		ignored,   ///< Not the latest run, or it had ended before.
+		recorded,  ///< The job continues.
+		held_back, ///< The job continues, and its task is held back; see held_tasks.hpp.
+		job_over,  ///< The job has ended with this run.
 	};
 
 	/// \brief Records the end of a run. If one member of a gang is done, all its members are.
--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -52,7 +52,8 @@
 	/// is back; tasks of hopeless jobs last; then by the job's merit, see job_merit.hpp. The merit of a job rises as
 	/// its remaining work shrinks, so started jobs finish before others begin.
 	///
-	/// \param waiting As returned by waiting_tasks(): the tasks of each group are consecutive.
+	/// \param waiting As returned by waiting_tasks(): the tasks of each group are consecutive. Those that are held back
+	/// are left out.
 	/// \returns Tasks of the same group and occurrence stay consecutive; within them, starving tasks come first, and
 	/// those with the same crash suspicion stay consecutive.
 	[[nodiscard]] std::vector<placement_request> order_requests(const job_table& table, std::vector<task_key> waiting,
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -65,6 +65,7 @@
 	14: i32 crashed_run,        // the latest run whose crash is counted
 	15: list<i64> crash_survived_each_ms, // lower bounds of the ages at the crashes in crashed; may be shorter
 	16: list<i64> crash_latest_each_ms,   // upper bounds of these ages, or -1 if unknown; may be shorter
+	17: optional i64 held_until_ms, // in ms of the store's clock, or 0 if unknown; unset if the task is not held back
 }
 
 /** The progress of a job; written only by the owner of its shard. */
--- a/packages/jobs/src/crash_suspicion.cpp
+++ b/packages/jobs/src/crash_suspicion.cpp
@@ -115,6 +115,12 @@
 			return;
 		record.workers.push_back(worker);
 		record.ages.push_back(bounds);
+		if (record.workers.size() > max_recorded_crashes)
+		{
+			std::erase(record.correlated, record.workers.front());
+			record.workers.erase(record.workers.begin());
+			record.ages.erase(record.ages.begin());
+		}
 		record.max_age = std::max(record.max_age, age);
 		record.blame += blame;
 	}
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "job_tasks.hpp"
 
+#include <trailjunction/jobs/held_tasks.hpp>
 #include <trailjunction/jobs/job_crashes.hpp>
 
 #include <algorithm>
@@ -320,10 +321,12 @@
 	suspicion effective_suspicion(const job_state& job, const task_key& key, instant now)
 	{
 		const auto level = task_suspicion(job, key);
-		const auto waited = now - job.tasks[task_index(job, key)].phase_since;
+		const auto& task = job.tasks[task_index(job, key)];
+		const auto waited = now - std::max(task.phase_since, task.held_until);
 		constexpr crash_policy policy{};
-		const auto timeout =
-			group_of(job, key).long_running ? policy.isolation_timeout_long_running : policy.isolation_timeout;
+		// A task that was held back has been missing anyway, and its next crash is likely.
+		const bool is_urgent = group_of(job, key).long_running && task.held_until == instant{};
+		const auto timeout = is_urgent ? policy.isolation_timeout_long_running : policy.isolation_timeout;
 		return waited >= timeout ? std::min(level, suspicion::suspected) : level;
 	}
 
@@ -393,6 +396,11 @@
 		const bool alone = lost.suspicion_at_start == suspicion::likely || group_of(job, lost.run_id.task).gang;
 		if (has_ended(job.status) || !is_given_up(task->crashes, alone, policy))
 			return effect;
+		if (group_of(job, lost.run_id.task).long_running)
+		{
+			hold_back(table, lost.run_id.task, policy, now);
+			return end_effect::held_back;
+		}
 		task->phase = task_stage::failed;
 		job.status = job_status::failed;
 		table.stop_candidates.insert(job.id);
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: MIT
+#include <trailjunction/jobs/held_tasks.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -244,6 +245,8 @@
 			to.crash_survived_ms = from.crashes.longest_survived.count();
 			if (from.crashes.earliest_crash)
 				to.__set_crash_soonest_ms(from.crashes.earliest_crash->count());
+			if (from.phase == task_stage::waiting && from.held_until != instant{})
+				to.__set_held_until_ms(from.held_until_ms);
 			row.tasks.push_back(std::move(to));
 		}
 		return encode(row);
@@ -276,6 +279,12 @@
 				return crashes.status();
 			to.crashes = *std::move(crashes);
 			to.suspicion_at_start = suspicion_of(to.crashes);
+			if (from.__isset.held_until_ms)
+			{
+				// The caller knows the store's clock; otherwise the time begins anew.
+				to.held_until = now + hold_time(to.crashes, {});
+				to.held_until_ms = from.held_until_ms;
+			}
 			if (to.phase != task_stage::ordered)
 				continue;
 			if (!is_worker_index(*row, from.worker))
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -218,6 +218,8 @@
 				table.placed[job.tasks[i].worker].insert(task_key_at(job, i));
 				table.changed_workers.insert(job.tasks[i].worker);
 			}
+			else if (job.tasks[i].held_until != instant{})
+				table.held_back.insert(task_key_at(job, i));
 		const bool gangs = std::any_of(job.spec.groups.begin(), job.spec.groups.end(),
 									   [](const task_group& group) { return group.gang; });
 		if (gangs || has_ended(job.status))
@@ -248,6 +250,8 @@
 		task.worker = worker;
 		task.phase_since = now;
 		task.ordered_at = now;
+		task.held_until = instant{};
+		task.held_until_ms = 0;
 		task.stop_ordered_at = instant{};
 		task.run = next_run(job, key, task);
 		if (job.status == job_status::queued)
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "waiting_groups.hpp"
 
+#include <trailjunction/jobs/held_tasks.hpp>
 #include <trailjunction/jobs/job_crashes.hpp>
 #include <trailjunction/jobs/placement_order.hpp>
 
@@ -151,6 +152,7 @@
 	std::vector<placement_request> order_requests(const job_table& table, std::vector<task_key> waiting,
 												  decision_time at)
 	{
+		remove_held_back(table, waiting, at.now);
 		// Tasks of a group have the same precedence, so groups are sorted instead of tasks: with 1,600 waiting tasks of
 		// 40 groups, sorting the tasks took 27 % of the instructions of a round.
 		std::vector<waiting_group> groups;
--- a/tests/crash_evidence.cpp
+++ b/tests/crash_evidence.cpp
@@ -7,6 +7,9 @@
 #include "job_fixtures.hpp"
 
 #include <catch2/catch.hpp>
+#include <jobs_types.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
 
 using namespace trailjunction;
 using namespace trailjunction::job_fixtures;
@@ -81,6 +84,25 @@
 		return out;
 	}
 
+	/// The row of a job as a version wrote it that did not store the age at each crash.
+	std::string without_ages(const std::string& text)
+	{
+		using apache::thrift::transport::TMemoryBuffer;
+		const auto buffer = std::make_shared<TMemoryBuffer>();
+		buffer->write(reinterpret_cast<const std::uint8_t*>(text.data()), static_cast<std::uint32_t>(text.size()));
+		apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol{buffer};
+		stored::progress row;
+		row.read(&protocol);
+		for (auto& task : row.tasks)
+		{
+			task.crash_survived_each_ms.clear();
+			task.crash_latest_each_ms.clear();
+		}
+		buffer->resetBuffer();
+		row.write(&protocol);
+		return buffer->getBufferAsString();
+	}
+
 	crash_age exactly(int age_ms)
 	{
 		return {millis{age_ms}, millis{age_ms}};
@@ -177,3 +199,16 @@
 	CHECK(record.ages[1].upper_bound == millis{300});
 	CHECK(count_consistent(record, policy) == 1);
 }
+
+TEST_CASE("crashes in rows of earlier versions, which have no ages, count in full", "[jobs]")
+{
+	scene test{true};
+	test.crash_after(millis{2'000});
+	test.crash_after(millis{300});
+	test.crash_after(millis{300});
+	auto job = job_of("a", find_job(test.table, some_task.job)->spec.groups);
+	REQUIRE(decode_progress(job, without_ages(encode_progress(*find_job(test.table, some_task.job))), test.now).ok());
+	CHECK(job.tasks[0].crashes.workers.size() == 3);
+	CHECK(count_consistent(test.record(), policy) == 2);
+	CHECK(count_consistent(job.tasks[0].crashes, policy) == 3);
+}
--- a/tests/crashing_tasks.cpp
+++ b/tests/crashing_tasks.cpp
@@ -109,6 +109,39 @@
 	CHECK(system.start_count(first_task(harmful_job)) <= max_starts);
 }
 
+TEST_CASE("a long-running task that crashes each worker is held back, also by the next owner, and returns afterwards",
+		  "[process]")
+{
+	constexpr int workers = 3;
+	constexpr int tasks = 2;
+	job_cluster system{cluster_options(workers)};
+	INFO(system.logs());
+	REQUIRE(system.wait_ready());
+	for (int i = 0; i < workers; ++i)
+		system.with_worker(i, [](worker_standin& worker) { worker.crashing_tasks.insert(first_task(harmful_job)); });
+	REQUIRE(system.submit_long_running(0, harmful_job, tasks) == 200);
+	REQUIRE(job_cluster::wait_until([&] { return !system.log_lines_with("task_held_back").empty(); }, max_wait));
+	const auto owner = system.owner();
+	REQUIRE(owner >= 0);
+	system.restart_entry(owner);
+	const auto starts_when_held = system.start_count(first_task(harmful_job));
+	CHECK(job_cluster::wait_until([&] { return system.start_count(first_task(harmful_job)) > starts_when_held; },
+								  max_wait));
+	CHECK(system.start_count(first_task(harmful_job)) <= max_starts);
+	for (int i = 0; i < workers; ++i)
+		system.with_worker(i, [](worker_standin& worker) { worker.crashing_tasks.clear(); });
+	const auto runs = [&](const std::string& task)
+	{
+		const auto started = system.all_started_runs();
+		return std::any_of(started.begin(), started.end(),
+						   [&](const worker_standin::started_run& run) { return run.task == task && !run.ended_at; });
+	};
+	CHECK(job_cluster::wait_until(
+		[&] { return runs(first_task(harmful_job)) && runs(harmful_job + std::string{".0.0.1"}); }, 2 * max_wait));
+	CHECK(system.state(1, harmful_job) != "failed");
+	CHECK(system.log_lines_with("task_given_up").empty());
+}
+
 TEST_CASE("tasks are not given up when their worker crashes repeatedly by itself", "[process]")
 {
 	constexpr int workers = 3;
