Owners: long-running tasks without a run are counted by reason and logged

What operators saw: a long-running task that had no run left no trace beyond the lines of what had happened to it, and a job of them that failed looked like any other failed job. Nothing told that something should run and did not.

Change: find_idle_long_running() finds, once a second, each long-running task that has had no confirmed run for longer than 3 s, since when, and why, from a closed set of reasons: its job failed, it is not due, the owner may not act or has stale input, no worker, workers refuse, no room, it is suspected, workers are reserved, not chosen, not ordered yet, ordered and not confirmed, its worker is silent. held_back has no producer yet. Waiting tasks that are alike share one look at the workers; the time goes into owner_busy_seconds_total{duty="idle_search"} and E444. A task that was lost with its worker counts as idle since that worker was last heard, also if its lease expires later.

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -93,6 +93,8 @@
 		task_held_back = 458,
 		task_released = 459,
 		job_turned_away = 460,
+		long_running_idle = 461,
+		idle_ended = 462,
 		wave_begun = 480,
 		wave_refused = 481,
 		wave_changed = 482,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -25,6 +25,7 @@
 			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,     event::job_refused,
 			event::job_unknown,          event::row_unreadable,      event::runs_overlap,       event::owner_behind,
 			event::owner_handed_on,      event::task_given_up,       event::instance_suspended, event::task_held_back,
+			event::long_running_idle,
 		};
 
 		constexpr std::initializer_list<event> event_list = {
@@ -71,7 +72,8 @@
 			event::wave_overdue,         event::waves_not_served,
 			event::instances_unknown,    event::run_unlisted,
 			event::tasks_cleared,        event::task_held_back,
-			event::task_released,
+			event::task_released,        event::long_running_idle,
+			event::idle_ended,
 		};
 	}
 
@@ -231,6 +233,10 @@
 			return "task_released";
 		case event::tasks_cleared:
 			return "tasks_cleared";
+		case event::long_running_idle:
+			return "long_running_idle";
+		case event::idle_ended:
+			return "idle_ended";
 		case event::job_turned_away:
 			return "job_turned_away";
 		case event::wave_begun:
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -95,6 +95,7 @@
 		  committed_at_{began_at_},
 		  commit_gap_{min_commit_gap},
 		  meter_{metrics, began_at_},
+		  idle_meter_{metrics},
 		  work_timer_{io}
 	{
 		if (upkeep != nullptr && settings_.upkeep)
@@ -185,6 +186,7 @@
 		}
 		over_ = true;
 		ended_log_.flush();
+		idle_meter_.clear();
 		for (const auto& [name, peer] : peers_)
 			peer->stop();
 	}
@@ -426,7 +428,10 @@
 			order_committed_start(run_id, now);
 		for (const auto& id : durable_batch.saved)
 			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
+			{
 				log_event(event::job_ended, {{"job", id.str()}, {"status", to_string(job->status)}});
+				note_failed_long_running(*job);
+			}
 		stop_needless_runs(now);
 		if (!owned_.row.loaded)
 			return;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -5,12 +5,14 @@
 
 #include "../connection/agent_peer.hpp"
 #include "evacuation_follower.hpp"
+#include "idle_meter.hpp"
 #include "owner_meter.hpp"
 #include "run_log.hpp"
 
 #include <trailjunction/entry/job_entry_settings.hpp>
 #include <trailjunction/entry/job_gateway.hpp>
 #include <trailjunction/jobs/filler_pressure.hpp>
+#include <trailjunction/jobs/idle_long_running.hpp>
 #include <trailjunction/jobs/job_crashes.hpp>
 #include <trailjunction/jobs/job_placement.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
@@ -142,6 +144,14 @@
 		[[nodiscard]] std::int64_t store_now_ms(instant now) const noexcept;
 		[[nodiscard]] bool may_act(instant now) const noexcept;
 
+		// job_term_idle.cpp: long-running tasks without a run
+		/// Reports the long-running tasks without a run, by reason, when the next search is due.
+		void report_idle_if_due(instant now);
+		[[nodiscard]] idle_context make_idle_context(instant now);
+		void log_idle_changes(const idle_changes& changes) const;
+		/// Reports the long-running tasks of a job that has failed.
+		void note_failed_long_running(const job_state& job);
+
 		// job_term_inputs.cpp: input from the store
 		boost::asio::awaitable<void> follow_submissions();
 		boost::asio::awaitable<void> follow_agents();
@@ -290,6 +300,9 @@
 		/// reports.
 		millis commit_gap_{};
 		owner_meter meter_;
+		idle_meter idle_meter_;
+		idle_reports idle_reports_;
+		instant idle_searched_at_{};
 		run_log ordered_log_{event::run_ordered};
 		run_log ended_log_{event::run_ended};
 		instant ends_logged_at_{};
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -94,11 +94,15 @@
 										 {"crashed", crashed ? 1 : 0},
 										 {"runs", lost.size()},
 										 {"silent_beside", worker.silent_workers.size()}});
+		const auto confirmed = confirmed_at_.find(worker.incarnation);
+		const auto last_heard =
+			worker.last_response.value_or(confirmed == confirmed_at_.end() ? now : confirmed->second);
 		for (auto& run : lost)
 		{
 			if (pending_starts_.contains(run.run_id))
 				run.age.reset(); // it was never ordered
 			handle_lost_run(run, worker.incarnation, now);
+			note_idle_since(table_, run.run_id.task, last_heard);
 		}
 	}
 
--- a/packages/entry/src/process/job_term_load.cpp
+++ b/packages/entry/src/process/job_term_load.cpp
@@ -65,6 +65,7 @@
 			const std::chrono::nanoseconds lag = now - due;
 			meter_.load.longest_lag = std::max(meter_.load.longest_lag, lag);
 			hand_over_if_behind(lag, now);
+			report_idle_if_due(now);
 			if (now - logged_at < load_log_interval)
 				continue;
 			logged_at = now;
@@ -132,6 +133,7 @@
 									  {"saving_ms", busy(owner_duty::saving)},
 									  {"acting_ms", busy(owner_duty::acting)},
 									  {"reading_ms", busy(owner_duty::reading)},
+									  {"idle_search_ms", busy(owner_duty::idle_search)},
 									  {"longest_lag_ms", ms(load.longest_lag)},
 									  {"reports", load.reports},
 									  {"ordered", load.ordered},
--- a/packages/entry/src/process/owner_meter.cpp
+++ b/packages/entry/src/process/owner_meter.cpp
@@ -20,6 +20,8 @@
 			return "acting";
 		case owner_duty::reading:
 			return "reading";
+		case owner_duty::idle_search:
+			return "idle_search";
 		}
 		return "unnamed";
 	}
--- a/packages/entry/src/process/owner_meter.hpp
+++ b/packages/entry/src/process/owner_meter.hpp
@@ -16,14 +16,15 @@
 	/// \brief The kinds of work on the thread of a job owner.
 	enum class owner_duty : std::uint8_t
 	{
-		reports, ///< Processes reports of agents.
-		placing, ///< Chooses workers for waiting tasks.
-		saving,  ///< Builds transactions from changed jobs.
-		acting,  ///< Sends orders after their commit.
-		reading, ///< Decodes rows of the store.
+		reports,     ///< Processes reports of agents.
+		placing,     ///< Chooses workers for waiting tasks.
+		saving,      ///< Builds transactions from changed jobs.
+		acting,      ///< Sends orders after their commit.
+		reading,     ///< Decodes rows of the store.
+		idle_search, ///< Looks for long-running tasks without a run.
 	};
 
-	inline constexpr std::size_t owner_duty_count = 5;
+	inline constexpr std::size_t owner_duty_count = 6;
 
 	[[nodiscard]] std::string_view to_string(owner_duty duty) noexcept;
 
--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -10,6 +10,7 @@
 #include "jobs/filler_pacing.hpp"
 #include "jobs/filler_pressure.hpp"
 #include "jobs/held_tasks.hpp"
+#include "jobs/idle_long_running.hpp"
 #include "jobs/job_configuration.hpp"
 #include "jobs/job_crashes.hpp"
 #include "jobs/job_fwd.hpp"
--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -39,6 +39,7 @@
 		worker_incarnation worker;                     ///< Worker of the latest run, while ordered or running.
 		std::string checkpoint;                        ///< Where the next run resumes.
 		instant phase_since{};                         ///< Start of the present phase; not stored.
+		instant idle_since{};                          ///< End of the last confirmed run in this term; not stored.
 		instant ordered_at{};                          ///< When the latest run was assigned to its worker; not stored.
 		worker_incarnation failed_on;                  ///< Worker of the latest failure; not stored.
 		std::uint32_t failed_run{};                    ///< The latest run whose failure is counted.
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -107,6 +107,9 @@
 		job_over,  ///< The job has ended with this run.
 	};
 
+	/// \brief Records that a task has had no run since \p when, earlier than its latest run was found to be lost.
+	void note_idle_since(job_table& table, const task_key& key, instant when) noexcept;
+
 	/// \brief Records the end of a run. If one member of a gang is done, all its members are.
 	/// \param checkpoint Where the next run may resume; empty keeps the previous checkpoint.
 	end_effect end_run(job_table& table, const task_run& run_id, run_outcome outcome, const std::string& checkpoint,
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -271,6 +271,12 @@
 		task->phase_since = now;
 	}
 
+	void note_idle_since(job_table& table, const task_key& key, instant when) noexcept
+	{
+		if (auto* task = find_task(table, key); task != nullptr)
+			task->idle_since = std::min(task->idle_since, when);
+	}
+
 	end_effect end_run(job_table& table, const task_run& run_id, run_outcome outcome, const std::string& checkpoint,
 					   instant now)
 	{
@@ -280,6 +286,8 @@
 		auto& job = *find_job(table, run_id.task.job);
 		const auto& group = group_of(job, run_id.task);
 		const auto worker = task->worker;
+		if (task->phase == task_stage::running)
+			task->idle_since = now;
 		if (outcome == run_outcome::done && !group.long_running)
 			record_run_time(table, job, run_id, *task, now);
 		remove_from_worker(table, run_id.task, *task);
--- a/packages/net/include/trailjunction/net/process_metrics.hpp
+++ b/packages/net/include/trailjunction/net/process_metrics.hpp
@@ -28,8 +28,9 @@
 		/// \brief Registers a counter `trailjunction_NAME_total`, with one label if \p label is not empty.
 		[[nodiscard]] prometheus::Counter& counter(const std::string& name, const std::string& help,
 												   const std::string& label = "", const std::string& value = "");
-		/// \brief Registers a gauge `trailjunction_NAME`.
-		[[nodiscard]] prometheus::Gauge& gauge(const std::string& name, const std::string& help);
+		/// \brief Registers a gauge `trailjunction_NAME`, with one label if \p label is not empty.
+		[[nodiscard]] prometheus::Gauge& gauge(const std::string& name, const std::string& help,
+											   const std::string& label = "", const std::string& value = "");
 		/// \brief Registers a histogram `trailjunction_NAME_seconds`.
 		[[nodiscard]] prometheus::Histogram& histogram(const std::string& name, const std::string& help);
 
--- a/packages/net/src/process_metrics.cpp
+++ b/packages/net/src/process_metrics.cpp
@@ -26,9 +26,11 @@
 		return family.Add(labels_of(label, value));
 	}
 
-	prometheus::Gauge& process_metrics::gauge(const std::string& name, const std::string& help)
+	prometheus::Gauge& process_metrics::gauge(const std::string& name, const std::string& help,
+											  const std::string& label, const std::string& value)
 	{
-		return prometheus::BuildGauge().Name("trailjunction_" + name).Help(help).Register(*registry_).Add({});
+		auto& family = prometheus::BuildGauge().Name("trailjunction_" + name).Help(help).Register(*registry_);
+		return family.Add(labels_of(label, value));
 	}
 
 	prometheus::Histogram& process_metrics::histogram(const std::string& name, const std::string& help)
