Agents: an incarnation that states the former one's start time is told apart by its counts

In both, an instance's clock was set back, and the worker stated the start time of its former incarnation. The agent took the two for one: it dropped the ends of the new incarnation, whose numbers were below the one up to which ends were stored, and its next call acknowledged them to the worker. No owner ever heard of them (no E421 in the logs).

Within one incarnation the worker's clock never goes back, and an end whose number is not above all before was in the listing before. A listing that contradicts either is of another incarnation, which begins under a name of its own, so that lease, numbers, fencing token and runs begin anew here and at the owner, as for any other restart.

--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -92,11 +92,17 @@
 			}
 			const auto port = port_;
 			const auto incarnation_id = worker_->incarnation;
+			const auto clock_before_ms = worker_clock_ms_;
 			const auto order = next_listing_order();
 			const auto deadline = boottime_now() + order.max_wait + worker_call_timeout;
 			auto result = co_await port->list(authority(), order, deadline);
 			if (!is_current(incarnation_id))
 				continue;
+			if (stated_name_.start_time() && shows_restart(listing_memory_, clock_before_ms, result))
+			{
+				begin_incarnation_of_same_name();
+				continue;
+			}
 			record_result(result, boottime_now());
 			has_just_stated_start_time_ = result.outcome == order_outcome::done && only_asks(order);
 			if (result.outcome == order_outcome::fenced)
@@ -141,6 +147,7 @@
 		// While the list of ends is full, the absence of a run proves nothing: its end may be listed later.
 		if (listing.ended.size() < max_listed_ends)
 			++listing_count_;
+		record_listing(listing_memory_, listing);
 		note_unlisted_runs(listing);
 		absl::flat_hash_map<task_run, tracked_run> listed_runs;
 		for (auto& run : listing.running)
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -42,9 +42,10 @@
 	{
 		if (!worker_)
 		{
-			begin_incarnation(heartbeat);
+			begin_incarnation(heartbeat, heartbeat.incarnation);
 			return;
 		}
+		heartbeat.incarnation = reported_name(heartbeat.incarnation);
 		if (worker_->incarnation != heartbeat.incarnation)
 		{
 			// A heartbeat of a former incarnation may arrive after those of the next one, also under the same id.
@@ -104,7 +105,10 @@
 		if (result.outcome == order_outcome::fenced && same_id)
 			raise_fencing_token(result.clock_ms);
 		if (is_proof)
-			begin_incarnation(heartbeat);
+		{
+			name_repetitions_ = 0;
+			begin_incarnation(heartbeat, heartbeat.incarnation);
+		}
 		else
 			log_event(event::heartbeat_ignored, {{"worker", heartbeat.incarnation.str()},
 												 {"current", worker_->incarnation.str()},
@@ -121,7 +125,23 @@
 		ages_.clear();
 	}
 
-	void run_manager::begin_incarnation(const worker_heartbeat& heartbeat)
+	worker_incarnation run_manager::reported_name(const worker_incarnation& stated_name) const
+	{
+		return worker_ && stated_name == stated_name_ ? worker_->incarnation : stated_name;
+	}
+
+	void run_manager::begin_incarnation_of_same_name()
+	{
+		auto heartbeat = *worker_;
+		heartbeat.incarnation = with_repeated_start_time(stated_name_, ++name_repetitions_);
+		heartbeat.sequence = 0;
+		heartbeat.clock_ms = 0;
+		const auto heard_at = heartbeat_at_;
+		begin_incarnation(heartbeat, worker_incarnation{stated_name_});
+		heartbeat_at_ = heard_at; // none of this incarnation has arrived yet
+	}
+
+	void run_manager::begin_incarnation(const worker_heartbeat& heartbeat, const worker_incarnation& stated_name)
 	{
 		record_lost_incarnation();
 		// Without a lease here, the runs of the next incarnation may have been started by an earlier process.
@@ -134,10 +154,12 @@
 		if (!port_ || worker_->address != heartbeat.address)
 			port_ = make_port_(heartbeat.address);
 		worker_ = heartbeat;
+		stated_name_ = stated_name;
+		listing_memory_ = {};
 		heartbeat_at_ = boottime_now();
 		// Above the tokens of all orders to former incarnations: one that is carried out late is refused as soon as
 		// this incarnation has answered one call.
-		fencing_token_ = std::max(fencing_token_ + 1, fencing_token_of(heartbeat.incarnation, heartbeat.clock_ms));
+		fencing_token_ = std::max(fencing_token_ + 1, fencing_token_of(stated_name, heartbeat.clock_ms));
 		fencing_token_step_ = first_fencing_token_step;
 		worker_clock_ms_ = 0;
 		lease_deadline_ms_ = 0;
@@ -166,7 +188,7 @@
 
 	void run_manager::on_worker_leaving(const worker_incarnation& incarnation_id)
 	{
-		if (!refers_to_current(incarnation_id))
+		if (!refers_to_current(reported_name(incarnation_id)))
 			return;
 		log_event(event::worker_gone, {{"worker", worker_->incarnation.str()}});
 		worker_->draining = true;
@@ -210,7 +232,7 @@
 
 	order_authority run_manager::authority() const
 	{
-		return {worker_->incarnation, fencing_token_};
+		return {stated_name_, fencing_token_};
 	}
 
 	instant run_manager::adjusted_clock_read_time() const noexcept
@@ -243,8 +265,8 @@
 
 	void run_manager::raise_fencing_token(std::int64_t worker_clock_ms)
 	{
-		fencing_token_ = std::max(fencing_token_ + fencing_token_step_.count(),
-								  fencing_token_of(worker_->incarnation, worker_clock_ms));
+		fencing_token_ =
+			std::max(fencing_token_ + fencing_token_step_.count(), fencing_token_of(stated_name_, worker_clock_ms));
 		fencing_token_step_ *= 2;
 	}
 
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -3,6 +3,7 @@
 /// \brief Manages the runs of one worker for a job agent: orders to the worker, its listings, its lease.
 #pragma once
 
+#include "listing_memory.hpp"
 #include "run_ages.hpp"
 #include "unlisted_runs.hpp"
 
@@ -141,7 +142,11 @@
 		[[nodiscard]] std::vector<task_run> fillers_to_pace(instant now) const;
 		[[nodiscard]] int mean_pace() const noexcept;
 		void record_result(const order_result& result, instant answered_at);
-		void begin_incarnation(const worker_heartbeat& heartbeat);
+		/// \param heartbeat With the name under which the incarnation is reported to owners.
+		/// \param stated_name The name that the worker states.
+		void begin_incarnation(const worker_heartbeat& heartbeat, const worker_incarnation& stated_name);
+		/// Begins an incarnation that states the name of the current one, under a name of its own.
+		void begin_incarnation_of_same_name();
 		/// Records that the process of the worker has ended after its notice, so that its lease need not be waited for.
 		void record_worker_exit();
 		/// Records the runs of the previous incarnation with their ages.
@@ -171,6 +176,8 @@
 		/// Raises the fencing token above one that the worker has seen from an earlier process of this agent.
 		void raise_fencing_token(std::int64_t worker_clock_ms);
 		[[nodiscard]] bool has_ended(const task_run& id) const noexcept;
+		/// The name under which an incarnation is reported to owners.
+		[[nodiscard]] worker_incarnation reported_name(const worker_incarnation& stated_name) const;
 		[[nodiscard]] order_authority authority() const;
 		[[nodiscard]] std::int64_t worker_now_ms(instant now) const noexcept;
 		/// Time at which the worker's clock was read, moved later by the suspension of this instance since then.
@@ -182,7 +189,10 @@
 		pacing_policy pacing_;
 		std::function<void()> request_report_;
 		std::shared_ptr<worker_port> port_;
-		std::optional<worker_heartbeat> worker_;
+		std::optional<worker_heartbeat> worker_; ///< With the name under which it is reported to owners.
+		worker_incarnation stated_name_;         ///< The name that the current incarnation states itself.
+		std::uint32_t name_repetitions_{};       ///< Incarnations before the current one that stated the same name.
+		listing_memory listing_memory_;
 		instant heartbeat_at_{}; ///< Arrival of the latest heartbeat of the current incarnation.
 		absl::flat_hash_set<worker_incarnation> probed_incarnations_; ///< Incarnations to which a probe is in flight.
 		millis lease_{};
--- a/packages/jobs/include/trailjunction/jobs/worker_incarnation.hpp
+++ b/packages/jobs/include/trailjunction/jobs/worker_incarnation.hpp
@@ -7,6 +7,7 @@
 #include <trailjunction/core/strong_id.hpp>
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -75,6 +76,19 @@
 		return name.id() == worker.id() && (!name.start_time() || name.start_time() == worker.start_time());
 	}
 
+	/// \brief A name for an incarnation that states the start time of an earlier one under the same id.
+	/// \param stated The name that both state.
+	/// \param repetitions Number of earlier incarnations with that name; at least 1.
+	/// \details Start times are only compared for equality, so any value that no clock shows will do.
+	[[nodiscard]] inline worker_incarnation with_repeated_start_time(const worker_incarnation& stated,
+																	 std::uint32_t repetitions)
+	{
+		constexpr int bits_of_unix_ms = 48; // suffice for some thousand years
+		const auto start_time = stated.start_time().value_or(worker_start_time{});
+		return worker_incarnation{
+			stated.id(), worker_start_time{start_time.value + (std::uint64_t{repetitions} << bits_of_unix_ms)}};
+	}
+
 	/// \brief The incarnation without its start time, as services name workers that know only their ids.
 	[[nodiscard]] inline worker_incarnation without_start_time(const worker_incarnation& worker)
 	{
--- a/tests/late_acknowledgements.cpp
+++ b/tests/late_acknowledgements.cpp
@@ -55,6 +55,12 @@
 			return condition();
 		}
 
+		void run_for(millis time)
+		{
+			const auto end = boottime_now() + time;
+			(void)run_until([&] { return boottime_now() >= end; });
+		}
+
 		/// The incarnation that the agent reports; collects what else it reports.
 		worker_incarnation current()
 		{
@@ -165,3 +171,42 @@
 	CHECK(contains(test.ended, second_run));
 	CHECK_FALSE(contains(test.unlisted, second_run));
 }
+
+TEST_CASE("an incarnation that states the start time of the former one keeps its ends until they are stored", "[jobs]")
+{
+	// Guards against ends that are acknowledged by the numbers of the former incarnation: a run that has ended as done
+	// counts as running for good, or is started again.
+	agent_and_worker test;
+	test.finish_first_run();
+	test.confirm(1);
+	REQUIRE(test.run_until([&] { return test.worker.started_runs.front().acknowledged_at.has_value(); }));
+	const auto former = test.current();
+	test.worker.next_start_time_ms = test.worker.start_time_ms();
+	test.worker.restart_in_place(millis{50});
+	test.run_for(millis{500});
+	(void)test.current();
+	test.confirm(0);
+	test.order_start(second_run, "50");
+	REQUIRE(test.run_until([&] { return test.has_ended_at_worker(second_run); }));
+	CHECK(test.run_until([&] { return (void)test.current(), contains(test.ended, second_run); }));
+	CHECK_FALSE(test.worker.started_runs.back().acknowledged_at.has_value());
+	CHECK(test.current() != former);
+	test.confirm(1);
+	CHECK(test.run_until([&] { return test.worker.started_runs.back().acknowledged_at.has_value(); }));
+}
+
+TEST_CASE("an incarnation that states the start time of the former one gets no lease before its owner confirms one",
+		  "[jobs]")
+{
+	// Guards against runs that outlive the lease that their owner counts: the former incarnation's clock was higher.
+	agent_and_worker test;
+	test.finish_first_run();
+	test.confirm(1);
+	REQUIRE(test.run_until([&] { return test.worker.remaining_lease() > millis{0}; }));
+	const auto former = test.current();
+	test.worker.next_start_time_ms = test.worker.start_time_ms();
+	test.worker.restart_in_place(millis{50});
+	CHECK(test.run_until([&] { return test.current() != former; }));
+	test.run_for(millis{500});
+	CHECK(test.worker.remaining_lease() <= millis{0});
+}
