Owners: a task does not start while another of its runs is being stopped

A start without an answer was settled by a stop and taken back, and run 2 was ordered to the same worker. The worker restarted under its id, and its next incarnation carried the first start out. Its agent listed run 1; the owner ordered it to be stopped, and in the same millisecond started run 3 elsewhere: it kept nothing of a run that is listed where it is not placed.

The owner now keeps such runs by worker. Their tasks are not placed, and a start that waits for its transaction is withdrawn, until the run has ended, was refused or is no longer listed, the worker has restarted, or its lease is over. Where the next run has been sent before the late one is reported, nothing changes: no call of ours can come before.

--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -6,6 +6,7 @@
 
 #include <trailjunction/core/ids.hpp>
 #include <trailjunction/jobs/job_placement.hpp>
+#include <trailjunction/jobs/unplaced_runs.hpp>
 #include <trailjunction/jobs/worker_trust.hpp>
 #include <trailjunction/net/endpoint.hpp>
 #include <trailjunction/wire/link.hpp>
@@ -38,6 +39,7 @@
 		std::optional<instant> predecessor_crash; ///< When the previous incarnation was found to have crashed.
 		double filler_pace{1.0};                  ///< The share of full speed at which fillers may run, 0 to 1.
 		worker_trust trust;
+		unplaced_runs unplaced; ///< Runs on the worker that are being stopped, as their tasks are not placed there.
 		std::int64_t last_end_seen{};   ///< The highest number of a reported end of a run.
 		std::int64_t last_end_stored{}; ///< Ends of runs up to this number are stored.
 	};
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -424,8 +424,9 @@
 				ends.peer->worker.last_end_stored = std::max(ends.peer->worker.last_end_stored, ends.last_number);
 		metrics_.counter("job_runs_ordered", "Runs that were given to workers.")
 			.Increment(static_cast<double>(durable_batch.starts.size()));
+		const auto held = tasks_with_unplaced_runs(now);
 		for (const auto& run_id : durable_batch.starts)
-			order_committed_start(run_id, now);
+			order_committed_start(run_id, held, now);
 		for (const auto& id : durable_batch.saved)
 			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
 			{
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -132,8 +132,9 @@
 		void add_pressures(batch& out, instant now);
 		boost::asio::awaitable<bool> commit(batch& pending);
 		void on_committed(const batch& durable_batch, instant now);
-		/// Orders a start that has been committed, or withdraws it if its data centre is being evacuated by now.
-		void order_committed_start(const task_run& run_id, instant now);
+		/// Orders a start that has been committed, or withdraws it if it is no longer permitted by now.
+		/// \param held Tasks that must not start yet; see tasks_with_unplaced_runs().
+		void order_committed_start(const task_run& run_id, const absl::flat_hash_set<task_key>& held, instant now);
 		boost::asio::awaitable<void> wait_for_work();
 		void wake();
 		boost::asio::awaitable<void> monitor_load();
@@ -181,10 +182,13 @@
 		/// Ends the runs that a worker has lost although it goes on, so that their tasks start again.
 		void note_unlisted(agent_peer& peer, const wire::job_report& report, instant now);
 		void note_running(agent_peer& peer, const wire::job_report& report, instant now);
+		void note_unplaced(agent_peer& peer, const wire::job_report& report);
 		void learn_pressures(const agent_peer& peer, instant now);
 		void reconcile(agent_peer& peer, const wire::job_report& report);
 		void confirm(agent_peer& peer, const wire::job_report& report, instant now);
 		void place_waiting(instant now);
+		/// Tasks with a run on a worker where they are not placed; started elsewhere, they would run twice.
+		[[nodiscard]] absl::flat_hash_set<task_key> tasks_with_unplaced_runs(instant now) const;
 		void stop_needless_runs(instant now);
 		/// Whether the start of a run may have been ordered before.
 		enum class order_kind
@@ -249,8 +253,10 @@
 		/// \brief The earlier incarnations of an agent's worker of which nothing runs any more.
 		[[nodiscard]] std::vector<worker_incarnation> earlier_incarnations(const agent_peer& peer) const;
 		void handle_expired_leases(instant now);
+		/// When the runs of a worker end unless it is confirmed again.
+		[[nodiscard]] instant lease_end_of(const worker_incarnation& worker) const;
 		/// Requeues the runs of a worker that reported a planned end.
-		void handle_planned_end(const agent_peer& peer, const wire::job_report& report, instant now);
+		void handle_planned_end(agent_peer& peer, const wire::job_report& report, instant now);
 		void handle_lost_run(const lost_run& lost, const worker_incarnation& worker, instant now);
 		void log_held_back(const task_key& key, instant now);
 		/// Clears tasks whose runs on the worker have lasted long enough, and tasks suspected of crashing the worker
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -233,26 +233,30 @@
 		}
 	}
 
-	void job_term::handle_planned_end(const agent_peer& peer, const wire::job_report& report, instant now)
+	void job_term::handle_planned_end(agent_peer& peer, const wire::job_report& report, instant now)
 	{
 		if (!report.__isset.lost || worker_of(report.lost) != worker_of(report))
 			return;
 		handle_lost_worker({peer.worker.current_incarnation, peer.worker.last_response, {}, {}}, false, "ended", now);
+		peer.worker.unplaced.clear();
 		wake();
 	}
 
+	instant job_term::lease_end_of(const worker_incarnation& worker) const
+	{
+		const auto confirmed = confirmed_at_.find(worker);
+		const auto held = held_until_.find(worker);
+		const auto held_until = held == held_until_.end() ? instant{} : held->second;
+		const auto confirmed_at = confirmed == confirmed_at_.end() ? began_at_ : confirmed->second;
+		return std::max(held_until, lease_end(confirmed_at, run_lease_times_));
+	}
+
 	void job_term::handle_expired_leases(instant now)
 	{
 		std::vector<worker_incarnation> lapsed;
 		for (const auto& [worker, keys] : table_.placed)
-		{
-			const auto confirmed = confirmed_at_.find(worker);
-			const auto held = held_until_.find(worker);
-			const auto held_until = held == held_until_.end() ? instant{} : held->second;
-			const auto confirmed_at = confirmed == confirmed_at_.end() ? began_at_ : confirmed->second;
-			if (now >= std::max(held_until, lease_end(confirmed_at, run_lease_times_)))
+			if (now >= lease_end_of(worker))
 				lapsed.push_back(worker);
-		}
 		for (const auto& worker : lapsed)
 		{
 			const auto* peer = peer_of(worker);
--- a/packages/entry/src/process/job_term_evacuation.cpp
+++ b/packages/entry/src/process/job_term_evacuation.cpp
@@ -30,7 +30,7 @@
 		return may_start_in(evacuations_.current(), peer.data_centre(), max_evacuation_age(), now);
 	}
 
-	void job_term::order_committed_start(const task_run& run_id, instant now)
+	void job_term::order_committed_start(const task_run& run_id, const absl::flat_hash_set<task_key>& held, instant now)
 	{
 		const auto* task = find_task(table_, run_id.task);
 		const auto* peer = task == nullptr ? nullptr : peer_of(task->worker);
@@ -38,14 +38,15 @@
 		if (permission == start_permission::unknown && is_placed_on(task->worker, run_id))
 			return; // stays pending until a later transaction, when newer requests may be known
 		pending_starts_.erase(run_id);
-		if (permission != start_permission::evacuated || !is_placed_on(task->worker, run_id))
+		const bool is_held = held.contains(run_id.task);
+		if ((permission != start_permission::evacuated && !is_held) || !is_placed_on(task->worker, run_id))
 		{
 			order_start(run_id, order_kind::first);
 			return;
 		}
 		log_event(event::run_taken_back, {{"task", to_string(run_id.task)},
 										  {"run", run_id.run},
-										  {"why", "evacuated"},
+										  {"why", is_held ? "runs_elsewhere" : "evacuated"},
 										  {"worker", task->worker.str()}});
 		release_run(table_, run_id, now);
 		wake();
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -98,12 +98,33 @@
 		table_.changed_workers.clear();
 	}
 
+	absl::flat_hash_set<task_key> job_term::tasks_with_unplaced_runs(instant now) const
+	{
+		absl::flat_hash_set<task_key> out;
+		for (const auto& [name, peer] : peers_)
+		{
+			const auto& worker = peer->worker;
+			if (worker.unplaced.empty())
+				continue;
+			// Another agent may report the worker by now; what this one has reported is no longer updated then.
+			const auto location = agent_of_worker_.find(worker.current_incarnation);
+			const bool is_current = location != agent_of_worker_.end() && location->second.agent == name;
+			const auto unconfirmed_end = lease_end(worker.first_report, run_lease_times_);
+			if (is_current && now < std::max(unconfirmed_end, lease_end_of(worker.current_incarnation)))
+				for (const auto& run_id : worker.unplaced)
+					out.insert(run_id.task);
+		}
+		return out;
+	}
+
 	void job_term::place_waiting(instant now)
 	{
 		const busy_scope scope{meter_, owner_duty::placing};
 		const decision_time decided_at{now, unix_now_ms()};
 		auto waiting = waiting_tasks(table_, decided_at.unix_ms);
 		remove_held_back(table_, waiting, now); // they must not delay the upkeep of instances
+		if (const auto held = tasks_with_unplaced_runs(now); !held.empty())
+			std::erase_if(waiting, [&](const task_key& key) { return held.contains(key); });
 		waiting_count_ = waiting.size();
 		if (waiting.empty())
 			return;
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -78,6 +78,7 @@
 		note_refusals(peer, report, now);
 		note_unlisted(peer, report, now);
 		note_running(peer, report, now);
+		note_unplaced(peer, report);
 		handle_planned_end(peer, report, now); // the ends in this report were processed before
 		learn_pressures(peer, now);
 		clear_suspects(peer);
@@ -220,6 +221,21 @@
 		}
 	}
 
+	void job_term::note_unplaced(agent_peer& peer, const wire::job_report& report)
+	{
+		unplaced_run_report changes{report.full, {}, {}};
+		for (const auto& row : report.running)
+			if (auto run_id = from_wire(row.what); !is_placed_on(peer.worker.current_incarnation, run_id))
+				changes.running.push_back(std::move(run_id));
+		for (const auto& row : report.ended)
+			changes.gone.push_back(from_wire(row.what));
+		for (const auto& row : report.refused)
+			changes.gone.push_back(from_wire(row.what));
+		for (const auto& row : report.unlisted)
+			changes.gone.push_back(from_wire(row));
+		update_unplaced_runs(peer.worker.unplaced, changes);
+	}
+
 	void job_term::learn_pressures(const agent_peer& peer, instant now)
 	{
 		const auto placed = table_.placed.find(peer.worker.current_incarnation);
--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -34,5 +34,6 @@
 #include "jobs/run_listing.hpp"
 #include "jobs/run_times.hpp"
 #include "jobs/shrunk_rooms.hpp"
+#include "jobs/unplaced_runs.hpp"
 #include "jobs/upkeep_wave.hpp"
 #include "jobs/worker_trust.hpp"
