Owners: idle long-running tasks show that they are held back

Operators would have read 'suspected' or 'not_chosen' for a long-running task that is held back after crashes: the search for idle tasks was written beside the hold. The reason held_back is wired to is_held_back(). Tests: 'idle: the task is held back after it lost three workers' is new; the test that expected a failed job after three crashes now fails the job directly, since crashes do not fail jobs of long-running tasks any more, and asks for the same reason and time.

--- a/packages/jobs/src/idle_long_running.cpp
+++ b/packages/jobs/src/idle_long_running.cpp
@@ -2,6 +2,7 @@
 #include "crash_placement.hpp"
 #include "job_tasks.hpp"
 
+#include <trailjunction/jobs/held_tasks.hpp>
 #include <trailjunction/jobs/idle_long_running.hpp>
 #include <trailjunction/jobs/job_crashes.hpp>
 
@@ -159,6 +160,8 @@
 			{
 				if (const auto reason = reason_to_place_nothing(context_))
 					return *reason;
+				if (is_held_back(*find_task(table_, key), at_.now))
+					return idle_reason::held_back;
 				const auto& group = group_of(job, key);
 				const auto level = group.gang ? suspicion::none : effective_suspicion(job, key, at_.now);
 				const auto claim = counted_claim(group);
