Testkit: a storm names the class of an end that was acknowledged too early

The worker stand-in now keeps, with each run whose end was acknowledged before it occurred, the call that did so: when, up to which number, after how many ends, whether it got no answer, and which incarnation it had reached. It also marks runs of an incarnation that has the id and the start time of a former one. The report names the class: the worker had started again in the same millisecond; acknowledged in advance by a call to a former incarnation, or by one to the same incarnation; or listed. What counts as a violation is unchanged.

--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -75,6 +75,16 @@
 		/// \brief Records the end of each run that is over at \p now, so that #started_runs is up to date.
 		void record_ends(instant now);
 
+		/// \brief A listing call that acknowledged ends that the incarnation had not had yet.
+		struct early_acknowledgement
+		{
+			instant executed_at{};
+			std::string received_by; ///< The incarnation that was there when the call arrived, see incarnation().
+			bool late{};             ///< The call got no response.
+			std::int64_t last_seen{};
+			std::int64_t end_count{}; ///< The number of ends that the incarnation had had.
+		};
+
 		/// \brief One start that was carried out, and the outcome of its run.
 		struct started_run
 		{
@@ -90,6 +100,10 @@
 			/// When a listing call acknowledged the end, or when it ended if its number was acknowledged before; not
 			/// set if the lease had lapsed before.
 			std::optional<instant> acknowledged_at;
+			/// The call that acknowledged the end before it occurred.
+			std::optional<early_acknowledgement> acknowledged_early;
+			/// Its incarnation has the id and the start time of a former one, so that nothing it states names it.
+			bool in_namesake{};
 		};
 
 		/// \brief One call to start or to stop a run.
@@ -171,7 +185,17 @@
 			std::int64_t lease_ms{}; ///< On this incarnation's clock.
 			std::int64_t end_count{};
 			std::int64_t last_seen{}; ///< The highest number of an end that a listing call acknowledged.
+			/// The call that set #last_seen, if it was above the number of ends.
+			std::optional<early_acknowledgement> acknowledged_early;
 			std::int64_t sequence{};
+			bool is_namesake{}; ///< A former incarnation has the same id and start time.
+		};
+
+		/// How a call has reached the incarnation that carries it out.
+		struct call_path
+		{
+			bool late{};             ///< The call got no response.
+			std::string received_by; ///< The incarnation that was there when the call arrived.
 		};
 
 		boost::asio::awaitable<void> send_heartbeats();
@@ -183,10 +207,10 @@
 		[[nodiscard]] bool is_down() const;
 		boost::asio::awaitable<void> wait_until_up();
 		boost::asio::awaitable<http_response> answer(http_request request);
-		boost::asio::awaitable<void> execute_late(http_request request, millis delay);
-		boost::asio::awaitable<http_response> execute(http_request request, bool late);
+		boost::asio::awaitable<void> execute_late(http_request request, call_path how, millis delay);
+		boost::asio::awaitable<http_response> execute(http_request request, call_path how);
 		[[nodiscard]] http_response answer_order(std::string_view path, const boost::json::object& body, bool late);
-		boost::asio::awaitable<http_response> answer_hold(boost::json::object body);
+		boost::asio::awaitable<http_response> answer_hold(boost::json::object body, const call_path& how);
 		[[nodiscard]] http_response answer_stop(const boost::json::object& body);
 		[[nodiscard]] http_response answer_start(const boost::json::object& body, bool late);
 		[[nodiscard]] http_response make_response(int status, const char* reason = "");
@@ -198,7 +222,7 @@
 		void begin_run(const boost::json::object& body, bool late);
 		void extend_lease(std::int64_t deadline_ms);
 		void finish(const run_key& key, const std::string& end_state, instant end_time);
-		void acknowledge_ends(std::int64_t last_seen, instant now);
+		void acknowledge_ends(std::int64_t last_seen, const call_path& how, instant now);
 		[[nodiscard]] http_response make_listing() const;
 		/// The clock of the current incarnation, which starts at 1: listings with 0 would not be taken for listings.
 		[[nodiscard]] std::int64_t clock_ms() const;
@@ -208,6 +232,7 @@
 		boost::asio::io_context& io_;
 		int crashes_{};
 		int incarnations_{};
+		std::set<std::pair<std::string, std::int64_t>> former_names_; ///< Ids and start times of all incarnations.
 		std::string service_;
 		endpoint agent_;
 		endpoint announced_address_;
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -74,6 +74,7 @@
 		out.begins_at = begins_at;
 		out.start_time_ms = next_start_time_ms.value_or(unix_ms(begins_at, boottime_now()));
 		next_start_time_ms.reset();
+		out.is_namesake = !former_names_.emplace(out.id, out.start_time_ms).second;
 		out.name = absl::StrCat(out.id, "@", out.start_time_ms, "#", ++incarnations_);
 		return out;
 	}
@@ -198,7 +199,10 @@
 		if (number > current_.last_seen)
 			current_.ended.push_back({number, index, false});
 		else if (end_time < lease_lapse())
+		{
 			started_runs[index].acknowledged_at = end_time;
+			started_runs[index].acknowledged_early = current_.acknowledged_early;
+		}
 		if (end_state == "done")
 			++done_counts[key.first];
 		current_.running.erase(key);
@@ -256,9 +260,11 @@
 		if (faults.silent || is_down())
 			co_return no_response();
 		const auto path = path_of(request.target);
+		call_path how{false, current_.name};
 		if (consume_late_call(path))
 		{
-			asio::co_spawn(io_, execute_late(std::move(request), faults.late_delay), asio::detached);
+			how.late = true;
+			asio::co_spawn(io_, execute_late(std::move(request), std::move(how), faults.late_delay), asio::detached);
 			co_return no_response();
 		}
 		const auto delay = delay_of(path);
@@ -266,7 +272,7 @@
 			co_await pause_for(io_, delay.before_execution);
 		co_await wait_until_up();
 		const auto executed_by = current_.name;
-		auto out = co_await execute(std::move(request), false);
+		auto out = co_await execute(std::move(request), std::move(how));
 		if (current_.name != executed_by)
 			co_return no_response();
 		if (delay.before_response.count() > 0)
@@ -274,14 +280,14 @@
 		co_return out;
 	}
 
-	asio::awaitable<void> worker_standin::execute_late(http_request request, millis delay)
+	asio::awaitable<void> worker_standin::execute_late(http_request request, call_path how, millis delay)
 	{
 		co_await pause_for(io_, delay);
 		co_await wait_until_up();
-		(void)co_await execute(std::move(request), true);
+		(void)co_await execute(std::move(request), std::move(how));
 	}
 
-	asio::awaitable<http_response> worker_standin::execute(http_request request, bool late)
+	asio::awaitable<http_response> worker_standin::execute(http_request request, call_path how)
 	{
 		record_ends(boottime_now());
 		const auto expected = find_header(request.headers, "Expect-Instance");
@@ -294,10 +300,10 @@
 		const auto path = path_of(request.target);
 		if (path == start_path || path == stop_path)
 		{
-			auto out = answer_order(path, body, late);
+			auto out = answer_order(path, body, how.late);
 			recorded_calls.push_back(
 				{boottime_now(), text_or(body, "task"), number_or(body, "runId"),
-				 absl::StrCat(std::string{path}, late ? " late: " : ": ", out.status, " ", out.body)});
+				 absl::StrCat(std::string{path}, how.late ? " late: " : ": ", out.status, " ", out.body)});
 			co_return out;
 		}
 		const auto token = number_or(body, "fencingToken");
@@ -305,7 +311,7 @@
 			co_return make_response(409, "fence");
 		current_.token = token;
 		if (path == hold_path)
-			co_return co_await answer_hold(std::move(body));
+			co_return co_await answer_hold(std::move(body), how);
 		co_return make_response(200);
 	}
 
@@ -334,6 +340,7 @@
 		run.checkpoint = text_or(body, "checkpoint");
 		run.incarnation = current_.name;
 		run.late = late;
+		run.in_namesake = current_.is_namesake;
 		run.started_at = now;
 		std::int64_t work = 0;
 		(void)absl::SimpleAtoi(text_or(body, "spec"), &work);
@@ -391,8 +398,11 @@
 		return make_response(200);
 	}
 
-	void worker_standin::acknowledge_ends(std::int64_t last_seen, instant now)
+	void worker_standin::acknowledge_ends(std::int64_t last_seen, const call_path& how, instant now)
 	{
+		if (last_seen > std::max(current_.last_seen, current_.end_count))
+			current_.acknowledged_early =
+				early_acknowledgement{now, how.received_by, how.late, last_seen, current_.end_count};
 		current_.last_seen = std::max(current_.last_seen, last_seen);
 		for (const auto& end : current_.ended)
 			if (end.number <= last_seen && !end.lapsed)
@@ -400,11 +410,11 @@
 		std::erase_if(current_.ended, [&](const listed_end& end) { return end.number <= last_seen; });
 	}
 
-	asio::awaitable<http_response> worker_standin::answer_hold(json::object body)
+	asio::awaitable<http_response> worker_standin::answer_hold(json::object body, const call_path& how)
 	{
 		const auto now = boottime_now();
 		extend_lease(number_or(body, "deadlineMs"));
-		acknowledge_ends(number_or(body, "lastSeen"), now);
+		acknowledge_ends(number_or(body, "lastSeen"), how, now);
 		const auto executed_by = current_.name;
 		const auto until = now + millis{number_or(body, "waitMs")};
 		while (current_.name == executed_by && current_.ended.empty() && boottime_now() < until)
--- a/tests/job_storm_checks.cpp
+++ b/tests/job_storm_checks.cpp
@@ -119,12 +119,34 @@
 			return task_name(job, 0);
 		}
 
+		std::string describe_early_acknowledgement(const worker_standin::started_run& run)
+		{
+			if (!run.acknowledged_early)
+				return "";
+			const auto& call = *run.acknowledged_early;
+			return absl::StrCat(" in advance at ", log_time(call.executed_at), " by a ", call.late ? "late " : "",
+								"call that reached ", call.received_by, ", for ends up to ", call.last_seen, " after ",
+								call.end_count);
+		}
+
 		std::string describe_run(const worker_standin::started_run& run)
 		{
 			return absl::StrCat(log_time(run.started_at), " ", run.task, " run ", run.run, " on ", run.incarnation,
 								run.late ? " late" : "", " stop ", time_or_dash(run.stop_requested_at), " end ",
 								time_or_dash(run.ended_at), " ", run.end_state, " noted ",
-								time_or_dash(run.acknowledged_at));
+								time_or_dash(run.acknowledged_at), describe_early_acknowledgement(run));
+		}
+
+		/// The class of a start after an acknowledged end: how the end of \p run came to be acknowledged.
+		const char* acknowledgement_class(const worker_standin::started_run& run)
+		{
+			if (run.in_namesake)
+				return "the worker had started again under its id in the same millisecond";
+			if (!run.acknowledged_early)
+				return "the end was listed";
+			return run.acknowledged_early->received_by == run.incarnation
+					   ? "the end was acknowledged in advance, by a call to the same incarnation"
+					   : "the end was acknowledged in advance, by a call to a former incarnation";
 		}
 	}
 
@@ -225,8 +247,9 @@
 					return violation{first.task,
 									 "two concurrent runs:\n" + describe_run(first) + "\n" + describe_run(second)};
 				if (first.end_state == "done" && first.acknowledged_at)
-					return violation{first.task, "started after its end was acknowledged as done:\n" +
-													 describe_run(first) + "\n" + describe_run(second)};
+					return violation{first.task, absl::StrCat("started after its end was acknowledged as done (",
+															  acknowledgement_class(first), "):\n", describe_run(first),
+															  "\n", describe_run(second))};
 			}
 		return std::nullopt;
 	}
--- a/tests/worker_standin.cpp
+++ b/tests/worker_standin.cpp
@@ -214,6 +214,7 @@
 TEST_CASE("a late hold of the former incarnation acknowledges ends of the next one", "[testkit]")
 {
 	worker_and_agent test;
+	const auto former = test.worker.incarnation();
 	test.worker.faults.late_holds = 1;
 	test.send("/hold", worker_and_agent::hold(2));
 	REQUIRE(test.run_until([&] { return test.worker.faults.late_holds == 0; }));
@@ -226,6 +227,14 @@
 	CHECK(test.worker.started_runs[0].acknowledged_at.has_value());
 	CHECK(test.worker.started_runs[1].acknowledged_at.has_value());
 	CHECK_FALSE(test.worker.started_runs[2].acknowledged_at.has_value());
+	REQUIRE(test.worker.started_runs[0].acknowledged_early.has_value());
+	const auto& call = *test.worker.started_runs[0].acknowledged_early;
+	CHECK(call.late);
+	CHECK(call.received_by == former);
+	CHECK(call.last_seen == 2);
+	CHECK(call.end_count == 0);
+	CHECK(test.worker.started_runs[1].acknowledged_early.has_value());
+	CHECK_FALSE(test.worker.started_runs[2].acknowledged_early.has_value());
 }
 
 TEST_CASE("a hold that waits when its incarnation ends gets no answer", "[testkit]")
@@ -270,6 +279,12 @@
 	test.worker.next_start_time_ms = test.worker.start_time_ms();
 	test.worker.restart_in_place();
 	CHECK(test.worker.incarnation() != former);
+	test.finish_run("a.0.0.0");
+	CHECK(test.worker.started_runs[0].in_namesake);
+	test.worker.next_start_time_ms = test.worker.start_time_ms() + 1;
+	test.worker.restart_in_place();
+	test.finish_run("a.0.0.1");
+	CHECK_FALSE(test.worker.started_runs[1].in_namesake);
 }
 
 TEST_CASE("a heartbeat of the former incarnation can arrive during the next one", "[testkit]")
