Agents: an acknowledgement waits for no pause after the worker's statement

Cause: after a listing call without an answer, an agent first asks for the worker's start time, and its next call, with the lease and the acknowledgement, might go over any connection, since some workers close theirs after each answer. But that call left 50 ms after the answer. A worker that restarted meanwhile got it as one of its own, and dropped its ends up to a number of the former one.

Change: the call after a statement goes over the open connection, like the others. Only after a worker had no open connection right after an answer is the next one called on a new connection, and then without a pause.

Evidence: the new test "an acknowledgement after a call without an answer reaches no incarnation but the one that was asked" failed before (the end was not listed, the run counted as lost); a second one holds what closing workers get.

--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -77,7 +77,7 @@
 		out.max_wait = lease_deadline_ms_ > 0 ? max_listing_wait : millis{0};
 		// The connections of an incarnation end with it, so on an open one it is still there. A worker that closes its
 		// connections after each answer is called on a new one right after it has stated its start time.
-		out.open_connection_only = !only_asks(out) && !has_just_stated_start_time_;
+		out.open_connection_only = !only_asks(out) && !(has_just_stated_start_time_ && closes_connections_);
 		return out;
 	}
 
@@ -94,6 +94,7 @@
 			const auto incarnation_id = worker_->incarnation;
 			const auto clock_before_ms = worker_clock_ms_;
 			const auto order = next_listing_order();
+			const bool follows_statement = has_just_stated_start_time_;
 			const auto deadline = boottime_now() + order.max_wait + worker_call_timeout;
 			auto result = co_await port->list(authority(), order, deadline);
 			if (!is_current(incarnation_id))
@@ -114,8 +115,7 @@
 				fencing_token_step_ = first_fencing_token_step;
 				apply_listing(std::move(result.listing));
 				stop_unconfirmed_runs(boottime_now());
-				if (!ends_.empty() || order.max_wait == millis{0})
-					co_await pause_for(io_, listing_delay);
+				co_await pause_after_listing(order);
 				continue;
 			}
 			if (order.open_connection_only && result.outcome == order_outcome::not_sent)
@@ -123,6 +123,7 @@
 				// The incarnation may have ended with its connection: another one must be asked before a late call to
 				// the former one reaches it.
 				failed_listings_ = std::max(failed_listings_, 1);
+				closes_connections_ = closes_connections_ || follows_statement;
 				continue;
 			}
 			// No answer may mean that the worker is overloaded or unreachable; a closed port after its notice means
@@ -139,6 +140,21 @@
 		}
 	}
 
+	asio::awaitable<void> run_manager::pause_after_listing(const listing_order& order)
+	{
+		if (order.open_connection_only)
+			closes_connections_ = false;
+		if (closes_connections_)
+		{
+			// After a pause the next incarnation may be there.
+			if (has_just_stated_start_time_ && !only_asks(next_listing_order()))
+				co_return;
+			has_just_stated_start_time_ = false;
+		}
+		if (!ends_.empty() || order.max_wait == millis{0})
+			co_await pause_for(io_, listing_delay);
+	}
+
 	void run_manager::apply_listing(worker_listing listing)
 	{
 		if (failed_listings_ >= max_failed_listings)
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -168,6 +168,7 @@
 		failed_listings_ = 0;
 		first_listed_end_ = 0;
 		has_just_stated_start_time_ = false;
+		closes_connections_ = false;
 		has_listing_ = false;
 		full_report_due_ = true; // the owner compares the listing with the late orders to former incarnations
 		runs_.clear();
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -125,6 +125,7 @@
 		/// Switches to another incarnation only after it has answered a call, since a heartbeat of a former one may be
 		/// late.
 		boost::asio::awaitable<void> probe_incarnation(worker_heartbeat heartbeat);
+		boost::asio::awaitable<void> pause_after_listing(const listing_order& order);
 		boost::asio::awaitable<void> carry_out_start(wire::job_start order, bool has_room);
 		boost::asio::awaitable<void> carry_out_stop(task_run id, worker_incarnation incarnation_id);
 		boost::asio::awaitable<void> resolve_start(task_run id, worker_incarnation incarnation_id);
@@ -213,6 +214,7 @@
 		std::uint64_t listing_count_{};   ///< Number of complete listings; lets coroutines wait for a new one.
 		int failed_listings_{};
 		bool has_just_stated_start_time_{}; ///< The latest listing call was answered, and changed nothing.
+		bool closes_connections_{};         ///< No connection was open right after an answer to a listing call.
 		bool has_listing_{};
 		bool full_report_due_{}; ///< A full report was requested and has not been sent yet.
 		absl::flat_hash_map<task_run, tracked_run> runs_;
--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -146,6 +146,7 @@
 		std::vector<recorded_call> recorded_calls; ///< In order, over all incarnations.
 		/// Concurrent runs of one task: the indices in #started_runs of the earlier and of the later run.
 		std::vector<std::pair<std::size_t, std::size_t>> concurrent_runs;
+		int listing_count{};                    ///< Calls to `/hold` that were carried out.
 		std::map<std::string, int> done_counts; ///< By task: how often it ended as `done`.
 		std::set<std::string> crashing_tasks;   ///< Tasks whose start crashes this worker.
 		millis restart_delay{500};              ///< Time between a crash and the next incarnation.
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -413,6 +413,7 @@
 	asio::awaitable<http_response> worker_standin::answer_hold(json::object body, const call_path& how)
 	{
 		const auto now = boottime_now();
+		++listing_count;
 		extend_lease(number_or(body, "deadlineMs"));
 		acknowledge_ends(number_or(body, "lastSeen"), how, now);
 		const auto executed_by = current_.name;
--- a/tests/late_acknowledgements.cpp
+++ b/tests/late_acknowledgements.cpp
@@ -4,6 +4,7 @@
 /// incarnations.
 #include "../packages/agent/src/process/run_manager.hpp"
 
+#include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/net/http_server.hpp>
 #include <trailjunction/platform/heartbeat_handler.hpp>
 #include <trailjunction/platform/worker_client.hpp>
@@ -112,10 +113,20 @@
 			REQUIRE(run_until([&] { return (void)current(), contains(ended, first_run); }));
 		}
 
+		bool is_first_end_acknowledged()
+		{
+			return worker.started_runs.front().acknowledged_at.has_value();
+		}
+
 		/// Runs a task in the incarnation that the worker has now, and waits until the agent has reported its outcome.
 		void run_in_next_incarnation()
 		{
 			REQUIRE(await_incarnation(worker.start_time_ms()));
+			run_second();
+		}
+
+		void run_second()
+		{
 			confirm(0);
 			order_start(second_run, "50");
 			REQUIRE(run_until([&] { return has_ended_at_worker(second_run); }));
@@ -142,6 +153,77 @@
 		std::vector<task_run> ended;
 		std::vector<task_run> unlisted;
 	};
+
+	/// A worker with one end, which closes its connections after each answer.
+	class closing_worker final : public worker_port
+	{
+	public:
+		closing_worker(boost::asio::io_context& io, std::vector<listing_order>& calls) : io_{io}, calls_{calls} {}
+
+		boost::asio::awaitable<order_result> start(order_authority, run_start, instant) override
+		{
+			co_return order_result{order_outcome::done, 1};
+		}
+		boost::asio::awaitable<order_result> stop(order_authority, task_run, instant) override
+		{
+			co_return order_result{order_outcome::done, 1};
+		}
+		boost::asio::awaitable<listing_result> list(order_authority, listing_order order, instant) override
+		{
+			if (order.open_connection_only)
+				co_return listing_result{{order_outcome::not_sent, 0}, {}};
+			co_await pause_for(io_, millis{5});
+			calls_.push_back(order);
+			listing_result out{{order_outcome::done, 1'000}, {}};
+			out.listing.ended.push_back({1, first_run, run_outcome::done, ""});
+			co_return out;
+		}
+		boost::asio::awaitable<order_result> pace(order_authority, task_run, int, instant) override
+		{
+			co_return order_result{order_outcome::done, 1};
+		}
+
+	private:
+		boost::asio::io_context& io_;
+		std::vector<listing_order>& calls_;
+	};
+}
+
+TEST_CASE("a worker that closes its connections is asked for its start time before each acknowledgement", "[jobs]")
+{
+	boost::asio::io_context io{1};
+	std::vector<listing_order> calls;
+	run_manager runs{io, [&](endpoint) { return std::make_unique<closing_worker>(io, calls); }, millis{5'000},
+					 pacing_policy{},
+					 [] {
+					 }};
+	runs.set_lease(millis{5'000});
+	worker_heartbeat heartbeat;
+	heartbeat.incarnation = worker_incarnation{"i-1", worker_start_time{1'700'000'000'000}};
+	runs.on_heartbeat(heartbeat);
+	const auto acknowledges = [](const listing_order& order)
+	{
+		return order.ends_kept == 1 && order.deadline_ms > 0;
+	};
+	const auto end = boottime_now() + longest_wait;
+	while (std::count_if(calls.begin(), calls.end(), acknowledges) < 3 && boottime_now() < end)
+	{
+		io.run_one_for(millis{5});
+		const auto report = runs.report(false);
+		wire::job_confirm answer;
+		set_worker(answer, heartbeat.incarnation);
+		answer.stamp_ms = report.stamp_ms;
+		answer.ends_kept = 1;
+		runs.confirm(answer);
+	}
+	REQUIRE(std::count_if(calls.begin(), calls.end(), acknowledges) >= 3);
+	for (std::size_t i = 0; i < calls.size(); ++i)
+		if (acknowledges(calls[i]))
+		{
+			REQUIRE(i > 0);
+			CHECK(calls[i - 1].ends_kept == 0);
+			CHECK(calls[i - 1].deadline_ms == 0);
+		}
 }
 
 TEST_CASE("a late acknowledgement of a former incarnation hides no end of the next one", "[jobs]")
@@ -210,3 +292,25 @@
 	test.run_for(millis{500});
 	CHECK(test.worker.remaining_lease() <= millis{0});
 }
+
+TEST_CASE("an acknowledgement after a call without an answer reaches no incarnation but the one that was asked",
+		  "[jobs]")
+{
+	// Guards against a run that ends as done, counts as lost for its owner, and is started again: the worker restarts
+	// between its answer to the call that asks for its start time and the acknowledgement.
+	agent_and_worker test;
+	test.finish_first_run();
+	test.worker.faults.late_delay = longest_wait; // never carried out
+	test.worker.faults.late_holds = 1;
+	REQUIRE(test.run_until([&] { return test.worker.faults.late_holds == 0; }));
+	test.confirm(1);
+	const auto before = test.worker.listing_count;
+	REQUIRE(test.run_until([&] { return test.worker.listing_count > before; }));
+	constexpr auto answer_time = millis{10}; // shorter than the pause between two listing calls
+	const auto restart_at = boottime_now() + answer_time;
+	(void)test.run_until([&] { return boottime_now() >= restart_at; });
+	test.worker.restart_in_place();
+	test.run_in_next_incarnation();
+	CHECK(contains(test.ended, second_run));
+	CHECK_FALSE(contains(test.unlisted, second_run));
+}
