Tests: a held back task is released once its latest crash proves to be shared

A long-running task that is held back at the fourth crash alone has to be released when two other workers turn out to have crashed in the same instant, since five crashes are needed then. That way of release was covered by reading only; tests/held_tasks.cpp has it now, beside those for a worker that responds, a discounted crash and a mass loss.

--- a/tests/held_tasks.cpp
+++ b/tests/held_tasks.cpp
@@ -182,6 +182,23 @@
 	CHECK(count_startable(table, crashed_at) == 1);
 }
 
+TEST_CASE("a task is released if its latest crash turns out to be shared, so that more crashes are needed", "[jobs]")
+{
+	constexpr auto age = millis{4'000};
+	constexpr auto restart_time = millis{1'200};
+	auto table = table_of(1);
+	auto now = start;
+	auto effect = end_effect::ignored;
+	for (std::size_t i = 0; i < policy.max_crashes; ++i, now += age + restart_time)
+		effect = crash_under(table, some_task, "w" + std::to_string(i), now, age);
+	REQUIRE(effect == end_effect::held_back);
+	const auto crashed_at = now - restart_time;
+	for (const auto* other : {"other1", "other2"})
+		(void)record_worker_crash(table, {worker_incarnation{other}, crashed_at}, policy);
+	CHECK(release_held_back(table, policy, crashed_at).size() == 1);
+	CHECK(count_startable(table, crashed_at) == 1);
+}
+
 TEST_CASE("one held back task does not affect the other thirteen of its job", "[jobs]")
 {
 	constexpr std::uint32_t count = 14;
