Owners: numbers of stored ends are compared within one full report only

An owner tells an agent up to which number the ends of its worker are stored, and kept the highest number for as long as the incarnation had the same name. Where agent and worker restart together and the worker states the start time of its former incarnation, the new agent knows no earlier answer and reports the same name: the owner confirmed the first ends of the new incarnation by a number of the former one, before they were stored. Lost with the owner at that moment, a task that had ended done would start again.

A full report lists every end that is not acknowledged yet, so the owner forgets the numbers with it, also those of a transaction that is under way; the next transaction makes them durable again.

Evidence: tests/numbered_ends.cpp failed with the reset taken out (5 was confirmed at once, where nothing was stored).

--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -42,6 +42,7 @@
 		unplaced_runs unplaced; ///< Runs on the worker that are being stopped, as their tasks are not placed there.
 		std::int64_t last_end_seen{};   ///< The highest number of a reported end of a run.
 		std::int64_t last_end_stored{}; ///< Ends of runs up to this number are stored.
+		std::uint64_t full_reports{};   ///< Number of full reports; the numbers of ends are compared within one only.
 	};
 
 	/// \brief Connects to an agent, claims the jobs on it, and reconnects whenever the link is lost.
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -274,7 +274,8 @@
 		if (table_.unsaved.empty())
 			for (const auto& [name, peer] : peers_)
 				if (peer->worker.last_end_seen > peer->worker.last_end_stored)
-					out.ends.push_back({peer, peer->worker.current_incarnation, peer->worker.last_end_seen});
+					out.ends.push_back({peer, peer->worker.current_incarnation, peer->worker.last_end_seen,
+										peer->worker.full_reports});
 		add_workers(out);
 		add_pressures(out, now);
 		if (upkeep_)
@@ -420,7 +421,8 @@
 		meter_.load.ordered += durable_batch.starts.size();
 		++meter_.load.commits;
 		for (const auto& ends : durable_batch.ends)
-			if (ends.peer->worker.current_incarnation == ends.from_incarnation)
+			if (ends.peer->worker.current_incarnation == ends.from_incarnation &&
+				ends.peer->worker.full_reports == ends.full_reports)
 				ends.peer->worker.last_end_stored = std::max(ends.peer->worker.last_end_stored, ends.last_number);
 		metrics_.counter("job_runs_ordered", "Runs that were given to workers.")
 			.Increment(static_cast<double>(durable_batch.starts.size()));
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -90,6 +90,7 @@
 			std::shared_ptr<agent_peer> peer;
 			worker_incarnation from_incarnation;
 			std::int64_t last_number{};
+			std::uint64_t full_reports{}; ///< As of worker_state when the number was read.
 		};
 		struct agent_location
 		{
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -42,6 +42,18 @@
 		}
 	}
 
+	namespace
+	{
+		/// Forgets the numbers of ends, all of which a full report lists that are not acknowledged yet. An agent that
+		/// has restarted cannot tell an incarnation of its worker from a former one with the same start time.
+		void begin_numbering(worker_state& worker) noexcept
+		{
+			++worker.full_reports;
+			worker.last_end_seen = 0;
+			worker.last_end_stored = 0;
+		}
+	}
+
 	agent_peer* job_term::peer_of(const worker_incarnation& worker) const noexcept
 	{
 		const auto reaches = [&](const agent_peer& peer)
@@ -73,6 +85,8 @@
 		++meter_.load.reports;
 		const auto now = boottime_now();
 		note_worker(peer, report);
+		if (report.full)
+			begin_numbering(peer.worker);
 		peer.room_outdated = true;
 		note_ends(peer, report, now);
 		note_refusals(peer, report, now);
