Agents: a late heartbeat of a namesake hides none of the present incarnation

A worker may state the start time of its former incarnation; a heartbeat of that one that arrives late has the same name and a higher sequence number, so that all heartbeats of the present incarnation counted as late until its numbers had passed it. After three seconds without one the agent refuses every start for want of room. Found by reading: the same cause as that of ends that were taken for known, in another count.

Where an incarnation shares its name with a former one, a heartbeat whose clock is ahead of the worker's is of the former one, and changes nothing. Other incarnations are not affected, so clocks of suspended instances are read as before.

Evidence: the new test of worker_incarnations.cpp failed without the check (the capacity of the late heartbeat stayed).

--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -17,6 +17,9 @@
 
 	namespace
 	{
+		/// How far the clock in a heartbeat may be ahead of the estimate of the worker's clock.
+		constexpr auto clock_tolerance = millis{100};
+
 		/// A fencing token for an incarnation. It is above those of its former incarnations unless the clock of the
 		/// instance was set back, and above those of earlier processes of its agent, since the worker's clock has
 		/// advanced since.
@@ -53,9 +56,9 @@
 				asio::co_spawn(io_, probe_incarnation(std::move(heartbeat)), asio::detached);
 			return;
 		}
-		if (heartbeat.sequence < worker_->sequence)
+		if (heartbeat.sequence < worker_->sequence || is_of_former_namesake(heartbeat, boottime_now()))
 		{
-			// A later heartbeat has arrived before.
+			// A later heartbeat has arrived before, or this one is of a former incarnation.
 			log_event(event::heartbeat_ignored, {{"worker", heartbeat.incarnation.str()},
 												 {"current", worker_->incarnation.str()},
 												 {"sequence", heartbeat.sequence},
@@ -125,6 +128,11 @@
 		ages_.clear();
 	}
 
+	bool run_manager::is_of_former_namesake(const worker_heartbeat& heartbeat, instant now) const noexcept
+	{
+		return name_repetitions_ > 0 && heartbeat.clock_ms > worker_now_ms(now) + clock_tolerance.count();
+	}
+
 	worker_incarnation run_manager::reported_name(const worker_incarnation& stated_name) const
 	{
 		return worker_ && stated_name == stated_name_ ? worker_->incarnation : stated_name;
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -177,6 +177,8 @@
 		/// Raises the fencing token above one that the worker has seen from an earlier process of this agent.
 		void raise_fencing_token(std::int64_t worker_clock_ms);
 		[[nodiscard]] bool has_ended(const task_run& id) const noexcept;
+		/// Whether a heartbeat with the current name is of an earlier incarnation that stated the same name.
+		[[nodiscard]] bool is_of_former_namesake(const worker_heartbeat& heartbeat, instant now) const noexcept;
 		/// The name under which an incarnation is reported to owners.
 		[[nodiscard]] worker_incarnation reported_name(const worker_incarnation& stated_name) const;
 		[[nodiscard]] order_authority authority() const;
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -154,6 +154,19 @@
 	CHECK(test.reported() == second);
 }
 
+TEST_CASE("a late heartbeat of a former incarnation with the same start time hides none of the present one", "[jobs]")
+{
+	// Guards against starts that are refused for want of room, because all heartbeats are taken for late ones.
+	restarted_worker_fixture test;
+	test.restart(first);
+	REQUIRE(test.run_until([&] { return test.reported() != first && !test.reported().empty(); }));
+	test.runs.on_heartbeat(heartbeat_of(first, 482'113, 58));
+	auto next = heartbeat_of(first, second_clock_ms, 1);
+	next.capacity.cpu_milli = 1'000;
+	test.runs.on_heartbeat(next);
+	CHECK(test.runs.report(true).capacity.cpu_milli == 1'000);
+}
+
 TEST_CASE("a listing of the next incarnation tells nothing of the former one's runs", "[jobs]")
 {
 	// Guards against runs that start elsewhere before the agent knows which of them a late order has started again.
