Owners: a stored failure of long-running tasks is shown by the next owner, too

Its owner was replaced before it heard that the decision was stored; the next owner read the job as ended and registered only the time of its end.

Change: an owner that reads a failed job with long-running tasks counts them in trailjunction_long_running_idle{reason="given_up"} and logs E458, as if it had seen them fail, until the job is forgotten.

Evidence: "an owner shows long-running tasks whose failure an earlier owner has stored" in tests/idle_long_running_report.cpp fails with the status compared with another one, and passes with the change.

--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -163,7 +163,7 @@
 		boost::asio::awaitable<void> apply_submissions_in_chunks(const std::vector<stored_row>& rows);
 		void apply_submissions(std::span<const stored_row> rows);
 		/// Registers a job as ended if its stored progress says that it has ended and none of its runs is left.
-		[[nodiscard]] bool register_if_ended(const job_id& id);
+		[[nodiscard]] bool register_if_ended(const job_id& id, const std::string& submission);
 		void store_undecoded_progress(const std::vector<stored_row>& rows);
 		void apply_agents(const std::vector<stored_row>& rows);
 		void apply_workers(const std::vector<stored_row>& rows);
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -170,7 +170,7 @@
 		}
 	}
 
-	bool job_term::register_if_ended(const job_id& id)
+	bool job_term::register_if_ended(const job_id& id, const std::string& submission)
 	{
 		const auto found = undecoded_progress_.find(id);
 		if (found == undecoded_progress_.end())
@@ -179,6 +179,13 @@
 		if (!ended_ms.ok() || !*ended_ms)
 			return false; // a row that cannot be decoded is logged when its submission is processed
 		table_.ended[id] = **ended_ms;
+		// The owner that stored the failure may have been replaced before it knew that this was stored.
+		if (const auto status = decode_status(found->second); status.ok() && *status == job_status::failed)
+			if (auto job = decode_submission(id, submission, boottime_now()); job.ok())
+			{
+				job->status = *status;
+				note_failed_long_running(*job);
+			}
 		undecoded_progress_.erase(found);
 		return true;
 	}
@@ -197,7 +204,7 @@
 				continue;
 			}
 			const job_id id{row.name.key};
-			if (is_known(table_, id) || register_if_ended(id))
+			if (is_known(table_, id) || register_if_ended(id, row.value))
 				continue;
 			auto job = decode_submission(id, row.value, now);
 			if (!job.ok())
--- a/tests/idle_long_running_report.cpp
+++ b/tests/idle_long_running_report.cpp
@@ -2,6 +2,7 @@
 /// \file
 /// \brief Tests of the report of long-running tasks without a run: each reason, the time, and what is logged.
 #include "job_fixtures.hpp"
+#include "job_term_fixture.hpp"
 
 #include "../packages/entry/src/process/idle_meter.hpp"
 
@@ -357,3 +358,23 @@
 	// One look at 2,000 workers for each of 20,000 tasks takes many times this, also in a build with sanitizers.
 	CHECK(took < millis{1'000});
 }
+
+TEST_CASE("an owner shows long-running tasks whose failure an earlier owner has stored", "[jobs]")
+{
+	// The earlier owner was replaced before it heard that its decision was stored, so neither of them told of it.
+	job_term_fixture::scene test;
+	auto spec = job_term_fixture::one_task();
+	spec.groups[0].long_running = true;
+	test.submit(job_term_fixture::first_job, spec);
+	auto job = test.stored_job(job_term_fixture::first_job);
+	job.status = job_status::failed;
+	job.ended_ms = 1'000'000'000'000; // far in the future of the store's clock, so that it is not forgotten
+	test.store.put(job_partition, progress_table, job_term_fixture::first_job, encode_progress(job));
+	test.begin_term();
+	CHECK(test.run_until(
+		[&]
+		{
+			return test.metrics.expose().find("trailjunction_long_running_idle{reason=\"given_up\"} 1\n") !=
+				   std::string::npos;
+		}));
+}
