--- a/tests/idle_long_running.cpp
+++ b/tests/idle_long_running.cpp
@@ -304,7 +304,7 @@
 	const task_key key{job_id{"serving"}, 0, 0, 0};
 	auto& task = *find_task(table, key);
 	task.phase_since = start;
-	add_crash(task.crashes, worker_incarnation{"w0"}, millis{1'000}, 1.0);
+	add_crash(task.crashes, worker_incarnation{"w0"}, millis{1'000}, {millis{1'000}, millis{1'000}}, 1.0);
 	const crash_policy policy;
 	const auto run_id = assign(table, key, worker_incarnation{"w1"}, start + policy.isolation_timeout_long_running);
 	const auto is_reserved = [](const job_table& jobs)
--- a/tests/late_acknowledgements.cpp
+++ b/tests/late_acknowledgements.cpp
@@ -314,3 +314,30 @@
 	CHECK(contains(test.ended, second_run));
 	CHECK_FALSE(contains(test.unlisted, second_run));
 }
+
+TEST_CASE("a worker that restarts under its id in the same millisecond is another incarnation", "[jobs]")
+{
+	// Guards against a run that ends as done, counts as lost for its owner, and is started again. The instance's clock
+	// was set back.
+	agent_and_worker test;
+	for (int i = 0; i < 2; ++i)
+	{
+		test.finish_first_run();
+		test.confirm(1);
+		REQUIRE(test.run_until([&] { return (void)test.current(), test.is_first_end_acknowledged(); }));
+		test.ended.clear();
+		const auto former = test.current();
+		test.worker.next_start_time_ms = test.worker.start_time_ms();
+		test.worker.started_runs.clear();
+		test.worker.restart_in_place();
+		REQUIRE(test.run_until(
+			[&]
+			{
+				const auto current = test.current();
+				return !current.empty() && current != former;
+			}));
+		test.run_second();
+		CHECK(contains(test.ended, second_run));
+		CHECK_FALSE(contains(test.unlisted, second_run));
+	}
+}
--- a/tests/restarts_in_place.cpp
+++ b/tests/restarts_in_place.cpp
@@ -112,6 +112,17 @@
 			restart_in_place(system, 0, downtime);
 		}
 
+		/// Restarts the worker after the clock of its instance was set back, so that its start time is the same.
+		void restart_in_same_millisecond()
+		{
+			system.with_worker(0,
+							   [](worker_standin& worker)
+							   {
+								   worker.next_start_time_ms = worker.start_time_ms();
+								   worker.restart_in_place();
+							   });
+		}
+
 		int done_count(const std::string& name)
 		{
 			const auto runs = system.all_started_runs();
@@ -271,6 +282,15 @@
 	check_batch_job(test, 2);
 }
 
+TEST_CASE("running tasks run again if their worker restarts under its id in the same millisecond", "[process]")
+{
+	restart_fixture test;
+	REQUIRE(test.begin());
+	run_batch_job(test);
+	test.restart_in_same_millisecond();
+	check_batch_job(test, 2);
+}
+
 TEST_CASE("running tasks run again if their worker restarts under its id after some time", "[process]")
 {
 	restart_fixture test;
