Owners: a crash that nobody witnessed is held against no task

What clients saw: a job of a long-running task failed for good after a power loss of all entries, agents and workers. Two workers had crashed under the task before, and its third run was 0.7 s old.

Cause: after a power loss neither the agent nor the owner has heard the worker that is gone. Its crash had no time, so it could not be found to be at the same time as those of all others, and counted as the third of the task's own.

Change: a crash without a last response suspects no task. It is still recorded for the comparison with other crashes. A harmful task gains at most one start for each loss of its owner and the agent beside it within one crash.

Evidence: tests/power_losses.cpp, real processes. "a power loss gives up no task whose workers crashed twice before" failed with kept and with changed ids before (E452 1.1 s after the power was lost) and passes. The other three cases passed before, too: a start, an end, and the start of a long-running task are on their way, applied, applied late or dropped, with kept and changed ids. The tests of harmful tasks (crashing_tasks.cpp) pass.

--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -86,7 +86,10 @@
 		crashed = crashed && (!upkeep_ || !upkeep_->may_have_gone_down(without_start_time(worker.incarnation)));
 		if (crashed)
 			record_crash(worker, now);
-		auto lost = collect_lost_runs(table_, worker, crashed, default_crash_policy);
+		// If neither its agent nor this owner was there, as after a power loss, the time of the crash is unknown. It
+		// cannot be compared with crashes of other workers then, so it is held against no task.
+		const bool witnessed = worker.last_response.has_value();
+		auto lost = collect_lost_runs(table_, worker, crashed && witnessed, default_crash_policy);
 		if (lost.empty())
 			return;
 		log_event(event::worker_lapsed, {{"worker", worker.incarnation.str()},
--- a/packages/testkit/include/trailjunction/testkit/memory_store.hpp
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -17,7 +17,9 @@
 	/// \brief Faults that a memory_store injects.
 	struct store_faults
 	{
-		bool hold_commits{};         ///< Transactions wait until this is false or their deadline has passed.
+		bool hold_commits{}; ///< Transactions wait until this is false or their deadline has passed.
+		/// Transactions that write this table wait like those under #hold_commits; empty for no table.
+		std::string held_table;
 		bool refuse_all{};           ///< Every call is refused.
 		int lost_responses{};        ///< The next transactions, this many, are applied without a response.
 		bool discard_lost_commits{}; ///< Transactions whose response is lost are not applied either.
@@ -68,6 +70,8 @@
 			bool removed{};
 		};
 
+		/// Whether a transaction waits for the end of a fault.
+		[[nodiscard]] bool is_held(const row_transaction& change) const;
 		[[nodiscard]] std::int64_t version_of(const row_key& full_key) const;
 		[[nodiscard]] std::int64_t clock_ms() const;
 		commit_result apply(const row_transaction& change);
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace trailjunction::testkit
@@ -17,6 +18,13 @@
 		constexpr auto max_queue_time = millis{1'000}; ///< The limit of the users' store.
 	}
 
+	bool memory_store::is_held(const row_transaction& change) const
+	{
+		return faults.hold_commits ||
+			   std::any_of(change.put.begin(), change.put.end(),
+						   [&](const row_value& row) { return row.name.table == faults.held_table; });
+	}
+
 	std::int64_t memory_store::version_of(const row_key& full_key) const
 	{
 		const auto found = rows_.find(full_key);
@@ -82,11 +90,11 @@
 	{
 		requested_commits.push_back(change);
 		++held_commits;
-		while (faults.hold_commits && boottime_now() < deadline)
+		while (is_held(change) && boottime_now() < deadline)
 			co_await pause_for(io_, poll_interval);
 		--held_commits;
 		commit_result out;
-		if (faults.hold_commits)
+		if (is_held(change))
 			co_return out;
 		if (faults.refuse_all)
 		{
