Crashes: a loss that does not count neither holds a task back nor fails its job

Callers would see: a long-running task held back once more for the whole time, or a job of tasks that end failed (E452), because a worker went down as planned, or its lease lapsed, or its crash was exempted, after enough earlier crashes. Found by review of the hold; for jobs that end it is older. Cause: record_lost_run() asked whether the limit holds after every loss, counted or not; a task that had waited too long to start alone is over the limit for runs that start alone. Change: only a loss that counts can give a task up.

--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -394,7 +394,8 @@
 		const auto effect = end_run(table, lost.run_id, run_outcome::lapsed, "", now);
 		// Members of a gang never start alone, and share their crash record.
 		const bool alone = lost.suspicion_at_start == suspicion::likely || group_of(job, lost.run_id.task).gang;
-		if (has_ended(job.status) || !is_given_up(task->crashes, alone, policy))
+		const bool counted = counts_against(table, lost.run_id.task, worker);
+		if (!counted || has_ended(job.status) || !is_given_up(task->crashes, alone, policy))
 			return effect;
 		if (group_of(job, lost.run_id.task).long_running)
 		{
--- a/tests/held_tasks.cpp
+++ b/tests/held_tasks.cpp
@@ -44,6 +44,16 @@
 		return effect;
 	}
 
+	/// Ends a run that has been assigned together with its worker, at \p age, without a crash.
+	end_effect end_worker_under(job_table& table, const std::string& incarnation, instant now, millis age)
+	{
+		const lost_worker worker{worker_incarnation{incarnation}, now + age};
+		auto effect = end_effect::ignored;
+		for (const auto& lost : collect_lost_runs(table, worker, false, policy))
+			effect = record_lost_run(table, lost, worker.incarnation, policy, now + age);
+		return effect;
+	}
+
 	/// Crashes three workers in a row just after a task has been started there.
 	end_effect hold_back_promptly(job_table& table, const task_key& key, instant now)
 	{
@@ -269,3 +279,31 @@
 	CHECK(release_held_back(table, policy, start).empty());
 	CHECK(table.held_back.empty());
 }
+
+TEST_CASE("a worker that ends as planned does not hold a task back again", "[jobs]")
+{
+	auto table = table_of(1);
+	REQUIRE(hold_back_promptly(table, some_task, start) == end_effect::held_back);
+	const auto now = held_until(table);
+	(void)assign(table, some_task, worker_incarnation{"w4"}, now);
+	CHECK(end_worker_under(table, "w4", now, millis{700}) == end_effect::recorded);
+	CHECK_FALSE(is_held_back(*find_task(table, some_task), now + millis{700}));
+}
+
+TEST_CASE("a worker that ends as planned does not fail a job over the limit of crashes", "[jobs]")
+{
+	// Each of the first three runs waited too long to start alone, so three crashes were not enough to give it up.
+	job_table table;
+	add_job(table, job_of("a", {group_of(1, 100)}));
+	auto now = start;
+	for (const auto* name : {"w1", "w2", "w3"})
+	{
+		REQUIRE(crash_under(table, some_task, name, now) == end_effect::recorded);
+		now += policy.isolation_timeout + millis{1'000};
+	}
+	find_task(table, some_task)->phase_since = now;
+	(void)assign(table, some_task, worker_incarnation{"w4"}, now);
+	REQUIRE(find_task(table, some_task)->suspicion_at_start == suspicion::likely);
+	CHECK(end_worker_under(table, "w4", now, millis{300}) == end_effect::recorded);
+	CHECK(find_job(table, some_task.job)->status == job_status::running);
+}
