--- a/tests/job_storm.cpp
+++ b/tests/job_storm.cpp
@@ -271,3 +271,12 @@
 	INFO(found);
 	CHECK(found.empty());
 }
+
+TEST_CASE("no job stays running when a worker restarts under its id with the start time that it had", "[process]")
+{
+	// The instance's clock was set back to the same millisecond. The agent took the ends of the next incarnation for
+	// ends that were stored already, and acknowledged them.
+	const auto found = run_short_storm_of_restarts(21);
+	INFO(found);
+	CHECK(found.empty());
+}
