Agent: a stopped start counts as possibly there until its incarnation has outlived the deadline

What callers saw: a task that ran twice at a time, or again after it was done. A start got no answer, the worker answered the stop of that run, the agent reported the run as never started, and its owner gave the task to another worker. The first worker restarted under its id, and its next incarnation, which knows of no stop and whose clock starts anew, carried out the start.

Cause: an answer of one incarnation was used for the worker.

Change: the run is refused only after a listing that was made after the stop and at a clock after the start's deadline; if the incarnation ends before, the first listing of the next one tells. The same for stops of runs that an earlier process of the agent may have started, and for refusals of repeated orders.

The test "a start without an answer is settled by a stop and a later listing" asserted the fault: it took the stop for enough. Its replacement asserts the stops, that nothing is refused before the deadline, and the refusal after it; "a repeated start that does not fit is resolved by a stop" now lets the worker's clock advance and asserts the same.

--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -113,7 +113,7 @@
 			if (result.outcome == order_outcome::done)
 			{
 				fencing_token_step_ = first_fencing_token_step;
-				apply_listing(std::move(result.listing));
+				apply_listing(std::move(result.listing), result.clock_ms);
 				stop_unconfirmed_runs(boottime_now());
 				co_await pause_after_listing(order);
 				continue;
@@ -155,14 +155,17 @@
 			co_await pause_for(io_, listing_delay);
 	}
 
-	void run_manager::apply_listing(worker_listing listing)
+	void run_manager::apply_listing(worker_listing listing, std::int64_t clock_ms)
 	{
 		if (failed_listings_ >= max_failed_listings)
 			request_report_();
 		failed_listings_ = 0;
 		// While the list of ends is full, the absence of a run proves nothing: its end may be listed later.
 		if (listing.ended.size() < max_listed_ends)
+		{
 			++listing_count_;
+			listing_clock_ms_ = clock_ms;
+		}
 		record_listing(listing_memory_, listing);
 		note_unlisted_runs(listing);
 		absl::flat_hash_map<task_run, tracked_run> listed_runs;
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -175,6 +175,7 @@
 		ends_reported_ = 0;
 		failed_listings_ = 0;
 		first_listed_end_ = 0;
+		listing_clock_ms_ = 0;
 		has_just_stated_start_time_ = false;
 		closes_connections_ = false;
 		has_listing_ = false;
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -105,6 +105,13 @@
 			std::string_view decided_by; ///< One of "worker", "agent", "stop" and "refused_before".
 		};
 
+		/// A start of which the outcome is not known.
+		struct start_attempt
+		{
+			std::int64_t deadline_ms{}; ///< Time on the worker's clock after which the worker refuses the start.
+			bool repeated{};            ///< An earlier process of this agent may have sent the start, too.
+		};
+
 		/// The previous incarnation of the worker.
 		struct lost_incarnation
 		{
@@ -128,11 +135,26 @@
 		boost::asio::awaitable<void> pause_after_listing(const listing_order& order);
 		boost::asio::awaitable<void> carry_out_start(wire::job_start order, bool has_room);
 		boost::asio::awaitable<void> carry_out_stop(task_run id, worker_incarnation incarnation_id);
-		boost::asio::awaitable<void> resolve_start(task_run id, worker_incarnation incarnation_id);
+		/// Waits until the outcome of a start without an answer is known, and reports it.
+		/// \details Sends a stop, so that the current incarnation does not carry out the start any more. The next one
+		/// may still do so, since it knows of no stop and its clock starts anew. Its first report tells whether it has,
+		/// but not if the task runs elsewhere by then. So the run counts as refused no earlier than the current
+		/// incarnation has outlived the deadline of the start.
+		boost::asio::awaitable<void> resolve_start(task_run id, worker_incarnation incarnation_id,
+												   start_attempt attempt);
+		/// Sends one stop; pauses if it fails.
+		/// \returns Whether the worker has answered it.
+		boost::asio::awaitable<bool> try_stop(task_run id, worker_incarnation incarnation_id);
+		/// Waits for a listing that was made after a deadline on the worker's clock, or contains the run.
+		boost::asio::awaitable<void> wait_until_settled(task_run id, worker_incarnation incarnation_id,
+														std::int64_t start_deadline_ms);
+		/// Whether the incarnation is the current one and has listed neither the run nor its end.
+		[[nodiscard]] bool is_undecided(const task_run& id, const worker_incarnation& incarnation_id) const noexcept;
 		boost::asio::awaitable<void> pace_fillers();
 		void move_slow_fillers(instant now);
 		boost::asio::awaitable<bool> wait_for_listing(const worker_incarnation& incarnation_id);
-		void apply_listing(worker_listing listing);
+		/// \param clock_ms The worker's clock when it made the listing.
+		void apply_listing(worker_listing listing, std::int64_t clock_ms);
 		/// Removes the runs from confirmed_unlisted_ that need not be kept any longer.
 		/// \returns Those that a listing made after the confirmation should contain.
 		[[nodiscard]] std::vector<task_run> take_overdue_confirmations(const worker_listing& listing);
@@ -214,6 +236,7 @@
 		std::int64_t ends_reported_{};
 		std::int64_t first_listed_end_{}; ///< Number of the first end in the latest listing; 0 if it had none.
 		std::uint64_t listing_count_{};   ///< Number of complete listings; lets coroutines wait for a new one.
+		std::int64_t listing_clock_ms_{}; ///< The worker's clock in the latest complete listing.
 		int failed_listings_{};
 		bool has_just_stated_start_time_{}; ///< The latest listing call was answered, and changed nothing.
 		bool closes_connections_{};         ///< No connection was open right after an answer to a listing call.
--- a/packages/agent/src/process/run_orders.cpp
+++ b/packages/agent/src/process/run_orders.cpp
@@ -21,10 +21,9 @@
 	{
 		/// Time after which the worker refuses a start, so that a delayed order cannot take effect later.
 		constexpr auto max_start_delay = millis{1'500};
-		/// Time on the worker's clock after which no start of a run can take effect any more, counted from a reading of
-		/// that clock after the last order. Twice max_start_delay, since the reading may have been under way for the
-		/// timeout of a call.
-		constexpr auto start_settled_after = 2 * max_start_delay;
+		/// Time on the worker's clock after the deadline of a start from which on it counts as settled although the
+		/// worker has answered no stop: an earlier process of this agent may have sent the start, too.
+		constexpr auto max_deadline_error = max_start_delay;
 		/// Minimum time left for a start; with less the worker would refuse it as late.
 		constexpr auto min_start_time_left = millis{100};
 		/// Maximum age of the heartbeat whose capacity a start may rely on: by the users' requirements, a reduced
@@ -120,8 +119,9 @@
 		const auto worker_clock_ms = worker_now_ms(boottime_now());
 		run_start start_call{id, std::move(order.payload), std::move(order.checkpoint),
 							 std::min(worker_clock_ms + max_start_delay.count(), lease_deadline_ms_)};
+		const start_attempt attempt{start_call.deadline_ms, repeated};
 		const bool is_leased =
-			worker_clock_ms_ > 0 && start_call.deadline_ms >= worker_clock_ms + min_start_time_left.count();
+			worker_clock_ms_ > 0 && attempt.deadline_ms >= worker_clock_ms + min_start_time_left.count();
 		order_result result{order_outcome::late, 0};
 		refusal_source source{repeated, by_agent};
 		if (!has_room)
@@ -146,7 +146,7 @@
 			record_start(id);
 			break;
 		case order_outcome::unknown:
-			co_await resolve_start(id, incarnation_id);
+			co_await resolve_start(id, incarnation_id, attempt);
 			break;
 		case order_outcome::no_room:
 			refuse(id, start_refusal::no_room, source);
@@ -187,47 +187,54 @@
 		co_return is_current(incarnation_id);
 	}
 
-	asio::awaitable<void> run_manager::resolve_start(task_run id, worker_incarnation incarnation_id)
+	bool run_manager::is_undecided(const task_run& id, const worker_incarnation& incarnation_id) const noexcept
+	{
+		return is_current(incarnation_id) && !runs_.contains(id) && !has_ended(id);
+	}
+
+	asio::awaitable<void> run_manager::wait_until_settled(task_run id, worker_incarnation incarnation_id,
+														  std::int64_t start_deadline_ms)
+	{
+		while (is_undecided(id, incarnation_id) && listing_clock_ms_ <= start_deadline_ms)
+			co_await pause_for(io_, worker_retry_delay);
+	}
+
+	asio::awaitable<void> run_manager::resolve_start(task_run id, worker_incarnation incarnation_id,
+													 start_attempt attempt)
 	{
 		++open_orders_;
 		log_event(event::start_unanswered, {{"task", to_string(id.task)}, {"run", id.run}});
-		const auto clock_before_ms = worker_clock_ms_;
-		std::optional<std::int64_t> settled_at_ms; // on the worker's clock
-		while (is_current(incarnation_id))
-		{
-			if (runs_.contains(id))
-			{
-				record_start(id);
-				break;
-			}
-			if (has_ended(id))
-				break;
-			// The worker refuses the start of a run that was stopped, so an answer to the stop settles the start.
-			const auto port = port_;
-			const auto result = co_await port->stop(authority(), id, boottime_now() + worker_call_timeout);
-			if (!is_current(incarnation_id))
-				break;
-			record_result(result, boottime_now());
-			const bool stopped = result.outcome == order_outcome::done || result.outcome == order_outcome::superseded;
-			// It also refuses a start whose deadline has passed, which settles it if the worker answers no stop.
-			if (!settled_at_ms && worker_clock_ms_ > clock_before_ms)
-				settled_at_ms = worker_clock_ms_ + start_settled_after.count();
-			const bool expired = settled_at_ms && worker_clock_ms_ > *settled_at_ms;
-			if (!stopped && !expired)
-			{
-				co_await pause_for(io_, worker_retry_delay);
-				continue;
-			}
-			const bool listed = co_await wait_for_listing(incarnation_id);
-			if (listed && !runs_.contains(id) && !has_ended(id))
-			{
-				refuse(id, start_refusal::never_started, {true, stopped ? by_stop : by_deadline});
-				break;
-			}
-		}
+		bool stopped = false;
+		while (is_undecided(id, incarnation_id) && !stopped &&
+			   listing_clock_ms_ <= attempt.deadline_ms + max_deadline_error.count())
+			stopped = co_await try_stop(id, incarnation_id);
+		if (is_undecided(id, incarnation_id))
+			(void)co_await wait_for_listing(incarnation_id);
+		if (is_undecided(id, incarnation_id) && stopped)
+			ages_.erase(id); // it is not on the worker, so it can't crash it
+		if (attempt.repeated)
+			attempt.deadline_ms = std::max(attempt.deadline_ms, listing_clock_ms_ + max_start_delay.count());
+		co_await wait_until_settled(id, incarnation_id, attempt.deadline_ms);
+		if (is_undecided(id, incarnation_id))
+			refuse(id, start_refusal::never_started, {true, stopped ? by_stop : by_deadline});
+		else if (is_current(incarnation_id) && runs_.contains(id))
+			record_start(id);
 		--open_orders_;
 	}
 
+	asio::awaitable<bool> run_manager::try_stop(task_run id, worker_incarnation incarnation_id)
+	{
+		const auto port = port_;
+		const auto result = co_await port->stop(authority(), id, boottime_now() + worker_call_timeout);
+		if (!is_current(incarnation_id))
+			co_return false;
+		record_result(result, boottime_now());
+		if (result.outcome == order_outcome::done || result.outcome == order_outcome::superseded)
+			co_return true;
+		co_await pause_for(io_, worker_retry_delay);
+		co_return false;
+	}
+
 	void run_manager::stop(const wire::job_stop& order)
 	{
 		const auto id = from_wire(order.what);
@@ -246,21 +253,16 @@
 	asio::awaitable<void> run_manager::carry_out_stop(task_run id, worker_incarnation incarnation_id)
 	{
 		++open_orders_;
-		while (is_current(incarnation_id))
+		bool stopped = false;
+		while (is_current(incarnation_id) && !stopped)
+			stopped = co_await try_stop(id, incarnation_id);
+		const bool listed = co_await wait_for_listing(incarnation_id);
+		// carry_out_start() reports the outcome of a start that is under way.
+		if (listed && !pending_starts_.contains(id))
 		{
-			const auto port = port_;
-			const auto result = co_await port->stop(authority(), id, boottime_now() + worker_call_timeout);
-			if (!is_current(incarnation_id))
-				break;
-			record_result(result, boottime_now());
-			if (result.outcome == order_outcome::done || result.outcome == order_outcome::superseded)
-			{
-				const bool listed = co_await wait_for_listing(incarnation_id);
-				if (listed && !runs_.contains(id) && !has_ended(id))
-					refuse(id, start_refusal::never_started, {true, by_stop});
-				break;
-			}
-			co_await pause_for(io_, worker_retry_delay);
+			co_await wait_until_settled(id, incarnation_id, listing_clock_ms_ + max_start_delay.count());
+			if (is_undecided(id, incarnation_id))
+				refuse(id, start_refusal::never_started, {true, by_stop});
 		}
 		if (is_current(incarnation_id))
 			pending_stops_.erase(id);
--- a/tests/agent_capacity_changes.cpp
+++ b/tests/agent_capacity_changes.cpp
@@ -45,7 +45,18 @@
 	// The first order may have been executed while there was room.
 	fixture test;
 	report_capacity(test, 400);
+	std::int64_t clock_ms = 1'000;
+	test.script.on_list = [&]
+	{
+		return listing_result{{order_outcome::done, clock_ms}, {}};
+	};
 	test.order_start(true, 500);
+	REQUIRE(test.run_until([&] { return test.script.stops > 0; }));
+	const auto listings = test.script.listings;
+	REQUIRE(test.run_until([&] { return test.script.listings > listings + 50; }));
+	// Whoever sent the first order may have sent it just before.
+	CHECK(test.runs.report(false).refused.empty());
+	clock_ms += 5'000;
 	REQUIRE(test.run_until_reported());
 	CHECK(test.refused.size() == 1);
 	CHECK(test.script.starts == 0);
--- a/tests/late_acknowledgements.cpp
+++ b/tests/late_acknowledgements.cpp
@@ -71,6 +71,10 @@
 				ended.push_back(from_wire(end).run_id);
 			for (const auto& run : report.unlisted)
 				unlisted.push_back(from_wire(run));
+			for (const auto& run : report.running)
+				running.push_back(from_wire(run).run_id);
+			for (const auto& refusal : report.refused)
+				refused.push_back(from_wire(refusal).run_id);
 			return worker_of(report);
 		}
 
@@ -152,6 +156,8 @@
 		std::int64_t stamp_ms{};
 		std::vector<task_run> ended;
 		std::vector<task_run> unlisted;
+		std::vector<task_run> running;
+		std::vector<task_run> refused;
 	};
 
 	/// A worker with one end, which closes its connections after each answer.
@@ -315,6 +321,29 @@
 	CHECK_FALSE(contains(test.unlisted, second_run));
 }
 
+TEST_CASE("a start that the next incarnation carries out late is listed there and not reported as refused", "[jobs]")
+{
+	// Guards against two runs of a task at a time: the former incarnation had answered a stop, and the task's next run
+	// works elsewhere after the refusal.
+	agent_and_worker test;
+	test.finish_first_run(); // while its end waits to be acknowledged, listings follow each other quickly
+	test.worker.faults.late_orders = 1;
+	test.worker.faults.late_delay = millis{600}; // while the worker is down
+	test.order_start(second_run, "60000");
+	const auto is_stopped = [&]
+	{
+		const auto& calls = test.worker.recorded_calls;
+		return !calls.empty() && calls.back().response.starts_with("/run-stop: 200");
+	};
+	REQUIRE(test.run_until(is_stopped));
+	const auto listings = test.worker.listing_count;
+	REQUIRE(test.run_until([&] { return test.worker.listing_count > listings + 3; }));
+	test.worker.restart_in_place(millis{500});
+	REQUIRE(test.await_incarnation(test.worker.start_time_ms()));
+	REQUIRE(test.run_until([&] { return (void)test.current(), contains(test.running, second_run); }));
+	CHECK(test.refused.empty());
+}
+
 TEST_CASE("a worker that restarts under its id in the same millisecond is another incarnation", "[jobs]")
 {
 	// Guards against a run that ends as done, counts as lost for its owner, and is started again. The instance's clock
--- a/tests/run_manager.cpp
+++ b/tests/run_manager.cpp
@@ -179,20 +179,35 @@
 	};
 }
 
-TEST_CASE("a start without an answer is settled by a stop and a later listing", "[jobs]")
+TEST_CASE("a start without an answer is settled by a stop and a listing after its deadline", "[jobs]")
 {
+	// Guards against two runs of a task at a time: the worker answers the stop and restarts under its id, and its next
+	// incarnation, which knows of no stop, carries out the start while the task's next run works elsewhere.
+	constexpr std::int64_t sent_at_clock_ms = 1'000;
+	constexpr std::int64_t longest_delay_ms = 1'500; // within which the worker carries out a start
 	fixture test;
+	std::int64_t clock_ms = sent_at_clock_ms;
 	test.script.on_start = []
 	{
 		return order_result{order_outcome::unknown, 0};
 	};
+	test.script.on_list = [&]
+	{
+		return listing_result{{order_outcome::done, clock_ms}, {}};
+	};
 	int unanswered_stops = 2;
 	test.script.on_stop = [&]
 	{
 		return unanswered_stops-- > 0 ? order_result{order_outcome::unknown, 0}
-									  : order_result{order_outcome::done, 1'000};
+									  : order_result{order_outcome::done, sent_at_clock_ms};
 	};
 	test.order_start();
+	REQUIRE(test.run_until([&] { return test.script.stops == 3; }));
+	clock_ms = sent_at_clock_ms + longest_delay_ms;
+	const auto listings = test.script.listings;
+	REQUIRE(test.run_until([&] { return test.script.listings > listings + 50; }));
+	CHECK(test.runs.report(false).refused.empty());
+	clock_ms += 2 * longest_delay_ms;
 	REQUIRE(test.run_until_reported());
 	REQUIRE(test.refused.size() == 1);
 	CHECK(test.refused[0].why == wire::start_refusal::refused_never_started);
