Jobs: repeated crashes of one worker hold a harmless task back later, and send it elsewhere first

Its four runs stood on one worker, which restarted under its id four times for reasons of its own.

Cause: each incarnation counted as a worker of its own, and the task was placed on the worker that had just lost it, since that one was empty. Evidence: E450 and E454 in the print: four names with one id, waited_ms 0. Only another worker tells the task from the worker.

Change: a task avoids a worker that has crashed under it twice, for 1.5 s at most; crashes of fewer than three workers reach the limit at five instead of four. Prompt crashes count as before. Tried first: five for prompt crashes too; four tests of harmful tasks failed with four starts instead of three.

--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -20,6 +20,10 @@
 /// about the same time, so no run of it gets far older than the run of another such crash. Crashes that contradict each
 /// other in this way, in whichever order they came, do not add up; see count_consistent().
 ///
+/// Crashes of one worker in several incarnations do not tell whether the task or the worker is at fault. A task under
+/// which a worker has crashed repeatedly prefers other workers for a limited time. Unless the crashes were prompt, it
+/// is given up after a fifth one only if fewer than three different workers have crashed under it.
+///
 /// Crashes of several workers at the same time (correlated crashes) are not counted in two cases. First, the run was
 /// younger than an earlier run of the task had become: a task that crashes its workers does so after about the same
 /// time, so it would have crashed the earlier worker sooner. Second, all of these hold: the run was past its startup,
@@ -52,6 +56,15 @@
 		/// A task is given up after this many workers in a row have crashed under it, even if none of its runs was
 		/// started alone. Users accept two more starts after three workers have crashed.
 		std::size_t max_colocated_crashes{5};
+		/// Crashes of fewer different workers, not all of them prompt, may as well be the fault of the workers, so that
+		/// max_colocated_crashes are needed.
+		std::size_t min_crashed_workers{3};
+		/// A task avoids a worker that has crashed under it at least this often, also in several incarnations. Only a
+		/// start on another worker tells whether the task or the worker is at fault.
+		std::size_t min_crashes_to_avoid_worker{2};
+		/// A task waits for a worker that it need not avoid for this long. Users miss a task after 3 s, and an order
+		/// takes up to 1 s on a slow store.
+		millis avoid_worker_timeout{1'500};
 		/// A crash is correlated if at least this many other workers crashed at the same time. Two tasks that crash
 		/// their workers may do so at the same time by chance; with three this is unlikely.
 		std::size_t min_correlated_workers{2};
@@ -159,6 +172,14 @@
 	/// than another one that it would have crashed its worker before. Ages that are not known contradict nothing.
 	[[nodiscard]] std::size_t count_consistent(const crash_record& record, const crash_policy& policy) noexcept;
 
+	/// \brief Whether a worker has crashed under the task so often that the task should start on another one. Counts
+	/// all incarnations of the worker.
+	[[nodiscard]] bool should_avoid_worker(const crash_record& record, const worker_incarnation& worker,
+										   const crash_policy& policy) noexcept;
+
+	/// \brief Whether there is a worker that the task should avoid.
+	[[nodiscard]] bool should_avoid_any_worker(const crash_record& record, const crash_policy& policy) noexcept;
+
 	/// \brief Whether a single cause in the task can explain all its crashes: a task that crashes its workers does so
 	/// after about the same time each.
 	[[nodiscard]] bool fits_one_cause(const crash_record& record, const crash_policy& policy) noexcept;
--- a/packages/jobs/include/trailjunction/jobs/job_crashes.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_crashes.hpp
@@ -20,6 +20,10 @@
 	/// its isolation timeout starts like any suspected task. The time for which it was held back does not count.
 	[[nodiscard]] suspicion effective_suspicion(const job_state& job, const task_key& key, instant now);
 
+	/// \brief Whether a waiting task may only be started on workers that it need not avoid; see should_avoid_worker().
+	/// Members of a gang start beside each other, wherever there is room for all.
+	[[nodiscard]] bool must_avoid_workers(const job_state& job, const task_key& key, instant now);
+
 	/// \brief How a placed run restricts its worker: as it was started, or less if its task was cleared since.
 	[[nodiscard]] suspicion run_suspicion(const job_state& job, const task_key& key);
 
--- a/packages/jobs/include/trailjunction/jobs/placement_order.hpp
+++ b/packages/jobs/include/trailjunction/jobs/placement_order.hpp
@@ -45,6 +45,8 @@
 		bool starving{};
 		/// How strongly the task is suspected of crashing workers, which decides how it may be started.
 		suspicion crash_suspicion{suspicion::none};
+		/// The task is not to be started yet on workers that have crashed under it repeatedly.
+		bool avoids_workers{};
 	};
 
 	/// \brief Sorts waiting tasks in the order in which they are placed.
--- a/packages/jobs/src/crash_placement.cpp
+++ b/packages/jobs/src/crash_placement.cpp
@@ -42,6 +42,12 @@
 			   (worker.crashed_recently ? recent_cost : 0.0);
 	}
 
+	bool is_avoided(const worker_room& worker, const placement_request& request) noexcept
+	{
+		constexpr crash_policy policy{};
+		return request.avoids_workers && should_avoid_worker(request.task->crashes, worker.incarnation, policy);
+	}
+
 	double repeated_crash_cost(const worker_room& worker, const placement_request& request,
 							   const placement_policy& policy) noexcept
 	{
--- a/packages/jobs/src/crash_placement.hpp
+++ b/packages/jobs/src/crash_placement.hpp
@@ -27,6 +27,9 @@
 	/// preferred rack still count.
 	[[nodiscard]] double crash_cost(const worker_room& worker, suspicion level, const placement_policy& policy);
 
+	/// \brief Whether a task is not to be started on a worker yet, since the worker has crashed under it repeatedly.
+	[[nodiscard]] bool is_avoided(const worker_room& worker, const placement_request& request) noexcept;
+
 	/// \brief Added to the cost of a worker that crashed recently, for a task that is not suspected but has lost two
 	/// runs in a row with their workers. A worker that crashes repeatedly by itself is the emptiest one each time.
 	[[nodiscard]] double repeated_crash_cost(const worker_room& worker, const placement_request& request,
--- a/packages/jobs/src/crash_suspicion.cpp
+++ b/packages/jobs/src/crash_suspicion.cpp
@@ -21,6 +21,28 @@
 
 	namespace
 	{
+		std::size_t count_crashes_of(const crash_record& record, const worker_incarnation& worker) noexcept
+		{
+			const auto is_same_worker = [&](const worker_incarnation& other)
+			{
+				return other.id() == worker.id();
+			};
+			return static_cast<std::size_t>(
+				std::count_if(record.workers.begin(), record.workers.end(), is_same_worker));
+		}
+
+		/// Number of different workers that crashed, whatever the number of their incarnations.
+		std::size_t count_crashed_workers(const crash_record& record) noexcept
+		{
+			std::size_t out = 0;
+			for (auto worker = record.workers.begin(); worker != record.workers.end(); ++worker)
+				out += std::none_of(record.workers.begin(), worker,
+									[&](const worker_incarnation& earlier) { return earlier.id() == worker->id(); })
+						   ? 1
+						   : 0;
+			return out;
+		}
+
 		/// Number of consecutive crashes of workers after which a task is given up.
 		std::size_t crash_limit(const crash_record& record, const crash_policy& policy) noexcept
 		{
@@ -28,7 +50,9 @@
 				return policy.max_colocated_crashes;
 			if (record.max_age <= policy.prompt_age)
 				return policy.max_prompt_crashes;
-			return record.correlated.empty() ? policy.max_crashes : policy.max_colocated_crashes;
+			const bool may_be_chance =
+				!record.correlated.empty() || count_crashed_workers(record) < policy.min_crashed_workers;
+			return may_be_chance ? policy.max_colocated_crashes : policy.max_crashes;
 		}
 
 		/// Whether a run that reached \p survived shows that the task does not crash its workers at the age \p age.
@@ -69,6 +93,19 @@
 		return std::max(out, unknown);
 	}
 
+	bool should_avoid_worker(const crash_record& record, const worker_incarnation& worker,
+							 const crash_policy& policy) noexcept
+	{
+		return count_crashes_of(record, worker) >= policy.min_crashes_to_avoid_worker;
+	}
+
+	bool should_avoid_any_worker(const crash_record& record, const crash_policy& policy) noexcept
+	{
+		return std::any_of(record.workers.begin(), record.workers.end(),
+						   [&](const worker_incarnation& worker)
+						   { return should_avoid_worker(record, worker, policy); });
+	}
+
 	bool fits_one_cause(const crash_record& record, const crash_policy& policy) noexcept
 	{
 		return !record.earliest_crash || !has_outlived(record, *record.earliest_crash, policy);
--- a/packages/jobs/src/job_crashes.cpp
+++ b/packages/jobs/src/job_crashes.cpp
@@ -26,6 +26,12 @@
 			return group_of(job, key).gang ? siblings_of(job, key) : std::span{&task, 1};
 		}
 
+		/// For how long a task waits, without the time for which it was held back.
+		instant::duration waiting_time(const job_task& task, instant now)
+		{
+			return now - std::max(task.phase_since, task.held_until);
+		}
+
 		millis elapsed(instant from, instant to)
 		{
 			return std::max(millis{0}, std::chrono::duration_cast<millis>(to - from));
@@ -322,7 +328,7 @@
 	{
 		const auto level = task_suspicion(job, key);
 		const auto& task = job.tasks[task_index(job, key)];
-		const auto waited = now - std::max(task.phase_since, task.held_until);
+		const auto waited = waiting_time(task, now);
 		constexpr crash_policy policy{};
 		// A task that was held back has been missing anyway, and its next crash is likely.
 		const bool is_urgent = group_of(job, key).long_running && task.held_until == instant{};
@@ -330,6 +336,14 @@
 		return waited >= timeout ? std::min(level, suspicion::suspected) : level;
 	}
 
+	bool must_avoid_workers(const job_state& job, const task_key& key, instant now)
+	{
+		constexpr crash_policy policy{};
+		const auto& task = job.tasks[task_index(job, key)];
+		return !group_of(job, key).gang && should_avoid_any_worker(task.crashes, policy) &&
+			   waiting_time(task, now) < policy.avoid_worker_timeout;
+	}
+
 	suspicion run_suspicion(const job_state& job, const task_key& key)
 	{
 		return std::min(job.tasks[task_index(job, key)].suspicion_at_start, task_suspicion(job, key));
--- a/packages/jobs/src/job_placement.cpp
+++ b/packages/jobs/src/job_placement.cpp
@@ -168,7 +168,7 @@
 				double best_cost = infeasible;
 				for (std::size_t i = 0; i < costs_.size(); ++i)
 				{
-					if (costs_[i] >= best_cost)
+					if (costs_[i] >= best_cost || is_avoided(workers_[i], request))
 						continue;
 					const bool failed_here =
 						!request.task->failed_on.empty() && workers_[i].incarnation == request.task->failed_on;
@@ -218,6 +218,8 @@
 					!may_reserve(workers, next.job->queue.service, context.policy))
 					return &next;
 				const auto found = costs.best_for(next);
+				if (!found && next.avoids_workers)
+					continue; // another task may take the room that this one avoids
 				if (!found)
 					return &next;
 				any_starving_placed = any_starving_placed || starving;
--- a/packages/jobs/src/placement_order.cpp
+++ b/packages/jobs/src/placement_order.cpp
@@ -181,6 +181,7 @@
 				out.back().starving = out.back().starving || is_starving_filler(out.back(), at.now);
 				if (!out.back().group->gang)
 					out.back().crash_suspicion = effective_suspicion(*out.back().job, waiting[i], at.now);
+				out.back().avoids_workers = must_avoid_workers(*out.back().job, waiting[i], at.now);
 				out.back().key = std::move(waiting[i]);
 			}
 			// A task that finds no place holds up those after it, so those that may be placed anywhere come first.
