Agent: a heartbeat whose number went back shows a restart in the same millisecond

Cause: the third incarnation's clock had passed the second one's latest answer before its own first answer, so that no clock went back; and its heartbeats were dropped for their numbers. Evidence: a print of each listing: 258 ms from the second incarnation, then a call held for 400 ms and answered at 453 ms by the third, which had sent a heartbeat at 44 ms.

Change: after a heartbeat with a lower number the next listing call only asks and does not wait, and the clock in its answer is compared with the time that has passed.

The bound on cost is that of one listing per late heartbeat, without a further call.

--- a/packages/agent/src/process/listing_memory.cpp
+++ b/packages/agent/src/process/listing_memory.cpp
@@ -7,10 +7,10 @@
 
 namespace trailjunction
 {
-	bool shows_restart(const listing_memory& memory, std::int64_t clock_before_ms,
+	bool shows_restart(const listing_memory& memory, std::int64_t least_clock_ms,
 					   const listing_result& result) noexcept
 	{
-		if (result.clock_ms > 0 && result.clock_ms < clock_before_ms)
+		if (result.clock_ms > 0 && result.clock_ms < least_clock_ms)
 			return true;
 		if (result.outcome != order_outcome::done || memory.may_omit_ends)
 			return false;
--- a/packages/agent/src/process/listing_memory.hpp
+++ b/packages/agent/src/process/listing_memory.hpp
@@ -23,8 +23,9 @@
 	/// \details A worker may restart under its id while its instance's clock is set back, and state the start time of
 	/// its former incarnation. Within one incarnation the clock never goes back, and an end whose number is not above
 	/// all before was in the listing before.
-	/// \param clock_before_ms The worker's clock in an answer that had arrived before this call was sent; 0 if none.
-	[[nodiscard]] bool shows_restart(const listing_memory& memory, std::int64_t clock_before_ms,
+	/// \param least_clock_ms The least time that the current incarnation's clock may show in this answer; 0 if it is
+	/// not known.
+	[[nodiscard]] bool shows_restart(const listing_memory& memory, std::int64_t least_clock_ms,
 									 const listing_result& result) noexcept;
 
 	/// \brief Records a listing of the current incarnation.
--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -65,10 +65,11 @@
 
 	listing_order run_manager::next_listing_order() const noexcept
 	{
-		// After a call without an answer the next incarnation may be there. It would take the lease and the
-		// acknowledgements for its own, so the call only finds out which incarnation answers.
+		// After a call without an answer, or a heartbeat that may be its own, the next incarnation may be there. It would
+		// take the lease and the acknowledgements for its own, so the call only finds out which incarnation answers. It
+		// does not wait, since the clock of the next incarnation may pass that of the former one meanwhile.
 		listing_order out;
-		if (failed_listings_ > 0)
+		if (failed_listings_ > 0 || may_be_next_namesake_)
 			return out;
 		out.deadline_ms = lease_deadline_ms_;
 		if (first_listed_end_ > 0 && first_listed_end_ <= ends_kept_)
@@ -92,18 +93,20 @@
 			}
 			const auto port = port_;
 			const auto incarnation_id = worker_->incarnation;
-			const auto clock_before_ms = worker_clock_ms_;
+			const auto least_clock_ms = least_worker_clock_ms(boottime_now());
 			const auto order = next_listing_order();
+			const bool asks_for_namesake = std::exchange(may_be_next_namesake_, false);
 			const bool follows_statement = has_just_stated_start_time_;
 			const auto deadline = boottime_now() + order.max_wait + worker_call_timeout;
 			auto result = co_await port->list(authority(), order, deadline);
 			if (!is_current(incarnation_id))
 				continue;
-			if (stated_name_.start_time() && shows_restart(listing_memory_, clock_before_ms, result))
+			if (stated_name_.start_time() && shows_restart(listing_memory_, least_clock_ms, result))
 			{
 				begin_incarnation_of_same_name();
 				continue;
 			}
+			may_be_next_namesake_ = may_be_next_namesake_ || (asks_for_namesake && result.clock_ms == 0);
 			record_result(result, boottime_now());
 			has_just_stated_start_time_ = result.outcome == order_outcome::done && only_asks(order);
 			if (result.outcome == order_outcome::fenced)
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -19,6 +19,8 @@
 	{
 		/// How far the clock in a heartbeat may be ahead of the estimate of the worker's clock.
 		constexpr auto clock_tolerance = millis{100};
+		/// Rounding error of two readings of the worker's clock.
+		constexpr auto max_clock_reading_error = millis{10};
 
 		/// A fencing token for an incarnation. It is above those of its former incarnations unless the clock of the
 		/// instance was set back, and above those of earlier processes of its agent, since the worker's clock has
@@ -56,9 +58,11 @@
 				asio::co_spawn(io_, probe_incarnation(std::move(heartbeat)), asio::detached);
 			return;
 		}
-		if (heartbeat.sequence < worker_->sequence || is_of_former_namesake(heartbeat, boottime_now()))
+		const bool is_out_of_order = heartbeat.sequence < worker_->sequence;
+		if (is_out_of_order || is_of_former_namesake(heartbeat, boottime_now()))
 		{
-			// A later heartbeat has arrived before, or this one is of a former incarnation.
+			// A later heartbeat has arrived before, or this one is of another incarnation.
+			may_be_next_namesake_ = may_be_next_namesake_ || is_out_of_order;
 			log_event(event::heartbeat_ignored, {{"worker", heartbeat.incarnation.str()},
 												 {"current", worker_->incarnation.str()},
 												 {"sequence", heartbeat.sequence},
@@ -164,6 +168,7 @@
 		worker_ = heartbeat;
 		stated_name_ = stated_name;
 		listing_memory_ = {};
+		may_be_next_namesake_ = false;
 		heartbeat_at_ = boottime_now();
 		// Above the tokens of all orders to former incarnations: one that is carried out late is refused as soon as
 		// this incarnation has answered one call.
@@ -268,6 +273,15 @@
 		suspended_at_clock_read_ = total_suspended_time();
 	}
 
+	std::int64_t run_manager::least_worker_clock_ms(instant sent_at) const noexcept
+	{
+		if (worker_clock_ms_ == 0 || !may_be_next_namesake_)
+			return worker_clock_ms_;
+		const auto elapsed = static_cast<double>(worker_now_ms(sent_at) - worker_clock_ms_);
+		const auto least = elapsed * (1.0 - run_lease_times{}.max_clock_slowness) - max_clock_reading_error.count();
+		return worker_clock_ms_ + std::max<std::int64_t>(0, static_cast<std::int64_t>(least));
+	}
+
 	instant run_manager::lease_end_time() const noexcept
 	{
 		return adjusted_clock_read_time() + millis{std::max<std::int64_t>(0, lease_deadline_ms_ - worker_clock_ms_)};
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -136,10 +136,10 @@
 		boost::asio::awaitable<void> carry_out_start(wire::job_start order, bool has_room);
 		boost::asio::awaitable<void> carry_out_stop(task_run id, worker_incarnation incarnation_id);
 		/// Waits until the outcome of a start without an answer is known, and reports it.
-		/// \details Sends a stop, so that the current incarnation does not carry out the start any more. The next one
-		/// may still do so, since it knows of no stop and its clock starts anew. Its first report tells whether it has,
-		/// but not if the task runs elsewhere by then. So the run counts as refused no earlier than the current
-		/// incarnation has outlived the deadline of the start.
+		/// \details Sends a stop, so that the current incarnation does not carry out the start any more. The next one may
+		/// still do so, since it knows of no stop and its clock starts anew. Its first report tells whether it has, but
+		/// not if the task runs elsewhere by then. So the run counts as refused no earlier than the current incarnation
+		/// has outlived the deadline of the start.
 		boost::asio::awaitable<void> resolve_start(task_run id, worker_incarnation incarnation_id,
 												   start_attempt attempt);
 		/// Sends one stop; pauses if it fails.
@@ -207,6 +207,10 @@
 		[[nodiscard]] std::int64_t worker_now_ms(instant now) const noexcept;
 		/// Time at which the worker's clock was read, moved later by the suspension of this instance since then.
 		[[nodiscard]] instant adjusted_clock_read_time() const noexcept;
+		/// The least value of the current incarnation's clock in the answer to a call; the next incarnation's is lower.
+		/// \details Only an answer proves a clock, unless heartbeats suggest that the next incarnation is there: its
+		/// clock may have passed that of the former one's latest answer.
+		[[nodiscard]] std::int64_t least_worker_clock_ms(instant sent_at) const noexcept;
 
 		boost::asio::io_context& io_;
 		port_factory make_port_;
@@ -218,6 +222,9 @@
 		worker_incarnation stated_name_;         ///< The name that the current incarnation states itself.
 		std::uint32_t name_repetitions_{};       ///< Incarnations before the current one that stated the same name.
 		listing_memory listing_memory_;
+		/// A heartbeat with the current name had a lower sequence number than one before: it was late, or the next
+		/// incarnation states the same name.
+		bool may_be_next_namesake_{};
 		instant heartbeat_at_{}; ///< Arrival of the latest heartbeat of the current incarnation.
 		absl::flat_hash_set<worker_incarnation> probed_incarnations_; ///< Incarnations to which a probe is in flight.
 		millis lease_{};
--- a/tests/late_acknowledgements.cpp
+++ b/tests/late_acknowledgements.cpp
@@ -344,6 +344,19 @@
 	CHECK(test.refused.empty());
 }
 
+TEST_CASE("late heartbeats of a worker that has not restarted show no other incarnation", "[jobs]")
+{
+	// Guards against runs that count as lost with a former incarnation.
+	agent_and_worker test;
+	const auto before = test.current();
+	constexpr int late_count = 5;
+	test.worker.faults.late_heartbeats = late_count;
+	test.worker.faults.late_delay = millis{700};
+	REQUIRE(test.run_until([&] { return test.worker.faults.late_heartbeats == 0; }));
+	test.run_for(millis{1'500}); // until all have arrived, after later ones
+	CHECK(test.current() == before);
+}
+
 TEST_CASE("a worker that restarts under its id in the same millisecond is another incarnation", "[jobs]")
 {
 	// Guards against a run that ends as done, counts as lost for its owner, and is started again. The instance's clock
