Agent: log whether an acknowledgement was unanswered when a worker restarted

E415 now has the number up to which it reached. Callers see nothing of it. Also formatting of the lines before.

--- a/packages/agent/src/process/listing_memory.cpp
+++ b/packages/agent/src/process/listing_memory.cpp
@@ -7,8 +7,7 @@
 
 namespace trailjunction
 {
-	bool shows_restart(const listing_memory& memory, std::int64_t least_clock_ms,
-					   const listing_result& result) noexcept
+	bool shows_restart(const listing_memory& memory, std::int64_t least_clock_ms, const listing_result& result) noexcept
 	{
 		if (result.clock_ms > 0 && result.clock_ms < least_clock_ms)
 			return true;
--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -65,9 +65,9 @@
 
 	listing_order run_manager::next_listing_order() const noexcept
 	{
-		// After a call without an answer, or a heartbeat that may be its own, the next incarnation may be there. It would
-		// take the lease and the acknowledgements for its own, so the call only finds out which incarnation answers. It
-		// does not wait, since the clock of the next incarnation may pass that of the former one meanwhile.
+		// After a call without an answer, or a heartbeat that may be its own, the next incarnation may be there. It
+		// would take the lease and the acknowledgements for its own, so the call only finds out which incarnation
+		// answers. It does not wait, since the clock of the next incarnation may pass that of the former one meanwhile.
 		listing_order out;
 		if (failed_listings_ > 0 || may_be_next_namesake_)
 			return out;
@@ -112,10 +112,14 @@
 			if (result.outcome == order_outcome::fenced)
 				raise_fencing_token(result.clock_ms);
 			if (result.outcome == order_outcome::unknown)
+			{
 				++fencing_token_; // the call may be carried out late, by the next incarnation too; it is refused then
+				unanswered_acknowledgement_ = std::max(unanswered_acknowledgement_, order.ends_kept);
+			}
 			if (result.outcome == order_outcome::done)
 			{
 				fencing_token_step_ = first_fencing_token_step;
+				unanswered_acknowledgement_ = 0;
 				apply_listing(std::move(result.listing), result.clock_ms);
 				stop_unconfirmed_runs(boottime_now());
 				co_await pause_after_listing(order);
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -161,8 +161,9 @@
 			former_lease_end_ = lease_end_time();
 		announced_exit_ = false;
 		worker_exited_ = false;
-		log_event(event::worker_seen,
-				  {{"worker", heartbeat.incarnation.str()}, {"before", worker_ ? worker_->incarnation.str() : ""}});
+		log_event(event::worker_seen, {{"worker", heartbeat.incarnation.str()},
+									   {"before", worker_ ? worker_->incarnation.str() : ""},
+									   {"unanswered_acknowledgement", unanswered_acknowledgement_}});
 		if (!port_ || worker_->address != heartbeat.address)
 			port_ = make_port_(heartbeat.address);
 		worker_ = heartbeat;
@@ -178,6 +179,7 @@
 		lease_deadline_ms_ = 0;
 		ends_kept_ = 0;
 		ends_reported_ = 0;
+		unanswered_acknowledgement_ = 0;
 		failed_listings_ = 0;
 		first_listed_end_ = 0;
 		listing_clock_ms_ = 0;
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -136,10 +136,10 @@
 		boost::asio::awaitable<void> carry_out_start(wire::job_start order, bool has_room);
 		boost::asio::awaitable<void> carry_out_stop(task_run id, worker_incarnation incarnation_id);
 		/// Waits until the outcome of a start without an answer is known, and reports it.
-		/// \details Sends a stop, so that the current incarnation does not carry out the start any more. The next one may
-		/// still do so, since it knows of no stop and its clock starts anew. Its first report tells whether it has, but
-		/// not if the task runs elsewhere by then. So the run counts as refused no earlier than the current incarnation
-		/// has outlived the deadline of the start.
+		/// \details Sends a stop, so that the current incarnation does not carry out the start any more. The next one
+		/// may still do so, since it knows of no stop and its clock starts anew. Its first report tells whether it has,
+		/// but not if the task runs elsewhere by then. So the run counts as refused no earlier than the current
+		/// incarnation has outlived the deadline of the start.
 		boost::asio::awaitable<void> resolve_start(task_run id, worker_incarnation incarnation_id,
 												   start_attempt attempt);
 		/// Sends one stop; pauses if it fails.
@@ -241,6 +241,9 @@
 		std::optional<instant> former_lease_end_;
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
+		/// Up to which number a call without an answer acknowledged ends; the next incarnation may carry it out. 0 if
+		/// the worker has answered since.
+		std::int64_t unanswered_acknowledgement_{};
 		std::int64_t first_listed_end_{}; ///< Number of the first end in the latest listing; 0 if it had none.
 		std::uint64_t listing_count_{};   ///< Number of complete listings; lets coroutines wait for a new one.
 		std::int64_t listing_clock_ms_{}; ///< The worker's clock in the latest complete listing.
