--- a/model/restarts.pml
+++ b/model/restarts.pml
@@ -10,8 +10,9 @@
  * start was in transit when its call was sent, and none was sent since. An implementation knows this of starts that were
  * answered, or sent longer ago than any call may be delayed.
  *
- * The agents do not wait for settled listings, and owners add the platform's longest lease but not the delay of a call:
- * they rely on no call being delayed over two restarts, a settled start or a lease. Connections are not modelled; the
+ * An agent takes a listing for settled for a start once the incarnation has outlived the start's deadline; for anything
+ * else it does not wait. Owners add the platform's longest lease but not the delay of a call. So they rely on no call being
+ * delayed over two restarts, the deadline of a start or a lease. Connections are not modelled; the
  * agents acknowledge only on one that the incarnation has answered on.
  *
  * step            rule
--- a/tests/run_manager.cpp
+++ b/tests/run_manager.cpp
@@ -214,6 +214,30 @@
 	CHECK(test.script.stops == 3);
 }
 
+TEST_CASE("a stopped run that was never listed counts as not started after the longest delay of a start", "[jobs]")
+{
+	// Guards against two runs of a task at a time: a former process of the agent may have sent the start just before,
+	// and the worker's next incarnation, which knows of no stop, may carry it out.
+	fixture test;
+	std::int64_t clock_ms = 1'000;
+	test.script.on_list = [&]
+	{
+		return listing_result{{order_outcome::done, clock_ms}, {}};
+	};
+	wire::job_stop order;
+	order.what = to_wire(some_run);
+	order.worker = "life-1";
+	test.runs.stop(order);
+	REQUIRE(test.run_until([&] { return test.script.stops == 1; }));
+	const auto listings = test.script.listings;
+	REQUIRE(test.run_until([&] { return test.script.listings > listings + 50; }));
+	CHECK(test.runs.report(false).refused.empty());
+	clock_ms += 5'000;
+	REQUIRE(test.run_until_reported());
+	REQUIRE(test.refused.size() == 1);
+	CHECK(test.refused[0].why == wire::start_refusal::refused_never_started);
+}
+
 TEST_CASE("a start without an answer whose run is listed as running is reported as started", "[jobs]")
 {
 	fixture test;
