Comments: what a stop proves, and when crashes of one worker are enough

Two comments read wrongly on the read-through: one said that a task is given up after a fifth crash only if few workers crashed. Comments only.

--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -136,10 +136,10 @@
 		boost::asio::awaitable<void> carry_out_start(wire::job_start order, bool has_room);
 		boost::asio::awaitable<void> carry_out_stop(task_run id, worker_incarnation incarnation_id);
 		/// Waits until the outcome of a start without an answer is known, and reports it.
-		/// \details Sends a stop, so that the current incarnation does not carry out the start any more. The next one
-		/// may still do so, since it knows of no stop and its clock starts anew. Its first report tells whether it has,
-		/// but not if the task runs elsewhere by then. So the run counts as refused no earlier than the current
-		/// incarnation has outlived the deadline of the start.
+		/// \details A stop keeps the current incarnation from carrying out the start late, but not the next one, which
+		/// knows of no stop and whose clock starts anew. Its first report would tell, too late if the task runs
+		/// elsewhere by then. So the run counts as refused no earlier than the current incarnation has outlived the
+		/// deadline of the start.
 		boost::asio::awaitable<void> resolve_start(task_run id, worker_incarnation incarnation_id,
 												   start_attempt attempt);
 		/// Sends one stop; pauses if it fails.
--- a/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
+++ b/packages/jobs/include/trailjunction/jobs/crash_suspicion.hpp
@@ -21,8 +21,8 @@
 /// other in this way, in whichever order they came, do not add up; see count_consistent().
 ///
 /// Crashes of one worker in several incarnations do not tell whether the task or the worker is at fault. A task under
-/// which a worker has crashed repeatedly prefers other workers for a limited time. Unless the crashes were prompt, it
-/// is given up after a fifth one only if fewer than three different workers have crashed under it.
+/// which a worker has crashed repeatedly starts on other workers for a limited time. If fewer than three different
+/// workers have crashed under it, not each of them promptly, it is given up after the fifth crash, not the fourth.
 ///
 /// Crashes of several workers at the same time (correlated crashes) are not counted in two cases. First, the run was
 /// younger than an earlier run of the task had become: a task that crashes its workers does so after about the same
