--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -35,7 +35,8 @@
 		constexpr auto ready_timeout = std::chrono::seconds{20};
 		constexpr auto poll_interval = std::chrono::milliseconds{50};
 		constexpr auto longest_worker_call = millis{5'000};
-		constexpr auto start_time = millis{400}; ///< Until a lasting task is at work.
+		constexpr auto start_time = millis{400};        ///< Until a lasting task is at work.
+		constexpr auto upkeep_duration = millis{2'000}; ///< upkeep_s
 		constexpr auto client_pause = std::chrono::milliseconds{300};
 		/// How much longer than its deadline a client waits for an answer.
 		constexpr int client_slack_ms = 500;
@@ -250,11 +251,14 @@
 				rows_->store.put("", "op", "config", configuration);
 				gate_ = std::make_unique<store_gate>(thread_.io(), rows_->listen());
 				store_address_ = gate_->listen();
+				instances_ = std::make_unique<testkit::instances_standin>(thread_.io());
+				instances_->upkeep_duration = upkeep_duration;
+				instances_address_ = instances_->listen();
 			});
 		for (std::size_t i = 0; i < options.worker_cpu_milli.size(); ++i)
 			add_worker(static_cast<int>(i), options.worker_cpu_milli[i], options);
 		for (int i = 0; i < options.entries; ++i)
-			add_entry(i, options.status_kept_ms);
+			add_entry(i, options);
 		for (auto* group : {&agents_, &entries_})
 			for (auto& item : *group)
 				item.child = testkit::child_process{item.command, item.log};
@@ -317,6 +321,7 @@
 				workers_.push_back(std::make_unique<worker_standin>(thread_.io(), absl::StrCat("i-000000", index + 1),
 																	service, heartbeats));
 				auto& worker = *workers_.back();
+				instances_->add(absl::StrCat("machine-", index + 1), worker);
 				worker.cpu_milli = cpu_milli;
 				worker.run_cpu_milli = options.run_cpu_milli;
 				worker.checks_room = true;
@@ -331,7 +336,7 @@
 			});
 	}
 
-	void deployment::add_entry(int index, int status_kept_ms)
+	void deployment::add_entry(int index, const deployment_options& options)
 	{
 		process entry;
 		const auto name = absl::StrCat("frontend-", index + 1);
@@ -350,11 +355,17 @@
 							  {"store", to_string(store)},
 							  {"contact_ms", 3'000},
 							  {"longest_run_lease_ms", 6'000},
-							  {"status_kept_ms", status_kept_ms},
+							  {"status_kept_ms", options.status_kept_ms},
 							  {"stop_within_ms", 6'000}};
 		settings["listen"] = {{"callers", to_string(entry.address)},
 							  {"readiness", to_string(entry.ready)},
 							  {"metrics", to_string(addresses_.allocate())}};
+		if (options.has_upkeep)
+			settings["upkeep"] = {{"service", to_string(instances_address_)},
+								  {"calls_per_s", 60},
+								  {"reads_per_s", 60},
+								  {"fences_checked", true},
+								  {"lasts_s", 2}};
 		settings["limits"] = {{"processor_share", 0.25}, {"processors", 1}};
 		write_file(settings_path, settings);
 		entry.log = absl::StrCat(folder_, "/", name, ".log");
--- a/review/harness/deployment.hh
+++ b/review/harness/deployment.hh
@@ -9,6 +9,7 @@
 #include <trailjunction/testkit/address_picker.hpp>
 #include <trailjunction/testkit/child_process.hpp>
 #include <trailjunction/testkit/fault_proxy.hpp>
+#include <trailjunction/testkit/instances_standin.hpp>
 #include <trailjunction/testkit/rows_standin.hpp>
 #include <trailjunction/testkit/standin_thread.hpp>
 #include <trailjunction/testkit/worker_standin.hpp>
@@ -100,6 +101,7 @@
 		std::vector<std::int64_t> worker_cpu_milli{32'000, 32'000, 32'000, 32'000};
 		std::int64_t run_cpu_milli{480}; ///< What workers that guard their capacity take for each run.
 		int status_kept_ms{120'000};
+		bool has_upkeep{};            ///< Whether entries know the instances_standin, with machine-1 and so on.
 		bool serving{};               ///< Whether runs are listed as at work after a short start.
 		millis longest_case{110'000}; ///< After this time the case is ended with all its processes.
 	};
@@ -149,6 +151,11 @@
 		{
 			return thread_.run([&] { return work(*workers_[static_cast<std::size_t>(index)]); });
 		}
+		/// \brief Writes a row of the operator.
+		void write_operator_row(const std::string& key, const std::string& value)
+		{
+			thread_.run([&] { rows_->store.put("", "op", key, value); });
+		}
 		/// \brief Calls \p work with the store on the thread of the stand-ins.
 		template <typename Work>
 		auto with_store(Work work)
@@ -189,7 +196,7 @@
 		};
 
 		void add_worker(int index, std::int64_t cpu_milli, const deployment_options& options);
-		void add_entry(int index, int status_kept_ms);
+		void add_entry(int index, const deployment_options& options);
 
 		std::string folder_; ///< Temporary; holds settings and logs.
 		std::ofstream record_;
@@ -201,6 +208,8 @@
 		std::unique_ptr<store_gate> gate_;
 		endpoint store_address_;
 		std::vector<std::unique_ptr<worker_standin>> workers_;
+		std::unique_ptr<testkit::instances_standin> instances_;
+		endpoint instances_address_;
 		std::vector<std::unique_ptr<worker_gate>> worker_gates_;
 		std::vector<std::unique_ptr<testkit::fault_proxy>> store_links_; ///< By entry.
 		std::vector<process> agents_;
