--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -40,6 +40,7 @@
 		constexpr auto client_pause = std::chrono::milliseconds{300};
 		/// How much longer than its deadline a client waits for an answer.
 		constexpr int client_slack_ms = 500;
+		constexpr int heartbeat_timeout_ms = 1'000;
 
 		/// The routes of the small site, with the priorities and attempts of its classes.
 		constexpr const char* configuration = R"({"version":1,"routes":[
@@ -302,6 +303,7 @@
 		const auto name = absl::StrCat("side-", index + 1);
 		const auto settings_path = absl::StrCat(folder_, "/", name, ".json");
 		const auto heartbeats = addresses_.allocate();
+		agent.heartbeats = heartbeats;
 		json::object settings{{"mode", "jobs"},
 							  {"worker", name},
 							  {"data_centre", "sohar-hall"},
@@ -458,6 +460,13 @@
 		return out;
 	}
 
+	int deployment::put_heartbeat(int agent, const std::string& id, const std::string& body)
+	{
+		http_request request{"PUT", "/instances/" + id, {{"Content-Type", "application/json"}}, body};
+		const auto& to = agents_[static_cast<std::size_t>(agent)].heartbeats;
+		return send(to, std::move(request), heartbeat_timeout_ms).response.status;
+	}
+
 	bool deployment::submit(int entry, const std::string& path, const std::string& body, int tries)
 	{
 		for (int i = 0; i < tries; ++i)
--- a/review/harness/deployment.hh
+++ b/review/harness/deployment.hh
@@ -133,6 +133,8 @@
 		/// \brief Calls an entry as a client does and records the call and its answer.
 		client_answer call(int entry, const std::string& method, const std::string& path, const std::string& body,
 						   int deadline_ms = 3'000);
+		/// \brief Sends a heartbeat to the agent beside a worker, as another writer. \returns The status of the answer.
+		int put_heartbeat(int agent, const std::string& id, const std::string& body);
 		/// \brief Hands a job in: the same id is sent again, to the next entry, until there is a final answer.
 		/// \returns Whether it was accepted.
 		bool submit(int entry, const std::string& path, const std::string& body, int tries = 5);
@@ -190,8 +192,9 @@
 		{
 			std::vector<std::string> command;
 			std::string log;
-			endpoint address; ///< Of an entry: for clients.
-			endpoint ready;   ///< Of an entry: for the balancer.
+			endpoint address;    ///< Of an entry: for clients.
+			endpoint ready;      ///< Of an entry: for the balancer.
+			endpoint heartbeats; ///< Of an agent.
 			testkit::child_process child;
 		};
 
--- a/review/other/wave/run.sh
+++ b/review/other/wave/run.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../../.."
-review/build.sh >"${TMPDIR:-/tmp}/review-build.$$" 2>&1 || {
+review/build.sh "case-$(basename "$here")" >"${TMPDIR:-/tmp}/review-build.$$" 2>&1 || {
 	cat "${TMPDIR:-/tmp}/review-build.$$" >&2
 	rm -f "${TMPDIR:-/tmp}/review-build.$$"
 	exit 2
