--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -16,12 +16,14 @@
 
 namespace
 {
-	constexpr int tasks = 4;
+	constexpr int tasks = 6;
+	constexpr int killed_agents = 2; ///< 0.16 of 14 machines, as in the site file.
 	constexpr int may_miss = 1;
 	constexpr std::int64_t lasting_work_ms = 600'000;
 	constexpr auto takeover_time = millis{10'000};
-	constexpr auto settle = millis{4'000};
-	constexpr auto agents_down = millis{500}; ///< The platform starts a killed process again after a short delay.
+	constexpr auto settle = millis{1'100};
+	constexpr auto longest_cut = millis{5'500}; ///< As in the site file.
+	constexpr auto agents_down = millis{500};   ///< The platform starts a killed process again after a short delay.
 	constexpr auto freeze = millis{2'500};
 	constexpr auto observed = millis{8'000};
 	constexpr auto notice = millis{4'500};      ///< notice_ms
@@ -48,6 +50,7 @@
 		const bool trouble = has_trouble();
 		deployment_options options;
 		options.serving = true;
+		options.worker_cpu_milli.assign(11, 32'000);
 		deployment system{options, arguments[1]};
 		if (!system.wait_ready())
 		{
@@ -56,6 +59,7 @@
 		}
 		const int first = system.owner();
 		int second = first;
+		const auto cut_at = boottime_now();
 		if (trouble)
 		{
 			system.record(absl::StrCat("entry-", first + 1, " owns the jobs; it is cut off from the store"));
@@ -86,22 +90,37 @@
 			return not_run;
 		}
 		std::this_thread::sleep_for(settle);
+		std::vector<int> hosts;
+		for (int i = 0; i < system.workers() && hosts.size() < killed_agents; ++i)
+			if (system.with_worker(i,
+								   [&](worker_standin& worker)
+								   {
+									   return std::any_of(worker.started_runs.begin(), worker.started_runs.end(),
+														  [&](const auto& run)
+														  { return absl::StartsWith(run.task, id); });
+								   }))
+				hosts.push_back(i);
 		if (trouble)
 		{
-			system.record(absl::StrCat("entry-", second + 1, " freezes; the processes beside the workers are killed"));
+			system.record(
+				absl::StrCat("entry-", second + 1, " freezes; the processes beside two of the workers are killed"));
 			const auto frozen_at = boottime_now();
 			system.entry(second).signal(SIGSTOP);
 			std::this_thread::sleep_for(millis{100});
-			for (int i = 0; i < system.workers(); ++i)
-				system.kill_agent(i);
+			for (const auto host : hosts)
+				system.kill_agent(host);
 			std::this_thread::sleep_for(agents_down);
-			for (int i = 0; i < system.workers(); ++i)
-				system.start_agent(i);
+			for (const auto host : hosts)
+				system.start_agent(host);
 			system.record("the processes beside the workers start again");
 			std::this_thread::sleep_for(frozen_at + freeze - boottime_now());
 			system.entry(second).signal(SIGCONT);
+			std::this_thread::sleep_for(cut_at + longest_cut - boottime_now());
+			system.cut_from_store(first, false);
 			system.record(absl::StrCat("entry-", second + 1, " wakes"));
 		}
+		if (trouble)
+			system.record(absl::StrCat("entry-", first + 1, " reaches the store again"));
 		std::this_thread::sleep_for(observed);
 		const auto runs = lasting_runs();
 		system.record_runs();
--- a/review/harness/deployment.cc
+++ b/review/deployment.cc
@@ -239,9 +239,10 @@
 		return json::serialize(*parsed);
 	}
 
-	deployment::deployment(const deployment_options& options, const std::string& folder) : started_at_{boottime_now()}
+	deployment::deployment(const deployment_options& options, const std::string& record_file)
+		: started_at_{boottime_now()}
 	{
-		record_.open(folder + "/record.txt");
+		record_.open(record_file);
 		folder_ =
 			(std::filesystem::temp_directory_path() / absl::StrCat("trailjunction-review-", random_token())).string();
 		std::filesystem::create_directories(folder_);
--- a/review/harness/deployment.hh
+++ b/review/deployment.hh
@@ -117,8 +117,8 @@
 	class deployment
 	{
 	public:
-		/// \param folder Where record.txt is written.
-		deployment(const deployment_options& options, const std::string& folder);
+		/// \param record_file The path of record.txt.
+		deployment(const deployment_options& options, const std::string& record_file);
 		~deployment();
 		deployment(const deployment&) = delete;
 		deployment& operator=(const deployment&) = delete;
