--- a/review/deployment.cc
+++ b/review/deployment.cc
@@ -189,6 +189,12 @@
 			out = std::move(result.response);
 			note_version(out.body);
 		}
+		if (feeds && out.status == 200 && conditions.feeds_held)
+		{
+			while (conditions.feeds_held)
+				co_await pause_for(io_, millis{5});
+			co_return http_response{0, {}, ""};
+		}
 		// A feed has waited already; its answer takes its time from the change on.
 		const auto due = (feeds ? boottime_now() : arrived) + delay;
 		if (boottime_now() < due)
--- a/review/deployment.hh
+++ b/review/deployment.hh
@@ -42,6 +42,7 @@
 		/// Answers take between the first and the second time; both 0 if the store is not slow.
 		millis slow_min{};
 		millis slow_max{};
+		bool feeds_held{};         ///< Feeds get no answer, and are cut when this ends.
 		std::int64_t kept_since{}; ///< Feeds that continue from an earlier version are answered with 410.
 	};
 
