Review: a case whose programs are missing exits with 2

Cause: it ended by a signal; run.sh made a 2 of it. Change: the programs are looked for before anything starts.

--- a/review/deployment.cc
+++ b/review/deployment.cc
@@ -249,6 +249,9 @@
 		: started_at_{boottime_now()}
 	{
 		record_.open(record_file);
+		for (const auto* program : {"/packages/entry/trailjunction", "/packages/agent/trailjunction-agent"})
+			if (!std::filesystem::exists(programs_folder() + program))
+				throw std::runtime_error{"a program of the project is missing"};
 		folder_ =
 			(std::filesystem::temp_directory_path() / absl::StrCat("trailjunction-review-", random_token())).string();
 		std::filesystem::create_directories(folder_);
