--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -94,18 +94,20 @@
 			make_worker(i);
 		for (int i = 0; i < options_.entries; ++i)
 			make_entry(i);
-		for (int i = 0; i < options_.workers; ++i)
+		for (int i = 0; i < options_.workers - options_.late_workers; ++i)
 			start_agent(i);
 		for (int i = 0; i < options_.entries; ++i)
 			start_entry(i);
-		record_.add(absl::StrCat("started ", options_.entries, " entries and ", options_.workers, " agents"));
+		record_.add(absl::StrCat("started ", options_.entries, " entries and ", options_.workers - options_.late_workers,
+								 " agents"));
 	}
 
 	small_deployment::~small_deployment()
 	{
 		for (auto* processes : {&agents_, &entries_})
 			for (auto& process : *processes)
-				process.process->kill();
+				if (process.process)
+					process.process->kill();
 		thread_.stop();
 		std::error_code ignored;
 		if (std::getenv("KEEP_LOGS") == nullptr)
@@ -145,13 +147,7 @@
 				worker.cpu_milli = options_.worker_cpu_milli;
 				worker.run_cpu_milli = options_.task_cpu_milli;
 				worker.longest_lease = millis{longest_run_lease_ms};
-				auto address = worker.listen();
-				if (options_.has_worker_proxies)
-				{
-					proxies_.push_back(std::make_unique<fault_proxy>(thread_.io(), address));
-					address = proxies_.back()->listen();
-				}
-				worker.start_heartbeats(address);
+				worker.start_heartbeats(worker.listen());
 			});
 	}
 
@@ -162,10 +158,18 @@
 		entry.caller_address = addresses_.allocate();
 		const auto settings_path = absl::StrCat(directory_, "/", name, ".json");
 		entry.log_file = absl::StrCat(directory_, "/", name, ".log");
+		auto store = store_address_;
+		if (options_.has_store_proxies)
+			store = thread_.run(
+				[&]
+				{
+					store_proxies_.push_back(std::make_unique<fault_proxy>(thread_.io(), store_address_));
+					return store_proxies_.back()->listen();
+				});
 		json::object settings{{"mode", "jobs"},
 							  {"member", name},
 							  {"data_centre", "hall-1"},
-							  {"store", to_string(store_address_)},
+							  {"store", to_string(store)},
 							  {"contact_ms", contact_ms},
 							  {"longest_run_lease_ms", longest_run_lease_ms},
 							  {"status_kept_ms", status_kept_ms},
--- a/review/standins-2/small_deployment.hh
+++ b/review/standins-2/small_deployment.hh
@@ -35,7 +35,8 @@
 		std::int64_t task_cpu_milli{500};      ///< What the worker stand-ins charge for each run.
 		/// Index of the only worker of kind `b`; all others are of kind `a`. -1 for none.
 		int special_worker{-1};
-		bool has_worker_proxies{}; ///< Agents call their workers through a fault_proxy.
+		bool has_store_proxies{}; ///< Entries call the store through a fault_proxy each.
+		int late_workers{};       ///< So many of the workers, the last ones, join only with start_agent().
 	};
 
 	/// \brief The result of a client's call.
@@ -105,10 +106,11 @@
 		{
 			return thread_.run([&] { return work(store_->store); });
 		}
+		/// \brief Calls \p work with the proxy between an entry and the store on the thread of the stand-ins.
 		template <typename Work>
-		auto with_worker_proxy(int index, Work work)
+		auto with_store_proxy(int entry, Work work)
 		{
-			return thread_.run([&] { return work(*proxies_[static_cast<std::size_t>(index)]); });
+			return thread_.run([&] { return work(*store_proxies_[static_cast<std::size_t>(entry)]); });
 		}
 		/// \brief All starts that workers have carried out, ordered by worker.
 		[[nodiscard]] std::vector<trailjunction::testkit::worker_standin::started_run> started_runs();
@@ -142,7 +144,7 @@
 		std::unique_ptr<row_store_gate> gate_;
 		trailjunction::endpoint store_address_;
 		std::vector<std::unique_ptr<heartbeat_relay>> relays_;
-		std::vector<std::unique_ptr<trailjunction::testkit::fault_proxy>> proxies_;
+		std::vector<std::unique_ptr<trailjunction::testkit::fault_proxy>> store_proxies_; ///< By entry.
 		std::vector<std::unique_ptr<trailjunction::testkit::worker_standin>> workers_;
 		std::vector<process_state> agents_;
 		std::vector<process_state> entries_;
