--- a/review/standins-2/row_store_gate.cc
+++ b/review/standins-2/row_store_gate.cc
@@ -2,8 +2,11 @@
 #include "row_store_gate.hh"
 
 #include <trailjunction/core/json.hpp>
+#include <trailjunction/net/coroutines.hpp>
 
 #include <absl/strings/escaping.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 
@@ -26,7 +29,8 @@
 	}
 
 	row_store_gate::row_store_gate(asio::io_context& io, endpoint store, store_limits limits)
-		: client_{io, std::move(store), max_idle_connections, max_body_bytes},
+		: io_{io},
+		  client_{io, std::move(store), max_idle_connections, max_body_bytes},
 		  limits_{limits},
 		  server_{io, http_limits{.max_body_bytes = max_body_bytes, .max_connections = 4'096},
 				  [this](http_request request)
@@ -70,6 +74,23 @@
 		return true;
 	}
 
+	bool row_store_gate::writes_late_table(const std::string& body) const
+	{
+		const auto parsed = parse_json(body);
+		if (late_table.empty() || !parsed.ok() || !parsed->is_object())
+			return false;
+		const auto* rows = parsed->get_object().if_contains("put");
+		return rows != nullptr && rows->is_array() &&
+			   std::any_of(rows->get_array().begin(), rows->get_array().end(),
+						   [&](const auto& row) { return text_or(row.get_object(), "table") == late_table; });
+	}
+
+	asio::awaitable<void> row_store_gate::apply_late(http_request request, millis delay)
+	{
+		co_await pause_for(io_, delay);
+		(void)co_await client_.send(std::move(request), boottime_now() + call_timeout);
+	}
+
 	asio::awaitable<http_response> row_store_gate::answer(http_request request)
 	{
 		if (path_of(request.target) == "/rows-tx" && !is_within_limits(request.body))
@@ -77,11 +98,21 @@
 			++rejected;
 			co_return error_response(400, "beyond a limit of the store");
 		}
+		const bool is_transaction = path_of(request.target) == "/rows-tx";
+		total += is_transaction ? 1 : 0;
+		const bool late = is_transaction && writes_late_table(request.body);
 		http_request forwarded;
 		forwarded.method = request.method;
 		forwarded.target = request.target;
 		forwarded.headers = {{"Content-Type", "application/json"}};
 		forwarded.body = std::move(request.body);
+		if (late)
+		{
+			++made_late;
+			asio::co_spawn(io_, apply_late(std::move(forwarded), late_by), asio::detached);
+			co_await pause_for(io_, call_timeout); // once an answer is lost, the connection says nothing more
+			co_return http_response{0, {}, ""};
+		}
 		auto result = co_await client_.send(std::move(forwarded), boottime_now() + call_timeout);
 		if (result.delivery != delivery_status::answered)
 			co_return http_response{0, {}, ""}; // closes the connection without an answer
--- a/review/standins-2/row_store_gate.hh
+++ b/review/standins-2/row_store_gate.hh
@@ -28,6 +28,12 @@
 
 		[[nodiscard]] trailjunction::endpoint listen();
 
+		/// Table whose transactions get no answer and are applied #late_by later; empty for none.
+		std::string late_table;
+		trailjunction::millis late_by{};
+		int made_late{}; ///< Transactions that got no answer.
+		int total{};     ///< All transactions.
+
 		int rejected{};                    ///< Transactions beyond a limit.
 		std::size_t largest_rejected{};    ///< Size of the largest value that was rejected, in bytes.
 		std::string rejected_table;        ///< Table of the row that was last rejected.
@@ -36,7 +42,10 @@
 	private:
 		boost::asio::awaitable<trailjunction::http_response> answer(trailjunction::http_request request);
 		[[nodiscard]] bool is_within_limits(const std::string& body);
+		[[nodiscard]] bool writes_late_table(const std::string& body) const;
+		boost::asio::awaitable<void> apply_late(trailjunction::http_request request, trailjunction::millis delay);
 
+		boost::asio::io_context& io_;
 		trailjunction::http_client client_;
 		store_limits limits_;
 		trailjunction::http_server server_;
--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -32,7 +32,6 @@
 		constexpr const char* prefix = "/merges/";
 		constexpr const char* readiness_job = "00000000000000ff";
 		constexpr auto ready_timeout = millis{30'000};
-		constexpr auto call_timeout = millis{4'000};
 		constexpr auto poll_interval = millis{50};
 		// Bounds of the site dkf-picking.
 		constexpr int contact_ms = 3'000;
@@ -196,7 +195,7 @@
 	}
 
 	client_answer small_deployment::call(int entry, const std::string& method, const std::string& path,
-										 const std::string& body)
+										 const std::string& body, millis patience)
 	{
 		asio::io_context io{1};
 		http_client client{io, entries_[static_cast<std::size_t>(entry)].caller_address};
@@ -208,7 +207,7 @@
 		asio::co_spawn(
 			io,
 			[&]() -> asio::awaitable<void>
-			{ result = co_await client.send(std::move(request), boottime_now() + call_timeout); },
+			{ result = co_await client.send(std::move(request), boottime_now() + patience); },
 			asio::detached);
 		io.run();
 		if (result.delivery != delivery_status::answered)
--- a/review/standins-2/small_deployment.hh
+++ b/review/standins-2/small_deployment.hh
@@ -70,9 +70,10 @@
 
 		/// \brief Waits up to 30 s until every entry accepts a job and a first job has completed.
 		[[nodiscard]] bool wait_ready();
-		/// \brief One call of a client at the default host; \p path follows the prefix of the queue.
+		/// \brief One call of a client; \p path follows the prefix of the queue.
+		/// \param patience The client closes its connection after this time.
 		[[nodiscard]] client_answer call(int entry, const std::string& method, const std::string& path,
-										 const std::string& body = "");
+										 const std::string& body = "", millis patience = millis{4'000});
 		/// \brief The state of a job, or the status of the answer in brackets.
 		[[nodiscard]] std::string state(int entry, const std::string& id);
 		/// \brief The number of waiting jobs that an entry reports; -1 without a number.
