--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -33,6 +33,7 @@
 		constexpr const char* readiness_job = "00000000000000ff";
 		constexpr auto ready_timeout = millis{30'000};
 		constexpr auto poll_interval = millis{50};
+		constexpr auto heartbeat_timeout = millis{1'000};
 		// Bounds of the site dkf-picking.
 		constexpr int contact_ms = 3'000;
 		constexpr int longest_run_lease_ms = 10'000;
@@ -118,6 +119,7 @@
 		process_state agent;
 		const auto name = absl::StrCat("side-", index + 1);
 		const auto heartbeats = addresses_.allocate();
+		agent.heartbeat_address = heartbeats;
 		const auto settings_path = absl::StrCat(directory_, "/", name, ".json");
 		agent.log_file = absl::StrCat(directory_, "/", name, ".log");
 		json::object settings{{"mode", "jobs"},
@@ -146,7 +148,9 @@
 				worker.cpu_milli = options_.worker_cpu_milli;
 				worker.run_cpu_milli = options_.task_cpu_milli;
 				worker.longest_lease = millis{longest_run_lease_ms};
-				worker.start_heartbeats(worker.listen());
+				const auto address = worker.listen();
+				worker_addresses_.push_back(to_string(address));
+				worker.start_heartbeats(address);
 			});
 	}
 
@@ -194,6 +198,21 @@
 		state.process = std::make_unique<child_process>(state.command_line, state.log_file);
 	}
 
+	int small_deployment::put_heartbeat(int agent, const std::string& worker_id, const std::string& body)
+	{
+		asio::io_context io{1};
+		http_client client{io, agents_[static_cast<std::size_t>(agent)].heartbeat_address};
+		http_request request{"PUT", "/instances/" + worker_id, {{"Content-Type", "application/json"}}, body};
+		http_result result;
+		asio::co_spawn(
+			io,
+			[&]() -> asio::awaitable<void>
+			{ result = co_await client.send(std::move(request), boottime_now() + heartbeat_timeout); },
+			asio::detached);
+		io.run();
+		return result.delivery == delivery_status::answered ? result.response.status : 0;
+	}
+
 	client_answer small_deployment::call(int entry, const std::string& method, const std::string& path,
 										 const std::string& body, millis patience)
 	{
--- a/review/standins-2/small_deployment.hh
+++ b/review/standins-2/small_deployment.hh
@@ -74,6 +74,13 @@
 		/// \param patience The client closes its connection after this time.
 		[[nodiscard]] client_answer call(int entry, const std::string& method, const std::string& path,
 										 const std::string& body = "", millis patience = millis{4'000});
+		/// \brief A heartbeat of another writer to an agent. \returns The HTTP status; 0 without an answer.
+		[[nodiscard]] int put_heartbeat(int agent, const std::string& worker_id, const std::string& body);
+		/// \brief Where a worker accepts calls, as its heartbeats state it.
+		[[nodiscard]] std::string worker_address(int index) const
+		{
+			return worker_addresses_[static_cast<std::size_t>(index)];
+		}
 		/// \brief The state of a job, or the status of the answer in brackets.
 		[[nodiscard]] std::string state(int entry, const std::string& id);
 		/// \brief The number of waiting jobs that an entry reports; -1 without a number.
@@ -129,7 +136,8 @@
 		{
 			std::vector<std::string> command_line;
 			std::string log_file;
-			trailjunction::endpoint caller_address;
+			trailjunction::endpoint caller_address;    ///< Of an entry.
+			trailjunction::endpoint heartbeat_address; ///< Of an agent.
 			std::unique_ptr<trailjunction::testkit::child_process> process;
 		};
 
@@ -147,6 +155,7 @@
 		std::vector<std::unique_ptr<heartbeat_relay>> relays_;
 		std::vector<std::unique_ptr<trailjunction::testkit::fault_proxy>> store_proxies_; ///< By entry.
 		std::vector<std::unique_ptr<trailjunction::testkit::worker_standin>> workers_;
+		std::vector<std::string> worker_addresses_;
 		std::vector<process_state> agents_;
 		std::vector<process_state> entries_;
 	};
