--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -13,9 +13,13 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <thread>
+#include <unistd.h>
 
 namespace review
 {
@@ -47,6 +51,34 @@
 "pathPrefix":"/merges/","type":"non_idempotent","timeoutMs":3000,"targetLatencyMs":250,"priority":0,"service":"tally",
 "maxAttempts":4,"stretch":1.5}],"services":[{"name":"tally","admissionCheck":true}],"limits":{"maxBodyBytes":262144}})";
 
+		/// The processes that the case has started, for the signal handler; 0 for none.
+		constexpr std::size_t max_processes = 64;
+		std::array<std::atomic<pid_t>, max_processes> started_processes{};
+		static_assert(std::atomic<pid_t>::is_always_lock_free);
+
+		void note_started(pid_t id)
+		{
+			for (auto& slot : started_processes)
+				if (pid_t none = 0; slot.compare_exchange_strong(none, id))
+					return;
+		}
+
+		void note_ended(pid_t id)
+		{
+			for (auto& slot : started_processes)
+				if (pid_t expected = id; slot.compare_exchange_strong(expected, 0))
+					return;
+		}
+
+		/// Ends the case and all processes that it has started; run.sh sends SIGTERM after its time limit.
+		void end_case(int)
+		{
+			for (auto& slot : started_processes)
+				if (const auto id = slot.load(); id > 0)
+					(void)::kill(id, SIGKILL);
+			_exit(static_cast<int>(case_result::not_run));
+		}
+
 		void write_file(const std::string& path, const json::object& value)
 		{
 			std::ofstream{path} << json::serialize(value);
@@ -80,6 +112,8 @@
 		: options_{options},
 		  record_{record}
 	{
+		for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+			(void)std::signal(signal, end_case);
 		directory_ = (std::filesystem::temp_directory_path() / absl::StrCat("trailjunction-", random_token())).string();
 		std::filesystem::create_directories(directory_);
 		thread_.run(
@@ -107,7 +141,11 @@
 		for (auto* processes : {&agents_, &entries_})
 			for (auto& process : *processes)
 				if (process.process)
+				{
+					const auto id = process.process->id();
 					process.process->kill();
+					note_ended(id);
+				}
 		thread_.stop();
 		std::error_code ignored;
 		if (std::getenv("KEEP_LOGS") == nullptr)
@@ -190,12 +228,14 @@
 	{
 		auto& state = entries_[static_cast<std::size_t>(index)];
 		state.process = std::make_unique<child_process>(state.command_line, state.log_file);
+		note_started(state.process->id());
 	}
 
 	void small_deployment::start_agent(int index)
 	{
 		auto& state = agents_[static_cast<std::size_t>(index)];
 		state.process = std::make_unique<child_process>(state.command_line, state.log_file);
+		note_started(state.process->id());
 	}
 
 	int small_deployment::put_heartbeat(int agent, const std::string& worker_id, const std::string& body)
