--- a/review/standins-2/small_deployment.cc
+++ b/review/standins-2/small_deployment.cc
@@ -18,6 +18,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <iostream>
+#include <stdexcept>
 #include <thread>
 #include <unistd.h>
 
@@ -97,6 +99,29 @@
 		file_ << absl::StrFormat("%8.3f ", elapsed_s()) << line << std::endl;
 	}
 
+	int run_case(int argc, char** argv, case_result (*play)(case_record&))
+	{
+		try
+		{
+			if (argc != 2)
+				throw std::runtime_error("usage: case RECORD");
+			case_record record{argv[1]};
+			try
+			{
+				return static_cast<int>(play(record));
+			}
+			catch (const std::exception& fault)
+			{
+				record.add(absl::StrCat("could not run: ", fault.what()));
+			}
+		}
+		catch (const std::exception& fault)
+		{
+			std::cerr << fault.what() << '\n';
+		}
+		return static_cast<int>(case_result::not_run);
+	}
+
 	bool has_trouble()
 	{
 		const char* value = std::getenv("TROUBLE");
@@ -116,6 +141,19 @@
 			(void)std::signal(signal, end_case);
 		directory_ = (std::filesystem::temp_directory_path() / absl::StrCat("trailjunction-", random_token())).string();
 		std::filesystem::create_directories(directory_);
+		try
+		{
+			start_all();
+		}
+		catch (...)
+		{
+			end_all(); // the destructor doesn't run then
+			throw;
+		}
+	}
+
+	void small_deployment::start_all()
+	{
 		thread_.run(
 			[this]
 			{
@@ -137,6 +175,11 @@
 	}
 
 	small_deployment::~small_deployment()
+	{
+		end_all();
+	}
+
+	void small_deployment::end_all()
 	{
 		for (auto* processes : {&agents_, &entries_})
 			for (auto& process : *processes)
--- a/review/standins-2/small_deployment.hh
+++ b/review/standins-2/small_deployment.hh
@@ -141,6 +141,9 @@
 			std::unique_ptr<trailjunction::testkit::child_process> process;
 		};
 
+		void start_all();
+		/// Ends all processes and stand-ins and removes the temporary folder.
+		void end_all();
 		void make_worker(int index);
 		void make_entry(int index);
 
@@ -168,6 +171,10 @@
 		not_run = 2,
 	};
 
+	/// \brief Runs a case with the record that the command line names; exits with case_result::not_run if a program or a
+	/// stand-in cannot be started.
+	[[nodiscard]] int run_case(int argc, char** argv, case_result (*play)(case_record&));
+
 	/// \brief Whether the case plays its disruption; `TROUBLE=0` in the environment leaves it out.
 	[[nodiscard]] bool has_trouble();
 
