Entries: a cancellation that finds no job excludes its submission

The answer was 410; 5.1 s later all tasks of the job started and ran to their end.

Cause: the 410 came from a read. The submission, which the store had not answered, could still be applied, and the cancellation left nothing behind that would have stopped it.

Evidence: the stand-in's record (no row at the DELETE, the submission applied 6 s after it was sent, E435 and the starts after that).

Change: the id goes into job_cancelled_ids on condition that there is no submission; submissions are stored on condition that the id is not there. The store orders the two, so that a late submission fails. 410 only after the row is stored; 503 or 504 otherwise. Rows expire after 120 s and are removed by the owner, on condition of their version. Cancellations of ended and unreadable jobs are counted as well.

Tried first and not kept: a cancellation row that owners remember.

--- a/packages/entry/include/trailjunction/entry/job_gateway.hpp
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -45,6 +45,7 @@
 	{
 		job_call_outcome outcome{job_call_outcome::refused};
 		job_status status{job_status::queued}; ///< Valid only if the outcome is done.
+		std::int64_t store_clock_ms{};         ///< The store's steady clock at the read, in ms; 0 if it did not answer.
 	};
 
 	/// \brief The number of jobs per queue that wait for their first task to start, as last published by the owner.
@@ -69,6 +70,9 @@
 
 		[[nodiscard]] boost::asio::awaitable<job_status_result> status(job_id id, instant deadline);
 
+		/// \brief Cancels a job.
+		/// \details The outcome is absent if no job is stored. This remains so: a submission that the store applies
+		/// later fails, because the id is stored as cancelled.
 		[[nodiscard]] boost::asio::awaitable<job_call_result> cancel(job_id id, instant deadline);
 
 		/// \brief The number of jobs of a queue that wait for their first task; empty if the latest count is too old.
@@ -96,8 +100,23 @@
 		check_admission(const queue_policy& queue, const job_id& id, const job_spec& spec, instant deadline);
 		/// Whether the store has the submission of the job; false if it does not answer within a short timeout.
 		boost::asio::awaitable<bool> is_stored(job_id id, instant deadline);
-		boost::asio::awaitable<job_call_result> commit_with_retries(row_transaction change, job_id id,
-																	instant deadline);
+		/// The end of a transaction that is conditional on rows being absent.
+		struct stored_change
+		{
+			job_call_result call; ///< The outcome is done if the transaction was applied or one of the rows exists.
+			bool applied{};       ///< An earlier attempt may have been applied also if this is false.
+			std::vector<stored_row> conflicts; ///< The rows of the conditions if it was not applied.
+		};
+		boost::asio::awaitable<stored_change> commit_with_retries(row_transaction change, job_id id, instant deadline);
+		/// Refuses a submission of an id that was cancelled before.
+		job_call_result refuse_cancelled(const job_id& id);
+		/// Cancels a job that is stored.
+		boost::asio::awaitable<job_call_result> cancel_stored(job_id id, instant deadline);
+		/// Stores the id of a job that is not stored as cancelled.
+		/// \param store_ms The store's clock, in ms.
+		/// \returns Empty if the job has been stored meanwhile.
+		boost::asio::awaitable<std::optional<job_call_result>> cancel_absent(job_id id, std::int64_t store_ms,
+																			 instant deadline);
 		/// Whether the store answers a read of the submission rows of the job.
 		boost::asio::awaitable<bool> probe_store(job_id id, instant deadline);
 		[[nodiscard]] bool is_in_doubt(const job_id& id, instant now) const;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -128,6 +128,9 @@
 		[[nodiscard]] bool has_recent_submissions(millis max_age, instant now) const noexcept;
 		void add_progress_removals(batch& out);
 		boost::asio::awaitable<void> remove_expired_submissions();
+		/// Removes the rows of cancelled ids that have expired, as long as the term lasts.
+		boost::asio::awaitable<void> remove_expired_cancellations();
+		boost::asio::awaitable<void> remove_expired_cancellations_in(std::string partition);
 		[[nodiscard]] std::vector<job_id> expired_jobs(instant now) const;
 		void add_workers(batch& out);
 		void add_pressures(batch& out, instant now);
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -32,6 +32,9 @@
 		/// A transaction without an answer may still be applied seconds later (up to 6 s in the documented examples).
 		/// After this time it is visible if it was applied.
 		constexpr auto in_doubt_time = millis{15'000};
+		/// How long the store keeps a cancelled id without a job. A submission may be in transit for as long as an
+		/// instance on its way is suspended. As long as the status of an ended job can be read by default.
+		constexpr auto cancelled_id_lifetime = millis{120'000};
 		/// Maximum age of queue depths that are reported: 2 s are allowed, less the time of the response.
 		constexpr auto max_depths_age = millis{1'800};
 
@@ -51,6 +54,32 @@
 			return {progress_table, job_partition, id.str(), id.str() + "~", 1};
 		}
 
+		row_name submission_row(const job_id& id)
+		{
+			return {submissions_table, id.str()};
+		}
+
+		row_name cancelled_id_row(const job_id& id)
+		{
+			return {cancelled_ids_table, id.str()};
+		}
+
+		const stored_row* find_row(const std::vector<stored_row>& rows, const row_name& name) noexcept
+		{
+			const auto found =
+				std::find_if(rows.begin(), rows.end(),
+							 [&](const stored_row& row)
+							 { return row.name.table == name.table && row.name.key == name.key && row.version != 0; });
+			return found == rows.end() ? nullptr : &*found;
+		}
+
+		/// Whether the row of a cancelled id is kept for long enough that another cancellation can rely on it.
+		bool lasts(const stored_row& row, std::int64_t store_ms)
+		{
+			const auto expires_ms = decode_cancelled_id(row.value);
+			return expires_ms.ok() && *expires_ms - store_ms >= cancelled_id_lifetime.count() / 2;
+		}
+
 		/// The submission row of a job and its cancellation row, which sorts directly after it.
 		row_range submission_range(const job_id& id)
 		{
@@ -127,12 +156,13 @@
 		return found == depths_.waiting.end() ? 0 : found->second;
 	}
 
-	asio::awaitable<job_call_result> job_gateway::commit_with_retries(row_transaction change, job_id id,
-																	  instant deadline)
+	asio::awaitable<job_gateway::stored_change> job_gateway::commit_with_retries(row_transaction change, job_id id,
+																				 instant deadline)
 	{
 		const auto started_at = boottime_now();
 		bool may_be_done = is_in_doubt(id, started_at);
-		job_call_result call_result;
+		stored_change out;
+		auto& call_result = out.call;
 		// A transaction that a silent store does not answer may still be applied later, so the client could not be told
 		// that it was refused. A read has no effect, so it is used to check the store first.
 		bool store_answers = true;
@@ -144,18 +174,21 @@
 			call_result.retry_after = default_retry_after;
 			call_result.reason = "the store does not answer";
 			log_event(event::job_refused, {{"job", id.str()}, {"reason", call_result.reason}});
-			co_return call_result;
+			co_return out;
 		}
 		while (true)
 		{
-			const auto result = co_await commit_or_look_up(io_, store_, change, commit_latency_, deadline);
+			auto result = co_await commit_or_look_up(io_, store_, change, commit_latency_, deadline);
 			store_suspect_ = result.outcome == commit_outcome::unknown || result.outcome == commit_outcome::refused;
 			call_result.reason = result.reason;
 			if (result.outcome == commit_outcome::applied || result.outcome == commit_outcome::conflict)
 			{
-				// The only condition is that the row is absent, so a conflict means that it is stored.
+				// All conditions are that rows are absent, so a conflict means that one of them is stored.
 				call_result.outcome = job_call_outcome::done;
-				co_return call_result;
+				out.applied = result.outcome == commit_outcome::applied;
+				if (!out.applied)
+					out.conflicts = std::move(result.rows);
+				co_return out;
 			}
 			may_be_done = may_be_done || result.outcome == commit_outcome::unknown;
 			const auto now = boottime_now();
@@ -170,7 +203,7 @@
 			mark_in_doubt(id, boottime_now());
 		log_event(may_be_done ? event::job_unknown : event::job_refused,
 				  {{"job", id.str()}, {"reason", call_result.reason}});
-		co_return call_result;
+		co_return out;
 	}
 
 	asio::awaitable<bool> job_gateway::probe_store(job_id id, instant deadline)
@@ -230,6 +263,16 @@
 		co_return job_call_result{job_call_outcome::refused, decision.retry_after, "there is no room in time"};
 	}
 
+	job_call_result job_gateway::refuse_cancelled(const job_id& id)
+	{
+		job_call_result out;
+		out.outcome = job_call_outcome::refused;
+		out.retry_after = cancelled_id_lifetime;
+		out.reason = "the job was cancelled before it was stored";
+		log_event(event::job_refused, {{"job", id.str()}, {"reason", out.reason}});
+		return out;
+	}
+
 	asio::awaitable<job_call_result> job_gateway::submit(queue_policy queue, job_id id, job_spec spec, instant deadline)
 	{
 		const auto started_at = boottime_now();
@@ -241,13 +284,17 @@
 		}
 		row_transaction change;
 		change.partition = submission_partition(id);
-		change.conditions.push_back({{submissions_table, id.str()}, 0});
-		change.put.push_back({{submissions_table, id.str()}, encode_submission(queue, spec)});
+		change.conditions.push_back({submission_row(id), 0});
+		change.conditions.push_back({cancelled_id_row(id), 0});
+		change.put.push_back({submission_row(id), encode_submission(queue, spec)});
 		auto result = co_await commit_with_retries(std::move(change), id, deadline - response_reserve);
-		count_call("submit", result.outcome, started_at);
-		if (result.outcome == job_call_outcome::done)
+		if (find_row(result.conflicts, submission_row(id)) == nullptr &&
+			find_row(result.conflicts, cancelled_id_row(id)) != nullptr)
+			result.call = refuse_cancelled(id);
+		count_call("submit", result.call.outcome, started_at);
+		if (result.call.outcome == job_call_outcome::done)
 			log_event(event::job_accepted, {{"job", id.str()}, {"queue", queue.queue.str()}});
-		co_return result;
+		co_return result.call;
 	}
 
 	asio::awaitable<job_status_result> job_gateway::status(job_id id, instant deadline)
@@ -264,7 +311,7 @@
 				row != nullptr ? decode_status(row->value) : absl::StatusOr<job_status>{job_status::queued};
 			if (row != nullptr && progress_status.ok() && has_ended(*progress_status))
 			{
-				call_result = {job_call_outcome::done, *progress_status};
+				call_result = {job_call_outcome::done, *progress_status, progress->store_clock_ms};
 				co_return call_result;
 			}
 			if (progress.ok())
@@ -275,6 +322,7 @@
 				call_result.outcome =
 					find_row(submission->rows, id.str()) != nullptr ? job_call_outcome::done : job_call_outcome::absent;
 				call_result.status = *progress_status;
+				call_result.store_clock_ms = submission->store_clock_ms;
 				if (find_row(submission->rows, cancellation_key(id)) != nullptr)
 					call_result.status = job_status::cancelled;
 				co_return call_result;
@@ -290,23 +338,62 @@
 	asio::awaitable<job_call_result> job_gateway::cancel(job_id id, instant deadline)
 	{
 		const auto started_at = boottime_now();
-		const auto current = co_await status(id, deadline);
-		job_call_result call_result;
-		if (current.outcome != job_call_outcome::done || has_ended(current.status))
+		const auto until = deadline - response_reserve;
+		while (true)
 		{
-			call_result.outcome = current.outcome;
-			call_result.retry_after = default_retry_after;
-			call_result.reason = "the job's state could not be read";
-			co_return call_result;
+			const auto current = co_await status(id, deadline);
+			std::optional<job_call_result> call_result =
+				job_call_result{current.outcome, default_retry_after, "the job's state could not be read"};
+			if (current.outcome == job_call_outcome::absent)
+				call_result = co_await cancel_absent(id, current.store_clock_ms, until);
+			else if (current.outcome == job_call_outcome::done && !has_ended(current.status))
+				call_result = co_await cancel_stored(id, until);
+			if (!call_result)
+				continue; // the job has been stored since its state was read
+			count_call("cancel", call_result->outcome, started_at);
+			co_return *std::move(call_result);
 		}
+	}
+
+	asio::awaitable<job_call_result> job_gateway::cancel_stored(job_id id, instant deadline)
+	{
 		row_transaction change;
 		change.partition = submission_partition(id);
 		change.conditions.push_back({{submissions_table, cancellation_key(id)}, 0});
 		change.put.push_back({{submissions_table, cancellation_key(id)}, ""});
-		call_result = co_await commit_with_retries(std::move(change), id, deadline - response_reserve);
-		count_call("cancel", call_result.outcome, started_at);
-		if (call_result.outcome == job_call_outcome::done)
+		auto result = co_await commit_with_retries(std::move(change), id, deadline);
+		if (result.call.outcome == job_call_outcome::done)
 			log_event(event::job_cancelled, {{"job", id.str()}});
-		co_return call_result;
+		co_return result.call;
+	}
+
+	asio::awaitable<std::optional<job_call_result>> job_gateway::cancel_absent(job_id id, std::int64_t store_ms,
+																			   instant deadline)
+	{
+		// An entry may still be sending a submission whose client has left, and the store may apply one that it has not
+		// answered. Either fails once this row is stored.
+		std::int64_t replaced_version = 0;
+		while (true)
+		{
+			row_transaction change;
+			change.partition = submission_partition(id);
+			change.conditions.push_back({cancelled_id_row(id), replaced_version});
+			change.conditions.push_back({submission_row(id), 0});
+			change.put.push_back({cancelled_id_row(id), encode_cancelled_id(store_ms + cancelled_id_lifetime.count())});
+			auto result = co_await commit_with_retries(std::move(change), id, deadline);
+			if (result.call.outcome != job_call_outcome::done)
+				co_return result.call;
+			if (find_row(result.conflicts, submission_row(id)) != nullptr)
+				co_return std::nullopt;
+			const auto* stored = find_row(result.conflicts, cancelled_id_row(id));
+			if (result.applied || (stored != nullptr && lasts(*stored, store_ms)))
+			{
+				log_event(event::job_cancelled, {{"job", id.str()}, {"submitted", 0}});
+				result.call.outcome = job_call_outcome::absent;
+				co_return result.call;
+			}
+			// Prolongs an earlier cancellation, or stores one that has just expired again.
+			replaced_version = stored == nullptr ? 0 : stored->version;
+		}
 	}
 }
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -23,6 +23,13 @@
 	/// \brief Decodes encode_submission()'s row; data_loss if it is malformed.
 	[[nodiscard]] absl::StatusOr<job_state> decode_submission(const job_id& id, std::string_view row, instant now);
 
+	/// \brief Encodes the row of an id that was cancelled before its job was stored.
+	/// \param expires_ms When the row may be removed, in ms of the store's clock.
+	[[nodiscard]] std::string encode_cancelled_id(std::int64_t expires_ms);
+
+	/// \brief Decodes encode_cancelled_id()'s row; data_loss if it is malformed.
+	[[nodiscard]] absl::StatusOr<std::int64_t> decode_cancelled_id(std::string_view row);
+
 	/// \brief Encodes the row with the progress of a job.
 	[[nodiscard]] std::string encode_progress(const job_state& job);
 
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -2,6 +2,7 @@
 #include <trailjunction/jobs/held_tasks.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -321,6 +322,19 @@
 		return decode<stored::ownership>(row);
 	}
 
+	std::string encode_cancelled_id(std::int64_t expires_ms)
+	{
+		return absl::StrCat(expires_ms);
+	}
+
+	absl::StatusOr<std::int64_t> decode_cancelled_id(std::string_view row)
+	{
+		std::int64_t expires_ms{};
+		if (!absl::SimpleAtoi(absl::string_view{row.data(), row.size()}, &expires_ms) || expires_ms < 0)
+			return absl::DataLossError("the row of a cancelled id holds no time");
+		return expires_ms;
+	}
+
 	std::string encode_agent(const stored::agent& row)
 	{
 		return encode(row);
