--- a/packages/jobs/include/trailjunction/jobs/job_tables.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_tables.hpp
@@ -18,10 +18,10 @@
 	inline constexpr const char* owner_table = "job_owner";  ///< A single row: the owner of the shard.
 	inline constexpr const char* owner_key = "owner";
 	inline constexpr const char* submissions_table = "job_submissions"; ///< Submitted jobs, and their cancellations.
-	/// Ids of jobs that were cancelled before their submission was stored; no such submission is stored any more. In the
-	/// partition of the submission, and a table of its own, so that owners neither follow nor load it.
+	/// Ids of jobs that were cancelled before their submission was stored; no such submission is stored any more. In
+	/// the partition of the submission, and a table of its own, so that owners neither follow nor load it.
 	inline constexpr const char* cancelled_ids_table = "job_cancelled_ids";
-	inline constexpr const char* progress_table = "job_progress";       ///< Progress of jobs.
+	inline constexpr const char* progress_table = "job_progress";   ///< Progress of jobs.
 	inline constexpr const char* agents_table = "job_agents";       ///< Addresses at which agents accept connections.
 	inline constexpr const char* workers_table = "job_workers";     ///< The worker that each agent was last seen with.
 	inline constexpr const char* pressures_table = "job_pressures"; ///< A single row: the learnt pressures of fillers.
