Owner: one gate asks for the lease before any claim or order

Cause: claims, stops and orders after a full report did not ask for the lease, and an agent has no memory of epochs beyond its life.

Evidence: E439 not_placed of the old owner 2 s after the takeover, more than its lease after its last commit; its claim is the first of the agent's life.

Change: orders go through job_term::send_order(), claims through agent_peer::send_claim(); both ask may_order(): the lease is held by the clock that counts suspensions, read when the message is sent, and no released row may be in the store. Withheld orders are decided anew from a full report once the lease is held (E463, job_orders_withheld_total). Starts committed without a lease stay pending.

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -95,6 +95,7 @@
 		job_turned_away = 460,
 		long_running_idle = 461,
 		idle_ended = 462,
+		orders_withheld = 463,
 		wave_begun = 480,
 		wave_refused = 481,
 		wave_changed = 482,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -73,7 +73,7 @@
 			event::instances_unknown,    event::run_unlisted,
 			event::tasks_cleared,        event::task_held_back,
 			event::task_released,        event::long_running_idle,
-			event::idle_ended,
+			event::idle_ended,           event::orders_withheld,
 		};
 	}
 
@@ -237,6 +237,8 @@
 			return "long_running_idle";
 		case event::idle_ended:
 			return "idle_ended";
+		case event::orders_withheld:
+			return "orders_withheld";
 		case event::job_turned_away:
 			return "job_turned_away";
 		case event::wave_begun:
--- a/packages/entry/src/connection/agent_peer.cpp
+++ b/packages/entry/src/connection/agent_peer.cpp
@@ -20,8 +20,7 @@
 		constexpr auto dial_timeout = millis{500}; ///< For a connection attempt within a region.
 		constexpr auto redial_delay = millis{200}; ///< A restarted agent is reachable after a few of these.
 		/// Limits the exponential backoff while an agent closes each link without a report. The agent then obeys a
-		/// later owner, which this one cannot learn of while the store does not answer it. Without backoff, such an
-		/// owner opened 1,200 links per second to 240 agents.
+		/// later owner. Without backoff, an owner that did not know of it opened 1,200 links per second to 240 agents.
 		constexpr int max_backoff_doublings = 3;
 
 		/// Agents report twice a second; a link without a message for three reports counts as dead.
@@ -29,11 +28,12 @@
 	}
 
 	agent_peer::agent_peer(asio::io_context& io, std::string name, endpoint address, wire::job_claim claim,
-						   report_handler on_report)
+						   std::function<bool()> may_claim, report_handler on_report)
 		: io_{io},
 		  name_{std::move(name)},
 		  address_{std::move(address)},
 		  claim_{std::move(claim)},
+		  may_claim_{std::move(may_claim)},
 		  on_report_{std::move(on_report)}
 	{
 	}
@@ -67,6 +67,21 @@
 			link_->close("the link is closed or its send queue is full");
 	}
 
+	void agent_peer::send_claim()
+	{
+		if (may_claim_())
+			send(to_envelope(claim_));
+		else
+			link_->close("the owner's lease is over");
+	}
+
+	void agent_peer::request_full_report()
+	{
+		// An agent answers each claim with a full report, also one that it has obeyed before.
+		if (is_connected())
+			send_claim();
+	}
+
 	void agent_peer::on_message(wire::envelope&& message)
 	{
 		if (!message.__isset.job_status || stopped_)
@@ -82,6 +97,11 @@
 		int links_without_report = 0; // consecutive
 		while (!stopped_)
 		{
+			if (!may_claim_())
+			{
+				co_await pause_for(io_, redial_delay);
+				continue;
+			}
 			boost::beast::tcp_stream stream{io_};
 			stream.expires_after(dial_timeout);
 			auto [error] = co_await stream.async_connect(address_, as_result);
@@ -102,7 +122,7 @@
 							 log_event(event::link_closed, {{"agent", self->name_}, {"reason", reason}});
 							 closed.cancel();
 						 });
-			send(to_envelope(claim_));
+			send_claim();
 			(void)co_await closed.async_wait(as_result);
 			link_.reset();
 			links_without_report = reported_ ? 0 : std::min(links_without_report + 1, max_backoff_doublings);
--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -51,8 +51,10 @@
 	public:
 		using report_handler = std::function<void(agent_peer&, wire::job_report&&)>;
 
+		/// \param may_claim Whether this owner is certainly the only one now. Agents that have restarted obey any
+		/// claim.
 		agent_peer(boost::asio::io_context& io, std::string name, endpoint address, wire::job_claim claim,
-				   report_handler on_report);
+				   std::function<bool()> may_claim, report_handler on_report);
 
 		/// \brief Starts connecting.
 		void start();
@@ -87,6 +89,8 @@
 		{
 			return heard_at_;
 		}
+		/// \brief Requests a full report over the open link, if there is one.
+		void request_full_report();
 		/// \brief Sends a message if the link is open. The next full report reveals messages that were lost.
 		void send(const wire::envelope& message);
 
@@ -106,6 +110,7 @@
 
 	private:
 		boost::asio::awaitable<void> dial_loop();
+		void send_claim();
 		void on_message(wire::envelope&& message);
 
 		boost::asio::io_context& io_;
@@ -113,6 +118,7 @@
 		endpoint address_;
 		data_centre_id data_centre_;
 		wire::job_claim claim_;
+		std::function<bool()> may_claim_;
 		report_handler on_report_;
 		std::shared_ptr<link> link_;
 		std::optional<instant> heard_at_;
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -140,6 +140,11 @@
 		return !over_ && holds_lease(owned_.renewal_sent, owned_.lease, now);
 	}
 
+	bool job_term::may_order(instant now) const noexcept
+	{
+		return may_act(now) && !owned_.row.released;
+	}
+
 	void job_term::wake()
 	{
 		placing_requested_ = true;
@@ -494,6 +499,7 @@
 				note_failed_long_running(*job);
 			}
 		stop_needless_runs(now);
+		review_withheld_orders(now);
 		if (!owned_.row.loaded)
 			return;
 		queue_depths depths;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -148,6 +148,9 @@
 		void hand_over_if_behind(std::chrono::nanoseconds lag, instant now);
 		[[nodiscard]] std::int64_t store_now_ms(instant now) const noexcept;
 		[[nodiscard]] bool may_act(instant now) const noexcept;
+		/// Whether agents may be claimed and given orders: this member is certainly the only owner. The successor of a
+		/// released row does not wait for the lease.
+		[[nodiscard]] bool may_order(instant now) const noexcept;
 
 		// job_term_idle.cpp: long-running tasks without a run
 		/// Reports the long-running tasks without a run, by reason, when the next search is due.
@@ -203,7 +206,14 @@
 		};
 		void order_start(const task_run& run_id, order_kind kind);
 		/// \param why The reason that is logged.
-		void order_stop(agent_peer& peer, const task_run& run_id, std::string_view why);
+		/// \returns Whether the order was sent.
+		bool order_stop(agent_peer& peer, const task_run& run_id, std::string_view why);
+		/// Sends an order unless another member may own the jobs by now. A withheld order is decided anew from a full
+		/// report once this member certainly owns them.
+		/// \returns Whether the order was sent.
+		bool send_order(agent_peer& peer, const wire::envelope& order);
+		/// Requests full reports from the agents whose orders were withheld.
+		void review_withheld_orders(instant now);
 		/// Whether the operators' evacuation requests permit starts on the agent's worker.
 		[[nodiscard]] start_permission start_permission_at(const agent_peer& peer, instant now) const noexcept;
 		/// Maximum age of the knowledge of evacuation requests at which runs may still be started.
@@ -297,6 +307,7 @@
 		/// Starts that are not ordered yet: not committed, or not permitted so far.
 		absl::flat_hash_set<task_run> pending_starts_;
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
+		absl::flat_hash_set<std::string> withheld_agents_;              ///< Agents for which an order was withheld.
 		absl::flat_hash_map<worker_incarnation, instant> confirmed_at_; ///< Time of the latest confirmation, by worker.
 		/// Until when an incarnation may keep its runs under the lease of a call to an earlier one, by incarnation.
 		absl::flat_hash_map<worker_incarnation, instant> held_until_;
--- a/packages/entry/src/process/job_term_evacuation.cpp
+++ b/packages/entry/src/process/job_term_evacuation.cpp
@@ -32,6 +32,8 @@
 
 	void job_term::order_committed_start(const task_run& run_id, const absl::flat_hash_set<task_key>& held, instant now)
 	{
+		if (!may_order(now))
+			return; // stays pending until a later transaction
 		const auto* task = find_task(table_, run_id.task);
 		const auto* peer = task == nullptr ? nullptr : peer_of(task->worker);
 		const auto permission = peer == nullptr ? start_permission::allowed : start_permission_at(*peer, now);
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -281,12 +281,18 @@
 			claim.epoch = owned_.row.epoch;
 			claim.member = owned_.row.member;
 			claim.run_lease_ms = run_lease_times_.lease.count();
-			peer = std::make_shared<agent_peer>(io_, row.name.key, *agent_endpoint, std::move(claim),
-												[weak = weak_from_this()](agent_peer& from, wire::job_report&& report)
-												{
-													if (const auto self = weak.lock(); self && !self->over_)
-														self->on_report(from, std::move(report));
-												});
+			peer = std::make_shared<agent_peer>(
+				io_, row.name.key, *agent_endpoint, std::move(claim),
+				[weak = weak_from_this()]
+				{
+					const auto self = weak.lock();
+					return self && self->may_order(boottime_now());
+				},
+				[weak = weak_from_this()](agent_peer& from, wire::job_report&& report)
+				{
+					if (const auto self = weak.lock(); self && !self->over_)
+						self->on_report(from, std::move(report));
+				});
 			peer->set_data_centre(data_centre_id{agent->data_centre});
 			peer->start();
 		}
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -332,24 +332,49 @@
 			// A stop is repeated, because an order may be lost or overtake a delayed start.
 			if (task.stop_ordered_at != instant{} && now - task.stop_ordered_at < stop_repeat_interval)
 				continue;
-			if (auto* peer = peer_of(task.worker); peer != nullptr)
-			{
-				order_stop(*peer, run_id, reason_to_stop(table_, run_id));
+			if (auto* peer = peer_of(task.worker);
+				peer != nullptr && order_stop(*peer, run_id, reason_to_stop(table_, run_id)))
 				task.stop_ordered_at = now;
-			}
 		}
 	}
 
-	void job_term::order_stop(agent_peer& peer, const task_run& run_id, std::string_view why)
+	bool job_term::send_order(agent_peer& peer, const wire::envelope& order)
+	{
+		// Reads the clock again: the process may have been suspended since the order was decided.
+		if (may_order(boottime_now()))
+		{
+			peer.send(order);
+			return true;
+		}
+		metrics_.counter("job_orders_withheld", "Orders that an owner without a lease did not send.").Increment();
+		if (withheld_agents_.insert(peer.name()).second)
+			log_event(event::orders_withheld, {{"agent", peer.name()},
+											   {"worker", peer.worker.current_incarnation.str()},
+											   {"epoch", owned_.row.epoch}});
+		return false;
+	}
+
+	void job_term::review_withheld_orders(instant now)
+	{
+		if (withheld_agents_.empty() || !may_order(now))
+			return;
+		for (const auto& name : std::exchange(withheld_agents_, {}))
+			if (const auto found = peers_.find(name); found != peers_.end())
+				found->second->request_full_report();
+	}
+
+	bool job_term::order_stop(agent_peer& peer, const task_run& run_id, std::string_view why)
 	{
+		wire::job_stop order;
+		order.what = to_wire(run_id);
+		set_worker(order, peer.worker.current_incarnation);
+		if (!send_order(peer, to_envelope(std::move(order))))
+			return false;
 		log_event(event::stop_ordered, {{"task", to_string(run_id.task)},
 										{"run", run_id.run},
 										{"worker", peer.worker.current_incarnation.str()},
 										{"why", why}});
-		wire::job_stop order;
-		order.what = to_wire(run_id);
-		set_worker(order, peer.worker.current_incarnation);
-		peer.send(to_envelope(std::move(order)));
+		return true;
 	}
 
 	std::vector<wire::image_pressure> job_term::colocated_pressures(const worker_incarnation& worker,
@@ -388,9 +413,6 @@
 			order_stop(*peer, run_id, "job_over");
 			return;
 		}
-		if (kind == order_kind::repeated)
-			log_event(event::start_repeated,
-					  {{"task", to_string(run_id.task)}, {"run", run_id.run}, {"worker", task->worker.str()}});
 		const auto& group = job->spec.groups[run_id.task.group];
 		wire::job_start order;
 		order.what = to_wire(run_id);
@@ -412,6 +434,9 @@
 		order.image = group.image;
 		if (group.filler)
 			order.pressures = colocated_pressures(task->worker, group.image);
-		peer->send(to_envelope(std::move(order)));
+		const bool sent = send_order(*peer, to_envelope(std::move(order)));
+		if (sent && kind == order_kind::repeated)
+			log_event(event::start_repeated,
+					  {{"task", to_string(run_id.task)}, {"run", run_id.run}, {"worker", task->worker.str()}});
 	}
 }
