Rows of other writers: an odd value no longer ends the reading of all

Cause: amounts in the rows of members, the elements of a scan, recorded responses and a stored configuration were read by calls that throw. In a detached coroutine the exception is dropped with the coroutine: the entry never saw a member join, leave or lapse again, without a log line. A caller whose recorded response was odd got no answer. No process ended.

Change: such values are checked. Elements of a scan that are no objects are left out. A configuration that is no object is an error.

--- a/packages/decide/src/version/config_document.cpp
+++ b/packages/decide/src/version/config_document.cpp
@@ -116,6 +116,8 @@
 		auto document = parse_json(text.empty() ? "{}" : text);
 		if (!document.ok())
 			return document.status();
+		if (!document->is_object())
+			return absl::InvalidArgumentError("the stored configuration is not an object");
 		const auto new_value = parse_json(value);
 		if (!new_value.ok())
 			return absl::InvalidArgumentError(absl::StrCat(std::string{path}, ": ", new_value.status().message()));
--- a/packages/entry/src/process/member_keeper.cpp
+++ b/packages/entry/src/process/member_keeper.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace trailjunction
 {
 	namespace asio = boost::asio;
@@ -26,17 +28,43 @@
 			return {amounts.cpu_milli, amounts.memory_mib, amounts.accelerators};
 		}
 
-		account_amounts amounts_at(const json::object& object, std::string_view name)
+		/// Upper bound of an amount in a row: far above that of any fleet, and sums of rows do not overflow.
+		constexpr std::int64_t max_amount = 1'000'000'000'000;
+
+		bool is_amount(const json::value& value)
+		{
+			boost::system::error_code error;
+			const auto amount = value.to_number<std::int64_t>(error);
+			return !error && amount >= 0 && amount <= max_amount;
+		}
+
+		/// Whether a value lists the three amounts of an account.
+		bool lists_amounts(const json::value& value)
+		{
+			const auto* list = value.if_array();
+			return list != nullptr && list->size() == 3 && std::all_of(list->begin(), list->end(), is_amount);
+		}
+
+		/// The amounts by account in a member of a row. Those that cannot be read are left out.
+		/// \param complete Is set to false if any are left out.
+		account_amounts amounts_at(const json::object& object, std::string_view name, bool& complete)
 		{
 			account_amounts amounts;
 			const auto* accounts = object.if_contains(name);
 			if (accounts == nullptr || !accounts->is_object())
 				return amounts;
 			for (const auto& item : accounts->get_object())
-				if (const auto* list = item.value().if_array(); list != nullptr && list->size() == 3)
-					amounts[account_id{std::string{item.key()}}] = {list->at(0).to_number<std::int64_t>(),
-																	list->at(1).to_number<std::int64_t>(),
-																	list->at(2).to_number<std::int64_t>()};
+			{
+				if (!lists_amounts(item.value()))
+				{
+					complete = false;
+					continue;
+				}
+				const auto& list = item.value().get_array();
+				amounts[account_id{std::string{item.key()}}] = {list[0].to_number<std::int64_t>(),
+																list[1].to_number<std::int64_t>(),
+																list[2].to_number<std::int64_t>()};
+			}
 			return amounts;
 		}
 
@@ -225,15 +253,28 @@
 	{
 		const auto parsed = parse_json(row.data);
 		if (!parsed.ok() || !parsed->is_object())
+		{
+			note_readable(member, false);
 			return;
+		}
 		const auto& object = parsed->get_object();
 		record_member(members_, member, {row.token, text_or(object, "address"), {}, flag_or(object, "leaving")}, at);
 		if (member == settings_.member)
 			return;
 		// The runs of a lapsed member belong to the member that takes its shards, and count there.
 		const bool lapsed = lease_expired(members_.at(member), settings_.times, at);
-		ceilings_by_member_[member] = lapsed ? account_amounts{} : amounts_at(object, "ceilings");
-		usage_by_member_[member] = lapsed ? account_amounts{} : amounts_at(object, "used");
+		bool complete = true;
+		ceilings_by_member_[member] = lapsed ? account_amounts{} : amounts_at(object, "ceilings", complete);
+		usage_by_member_[member] = lapsed ? account_amounts{} : amounts_at(object, "used", complete);
+		note_readable(member, complete);
+	}
+
+	void member_keeper::note_readable(const member_id& member, bool readable)
+	{
+		if (readable)
+			unreadable_members_.erase(member);
+		else if (unreadable_members_.insert(member).second)
+			log_event(event::row_unreadable, {{"member", member.str()}, {"reason", "not the row of a member"}});
 	}
 
 	asio::awaitable<void> member_keeper::read_all()
--- a/packages/entry/src/process/member_keeper.hpp
+++ b/packages/entry/src/process/member_keeper.hpp
@@ -11,6 +11,7 @@
 #include <trailjunction/store/platform_client.hpp>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
@@ -87,6 +88,8 @@
 		[[nodiscard]] resources published_elsewhere(const account_id& account) const;
 		void note_conflict(const table_row& row);
 		void apply_row(const table_row& row, const member_id& member, instant now);
+		/// Logs that the row of a member can't be read, once until it can.
+		void note_readable(const member_id& member, bool readable);
 		[[nodiscard]] std::string row_data() const;
 
 		boost::asio::io_context& io_;
@@ -98,6 +101,7 @@
 		/// Quota ceilings published by the other members.
 		absl::flat_hash_map<member_id, account_amounts> ceilings_by_member_;
 		absl::flat_hash_map<member_id, account_amounts> usage_by_member_;
+		absl::flat_hash_set<member_id> unreadable_members_; ///< Members whose row can't be read, or not all of it.
 		absl::flat_hash_map<account_id, quota_share> shares_;
 		account_amounts quotas_;
 		account_amounts used_;
--- a/packages/entry/src/request/idempotency_claims.cpp
+++ b/packages/entry/src/request/idempotency_claims.cpp
@@ -62,7 +62,8 @@
 			response.body = text_or(object, "body");
 			if (const auto* headers = object.if_contains("headers"); headers != nullptr && headers->is_array())
 				for (const auto& header : headers->get_array())
-					if (const auto* pair = header.if_array(); pair != nullptr && pair->size() == 2)
+					if (const auto* pair = header.if_array();
+						pair != nullptr && pair->size() == 2 && pair->at(0).is_string() && pair->at(1).is_string())
 						response.headers.push_back(
 							{std::string{pair->at(0).as_string()}, std::string{pair->at(1).as_string()}});
 			response.headers.push_back({"Idempotent-Replay", "yes"});
--- a/packages/store/src/platform_client.cpp
+++ b/packages/store/src/platform_client.cpp
@@ -116,9 +116,11 @@
 		std::vector<table_row> rows;
 		for (const auto& item : parsed->get_array())
 		{
-			const auto& object = item.as_object();
-			table_row row{text_or(object, "key"), "", "", number_or(object, "version")};
-			split_value(row, text_or(object, "value"));
+			const auto* object = item.if_object();
+			if (object == nullptr)
+				continue;
+			table_row row{text_or(*object, "key"), "", "", number_or(*object, "version")};
+			split_value(row, text_or(*object, "value"));
 			rows.push_back(std::move(row));
 		}
 		co_return rows;
