Lists are read entry by entry: an odd one hides no other

Cause: lists whose entries come from several writers (GET /v1/instances, scans, GET /machines) were parsed as one text. The parser refuses more than 32 levels and exponents that don't fit, wherever they stand; and one machine without a name refused the whole list of machines.

Evidence: three tests with six odd values each, before the fix: every list an error.

Change: parse_json_list() finds the entries without recursion and parses each by itself; unreadable ones are counted and logged (E436). A list of machines says whether it is complete; in one that is not, an unnamed instance is not taken for gone. Port 0 is no address to connect to.

--- a/packages/core/include/trailjunction/core.hpp
+++ b/packages/core/include/trailjunction/core.hpp
@@ -7,6 +7,7 @@
 #include "core/field_reader.hpp"
 #include "core/ids.hpp"
 #include "core/json.hpp"
+#include "core/json_list.hpp"
 #include "core/log_writer.hpp"
 #include "core/random.hpp"
 #include "core/request_outcome.hpp"
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -263,7 +263,7 @@
 				continue;
 			const auto agent = decode_agent(row.value);
 			const auto agent_endpoint =
-				agent.ok() ? parse_endpoint(agent->address) : absl::StatusOr<endpoint>{agent.status()};
+				agent.ok() ? parse_remote_endpoint(agent->address) : absl::StatusOr<endpoint>{agent.status()};
 			if (!agent_endpoint.ok())
 			{
 				log_event(event::row_unreadable,
--- a/packages/jobs/include/trailjunction/jobs/upkeep_wave.hpp
+++ b/packages/jobs/include/trailjunction/jobs/upkeep_wave.hpp
@@ -102,6 +102,7 @@
 	{
 		absl::flat_hash_map<instance_id, listed_instance> instances;
 		instant requested_at{};
+		bool complete{true}; ///< Whether all entries could be read; if not, an instance that is not named may exist.
 	};
 
 	/// \brief The service's answer to an order.
--- a/packages/jobs/src/upkeep_progress.cpp
+++ b/packages/jobs/src/upkeep_progress.cpp
@@ -244,6 +244,8 @@
 		for (auto& entry : progress.instances)
 		{
 			const auto found = list.instances.find(entry.instance);
+			if (found == list.instances.end() && !list.complete)
+				continue; // it may be one of those that can't be read
 			if (found == list.instances.end())
 				entry.listed_in_upkeep = false;
 			// No short-circuit evaluation: the list is applied to each instance.
--- a/packages/net/include/trailjunction/net/endpoint.hpp
+++ b/packages/net/include/trailjunction/net/endpoint.hpp
@@ -18,6 +18,9 @@
 	/// \returns invalid_argument for anything else; host names are rejected because processes address each other by IP.
 	[[nodiscard]] absl::StatusOr<endpoint> parse_endpoint(std::string_view text);
 
+	/// \brief Parses an address to connect to: like parse_endpoint(), but port 0 is an error.
+	[[nodiscard]] absl::StatusOr<endpoint> parse_remote_endpoint(std::string_view text);
+
 	/// \brief Formats an endpoint as parse_endpoint() reads it.
 	[[nodiscard]] std::string to_string(const endpoint& value);
 }
--- a/packages/net/src/endpoint.cpp
+++ b/packages/net/src/endpoint.cpp
@@ -28,6 +28,14 @@
 		return endpoint{address, static_cast<unsigned short>(port)};
 	}
 
+	absl::StatusOr<endpoint> parse_remote_endpoint(std::string_view text)
+	{
+		auto out = parse_endpoint(text);
+		if (out.ok() && out->port() == 0)
+			return absl::InvalidArgumentError(absl::StrCat("'", std::string{text}, "' has no port to connect to"));
+		return out;
+	}
+
 	std::string to_string(const endpoint& value)
 	{
 		const auto host = value.address().to_string();
--- a/packages/store/include/trailjunction/store/platform_client.hpp
+++ b/packages/store/include/trailjunction/store/platform_client.hpp
@@ -8,8 +8,10 @@
 #include "table_row.hpp"
 
 #include <trailjunction/core/ids.hpp>
+#include <trailjunction/core/json_list.hpp>
 #include <trailjunction/net/http_client.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 
@@ -94,8 +96,12 @@
 																	std::int64_t expected_version,
 																	const std::string& token, instant deadline);
 
+		/// Logs that a list has entries that can't be read, whenever their number changes.
+		void note_unreadable(const std::string& name, const json_list& list);
+
 		boost::asio::io_context& io_;
 		http_client client_;
+		absl::flat_hash_map<std::string, std::size_t> unreadable_entries_; ///< Their number by list, as last logged.
 		platform_call_counts counts_;
 		bool reachable_{true};
 	};
--- a/packages/store/src/platform_client.cpp
+++ b/packages/store/src/platform_client.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include <trailjunction/core/event.hpp>
 #include <trailjunction/core/json.hpp>
+#include <trailjunction/core/json_list.hpp>
 #include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/store/platform_client.hpp>
 
@@ -10,6 +11,7 @@
 #include <boost/json/array.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace trailjunction
 {
@@ -55,13 +57,19 @@
 			return row;
 		}
 
+		void count_unreadable(json_list& list, const absl::Status& error)
+		{
+			if (list.unreadable++ == 0)
+				list.error = error;
+		}
+
 		absl::StatusOr<instance> instance_of(const boost::json::value& value)
 		{
 			const auto* object = value.if_object();
 			if (object == nullptr)
 				return absl::InvalidArgumentError("an instance is not an object");
-			const auto requests = parse_endpoint(text_or(*object, "requests"));
-			const auto control = parse_endpoint(text_or(*object, "control"));
+			const auto requests = parse_remote_endpoint(text_or(*object, "requests"));
+			const auto control = parse_remote_endpoint(text_or(*object, "control"));
 			if (!requests.ok() || !control.ok())
 				return absl::InvalidArgumentError("an instance lacks a valid address");
 			return instance{worker_id{text_or(*object, "worker")},
@@ -110,19 +118,23 @@
 		const auto result = co_await call(std::move(request), deadline);
 		if (!succeeded(result))
 			co_return to_status(result);
-		const auto parsed = parse_json(result.response.body);
-		if (!parsed.ok() || !parsed->is_array())
+		auto list = parse_json_list(result.response.body);
+		if (!list.ok())
 			co_return absl::InternalError("the table service did not return a list");
 		std::vector<table_row> rows;
-		for (const auto& item : parsed->get_array())
+		for (const auto& item : list->entries)
 		{
 			const auto* object = item.if_object();
 			if (object == nullptr)
+			{
+				count_unreadable(*list, absl::InvalidArgumentError("a row is not an object"));
 				continue;
+			}
 			table_row row{text_or(*object, "key"), "", "", number_or(*object, "version")};
 			split_value(row, text_or(*object, "value"));
 			rows.push_back(std::move(row));
 		}
+		note_unreadable(prefix, *list);
 		co_return rows;
 	}
 
@@ -234,13 +246,27 @@
 		const auto result = co_await call(std::move(request), deadline);
 		if (!succeeded(result))
 			co_return to_status(result);
-		const auto parsed = parse_json(result.response.body);
-		if (!parsed.ok() || !parsed->is_array())
+		auto list = parse_json_list(result.response.body);
+		if (!list.ok())
 			co_return absl::InternalError("the platform did not return a list of instances");
-		std::vector<instance> list;
-		for (const auto& item : parsed->get_array())
-			if (auto parsed_instance = instance_of(item); parsed_instance.ok())
-				list.push_back(*std::move(parsed_instance));
-		co_return list;
+		std::vector<instance> instances;
+		for (const auto& item : list->entries)
+		{
+			auto parsed_instance = instance_of(item);
+			if (parsed_instance.ok())
+				instances.push_back(*std::move(parsed_instance));
+			else
+				count_unreadable(*list, parsed_instance.status());
+		}
+		note_unreadable("instances", *list);
+		co_return instances;
+	}
+
+	void platform_client::note_unreadable(const std::string& name, const json_list& list)
+	{
+		auto& logged = unreadable_entries_[name];
+		if (std::exchange(logged, list.unreadable) != list.unreadable && list.unreadable > 0)
+			log_event(event::row_unreadable,
+					  {{"list", name}, {"entries", list.unreadable}, {"reason", list.error.ToString()}});
 	}
 }
--- a/tests/odd_entries.cpp
+++ b/tests/odd_entries.cpp
@@ -5,6 +5,7 @@
 #include "../packages/entry/src/request/idempotency_claims.hpp"
 
 #include <trailjunction/decide.hpp>
+#include <trailjunction/jobs/upkeep_wave.hpp>
 #include <trailjunction/net/http_server.hpp>
 #include <trailjunction/platform/instance_client.hpp>
 #include <trailjunction/store/platform_client.hpp>
@@ -153,3 +154,86 @@
 	CHECK_FALSE(change_config("[1]", "/requests/slots", "8").ok());
 	CHECK_FALSE(change_config("7", "/requests/slots", "8").ok());
 }
+
+TEST_CASE("one odd instance in the platform's list does not hide the others", "[entry]")
+{
+	// The whole list was unreadable, so that entries no longer followed it.
+	for (const auto& odd : odd_values())
+	{
+		canned_service service;
+		const auto sound = [](const std::string& name)
+		{
+			return absl::StrCat(R"({"worker":")", name, R"(","requests":"127.0.0.1:1","control":"127.0.0.1:2"})");
+		};
+		service.answer =
+			absl::StrCat("[", sound("w1"), " , ", odd, R"(,{"worker":"w2","x":)", odd, "},",
+						 R"({"worker":"w3","requests":"127.0.0.1:70000","control":"127.0.0.1:2"},)",
+						 R"({"worker":"w4","requests":"127.0.0.1:0","control":"127.0.0.1:2"},)", sound("w5"), "]");
+		platform_client platform{service.io, service.address};
+		const auto list = service.result_of<absl::StatusOr<std::vector<instance>>>(
+			[&](instant deadline) { return platform.instances(deadline); });
+		REQUIRE(list.ok());
+		REQUIRE(list->size() == 2);
+		CHECK(list->front().worker == worker_id{"w1"});
+		CHECK(list->back().worker == worker_id{"w5"});
+	}
+}
+
+TEST_CASE("one odd row in a scan does not hide the others", "[store]")
+{
+	for (const auto& odd : odd_values())
+	{
+		canned_service service;
+		service.answer = absl::StrCat("[", member_row("entry-2", odd), R"(,{"key":"members/dc1/odd","value":)", odd,
+									  "},", odd, ",", member_row("entry-3", "[1,1,1]"), "]");
+		platform_client platform{service.io, service.address};
+		const auto rows = service.result_of<absl::StatusOr<std::vector<table_row>>>(
+			[&](instant deadline) { return platform.scan("members/", deadline); });
+		REQUIRE(rows.ok());
+		REQUIRE(rows->size() >= 2);
+		CHECK(rows->front().key == "members/dc1/entry-2");
+		CHECK(rows->back().key == "members/dc1/entry-3");
+	}
+}
+
+TEST_CASE("one odd machine in the list for upkeep does not hide the others", "[upkeep]")
+{
+	for (const auto& odd : odd_values())
+	{
+		canned_service service;
+		service.answer =
+			absl::StrCat(R"({"x":)", odd, R"(,"machines":[{"machine":"m1","state":"up","id":"i-1"},)", odd,
+						 R"(,{"state":"up"},{"machine":"m2","state":"upkeep","id":"i-2"}],"nextToken":""})");
+		platform::instance_client client{service.io, service.address};
+		const auto list =
+			service.result_of<absl::StatusOr<instance_list>>([&](instant deadline) { return client.list(deadline); });
+		REQUIRE(list.ok());
+		CHECK(list->instances.size() == 2);
+		CHECK(list->instances.contains(instance_id{"m1"}));
+		CHECK(list->instances.contains(instance_id{"m2"}));
+		CHECK_FALSE(list->complete);
+	}
+}
+
+TEST_CASE("an instance that a list with unreadable entries does not name is not taken for gone", "[upkeep]")
+{
+	upkeep_wave wave{wave_id{"1"}, {instance_id{"m1"}}, std::chrono::minutes{1}, 1};
+	const upkeep_policy policy;
+	const auto start = instant{} + std::chrono::hours{1};
+	auto progress = begin_wave(std::move(wave), 0, start);
+	instance_list list;
+	list.complete = false;
+	for (auto now = start; now < start + std::chrono::minutes{5}; now += std::chrono::seconds{1})
+	{
+		list.requested_at = now;
+		(void)apply_list(progress, list, policy, now);
+	}
+	CHECK_FALSE(has_removed_instances(progress));
+	list.complete = true;
+	for (auto now = start; now < start + std::chrono::minutes{5}; now += std::chrono::seconds{1})
+	{
+		list.requested_at = now;
+		(void)apply_list(progress, list, policy, now);
+	}
+	CHECK(has_removed_instances(progress));
+}
