Heartbeats and listings: numbers out of range are refused

Cause: the decoders checked types and signs and no upper bound. Capacities are added over a service's workers and a fencing token is the sum of a start time and a clock, so the largest numbers overflow; numbers of listings were cast from double without a check.

The overflows were not played with processes.

A listing with a run number that is none counts as unanswered; figures that don't fit count as 0.

--- a/tests/heartbeat_handler.cpp
+++ b/tests/heartbeat_handler.cpp
@@ -118,3 +118,45 @@
 	}
 	CHECK(fixture.accepted.empty());
 }
+
+TEST_CASE("a heartbeat with a number out of range is rejected", "[agent]")
+{
+	// Sums of capacities overflowed, and a clock near the largest number left no fencing token for orders.
+	const auto with_capacity = [](const std::string& capacity)
+	{
+		return with_replaced(valid_heartbeat, R"("cpu":16000,"memMb":32768,"gpus":0)", capacity);
+	};
+	const auto with_start = [](const std::string& start)
+	{
+		return with_replaced(valid_heartbeat, R"("seq":4)", R"("seq":4,"born":)" + start);
+	};
+	const std::vector<std::string> out_of_range{
+		with_capacity(R"("cpu":1000000000000000000,"memMb":32768,"gpus":0)"),
+		with_capacity(R"("cpu":16000,"memMb":9223372036854775807,"gpus":0)"),
+		with_capacity(R"("cpu":16000,"memMb":32768,"gpus":-9223372036854775808)"),
+		with_capacity(R"("cpu":16000,"memMb":32768,"gpus":1e300)"),
+		with_replaced(valid_heartbeat, "482113", "9223372036854775807"),
+		with_replaced(valid_heartbeat, R"("seq":4)", R"("seq":9223372036854775807)"),
+		with_replaced(valid_heartbeat, "10.0.0.9:8080", "10.0.0.9:70000"),
+		with_replaced(valid_heartbeat, "10.0.0.9:8080", "10.0.0.9:0"),
+		with_start("18446744073709551615"),
+		with_start("9223372036854775807"),
+	};
+	handler_fixture fixture;
+	for (const auto& body : out_of_range)
+	{
+		INFO(body);
+		CHECK(fixture.put(body) == 400);
+	}
+	CHECK(fixture.accepted.empty());
+	CHECK(fixture.put(with_capacity(R"("cpu":16000,"memMb":32768)")) == 200); // accelerators may be left out
+	CHECK(fixture.put(with_start("1700000000000")) == 200);
+	// The end of a planned stop may have passed, and a worker may have no time to name.
+	for (const auto* remaining : {"-1", "9223372036854775807"})
+	{
+		CHECK(fixture.put(with_replaced(valid_heartbeat, R"("seq":4)",
+										std::string{R"("seq":4,"remainingMs":)"} + remaining)) == 200);
+		CHECK(fixture.accepted.back().remaining >= millis{0});
+		CHECK(fixture.accepted.back().remaining < std::chrono::years{1'000'000});
+	}
+}
--- a/tests/worker_client.cpp
+++ b/tests/worker_client.cpp
@@ -116,3 +116,23 @@
 		listing_of(R"({"clockMs":12,"running":[],"finished":[["x","00000000000000a1.0.0.0",1,"done",""]]})").outcome ==
 		order_outcome::unknown);
 }
+
+TEST_CASE("numbers out of range in a listing are not converted to others", "[jobs]")
+{
+	// A number that does not fit became another one, and not the same one on all processors.
+	const auto listed = [](const std::string& run, const std::string& figure)
+	{
+		return listing_of(R"({"clockMs":12,"running":[["00000000000000a1.0.0.0",)" + run + R"(,"",)" + figure + "," +
+						  figure + "]]}");
+	};
+	for (const auto* run : {"0", "-1", "4294967297", "1e300", "\"2\"", "1.5"})
+		CHECK(listed(run, "10").outcome == order_outcome::unknown);
+	for (const auto* figure : {"1e300", "-1e300", "9223372036854775807"})
+	{
+		const auto result = listed("2", figure);
+		REQUIRE(result.listing.running.size() == 1);
+		CHECK(result.listing.running[0].measurement == 0);
+		CHECK(result.listing.running[0].progress_percent == 0);
+	}
+	CHECK(listed("4294967295", "12.5").listing.running.at(0).measurement == 12);
+}
