--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -127,11 +127,6 @@
 		[[nodiscard]] millis evacuations_age(instant now) const noexcept;
 		[[nodiscard]] bool has_recent_submissions(millis max_age, instant now) const noexcept;
 		void add_progress_removals(batch& out);
-		boost::asio::awaitable<void> remove_expired_submissions();
-		/// Removes the rows of cancelled ids that have expired, as long as the term lasts.
-		boost::asio::awaitable<void> remove_expired_cancellations();
-		boost::asio::awaitable<void> remove_expired_cancellations_in(std::string partition);
-		[[nodiscard]] std::vector<job_id> expired_jobs(instant now) const;
 		void add_workers(batch& out);
 		void add_pressures(batch& out, instant now);
 		boost::asio::awaitable<bool> commit(batch& pending);
@@ -152,6 +147,13 @@
 		/// released row does not wait for the lease.
 		[[nodiscard]] bool may_order(instant now) const noexcept;
 
+		// job_term_expiry.cpp: removal of expired rows, as long as the term lasts
+		boost::asio::awaitable<void> remove_expired_submissions();
+		/// Removes the rows of cancelled ids that have expired.
+		boost::asio::awaitable<void> remove_expired_cancellations();
+		boost::asio::awaitable<void> remove_expired_cancellations_in(std::string partition);
+		[[nodiscard]] std::vector<job_id> expired_jobs(instant now) const;
+
 		// job_term_idle.cpp: long-running tasks without a run
 		/// Reports the long-running tasks without a run, by reason, when the next search is due.
 		void report_idle_if_due(instant now);
