Tests: a worker holds a lease of which the next owner does not know

The stand-in of the worker can let calls wait until the next incarnation is there, and its clock can begin anywhere.

--- a/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
+++ b/packages/testkit/include/trailjunction/testkit/job_cluster.hpp
@@ -30,6 +30,8 @@
 		int workers{2};
 		int data_centres{1};        ///< Workers are spread over `dc1`, `dc2` and so on, round-robin.
 		millis contact_time{3'000}; ///< The entries' setting `contact_ms`.
+		/// The setting `longest_run_lease_ms` of all processes; the worker stand-ins shorten longer leases to it.
+		millis longest_lease{6'000};
 		/// Whether entries know the instances_standin; its machines are `machine-1`, `machine-2` and so on.
 		bool has_upkeep_service{};
 		bool proxies{}; ///< Whether connections pass through a fault_proxy, see #proxied_connection.
--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -42,6 +42,8 @@
 		call_delay start_delay;
 		call_delay stop_delay;
 		call_delay hold_delay; ///< Of calls to `/hold`, which renew the lease and list the runs.
+		bool starts_wait{};    ///< Starts are carried out once this is unset, by the incarnation that is there then.
+		bool holds_wait{};     ///< The same for calls to `/hold`.
 	};
 
 	/// \brief Runs tasks under leases and fencing tokens, for the time in milliseconds that their payload contains.
@@ -149,6 +151,7 @@
 		/// Concurrent runs of one task: the indices in #started_runs of the earlier and of the later run.
 		std::vector<std::pair<std::size_t, std::size_t>> concurrent_runs;
 		int listing_count{};                    ///< Calls to `/hold` that were carried out.
+		int waiting_starts{};                   ///< Starts that wait because of worker_faults::starts_wait.
 		std::map<std::string, int> done_counts; ///< By task: how often it ended as `done`.
 		std::set<std::string> crashing_tasks;   ///< Tasks whose start crashes this worker.
 		millis restart_delay{500};              ///< Time between a crash and the next incarnation.
@@ -156,6 +159,9 @@
 		bool sends_start_time{true};            ///< Whether heartbeats and listings contain the start time.
 		/// Overrides the start time of the next incarnation, as if the instance's clock had been set; in Unix ms.
 		std::optional<std::int64_t> next_start_time_ms;
+		/// What the clock of the next incarnation shows at its beginning. Above 0: listings with 0 would not be taken
+		/// for listings.
+		std::int64_t next_first_clock_ms{1};
 		millis longest_lease{6'000}; ///< Longer leases are cut down to this.
 
 	private:
@@ -179,7 +185,8 @@
 			std::string id;
 			std::string name;
 			std::int64_t start_time_ms{};
-			instant begins_at{}; ///< The worker is down before.
+			instant begins_at{};           ///< The worker is down before.
+			std::int64_t first_clock_ms{}; ///< What its clock shows at begins_at.
 			std::map<run_key, active_run> running;
 			/// By task: the highest run that was stopped or has ended.
 			std::map<std::string, std::int64_t> highest_closed_run;
@@ -217,6 +224,8 @@
 		[[nodiscard]] http_response answer_start(const boost::json::object& body, bool late);
 		[[nodiscard]] http_response make_response(int status, const char* reason = "");
 		[[nodiscard]] call_delay delay_of(std::string_view path) const;
+		/// Delays a call for as long as the faults say that calls of its kind wait.
+		boost::asio::awaitable<void> wait_until_admitted(std::string_view path);
 		/// Decrements the number of calls of this kind that are to be carried out late.
 		/// \returns Whether the number was above 0.
 		[[nodiscard]] bool consume_late_call(std::string_view path);
@@ -226,7 +235,7 @@
 		void finish(const run_key& key, const std::string& end_state, instant end_time);
 		void acknowledge_ends(std::int64_t last_seen, const call_path& how, instant now);
 		[[nodiscard]] http_response make_listing() const;
-		/// The clock of the current incarnation, which starts at 1: listings with 0 would not be taken for listings.
+		/// The clock of the current incarnation.
 		[[nodiscard]] std::int64_t clock_ms() const;
 		/// When the lease of the current incarnation lapses.
 		[[nodiscard]] instant lease_lapse() const;
--- a/packages/testkit/src/job_cluster.cpp
+++ b/packages/testkit/src/job_cluster.cpp
@@ -126,6 +126,7 @@
 							  {"worker", name},
 							  {"data_centre", row.data_centre},
 							  {"store", to_string(make_proxy(proxied_connection::agent_store, index, store_address_))}};
+		settings["longest_run_lease_ms"] = options_.longest_lease.count();
 		settings["listen"] = {{"heartbeats", to_string(heartbeats)},
 							  {"links", to_string(links)},
 							  {"metrics", to_string(address_picker_.allocate())}};
@@ -138,6 +139,7 @@
 			{
 				workers_.push_back(std::make_unique<worker_standin>(thread_.io(), absl::StrCat("life-", index + 1),
 																	"tally", heartbeats));
+				workers_.back()->longest_lease = options_.longest_lease;
 				instances_->add(absl::StrCat("machine-", index + 1), *workers_.back());
 				return workers_.back()->listen();
 			});
@@ -156,7 +158,8 @@
 							  {"member", name},
 							  {"data_centre", "dc1"},
 							  {"store", to_string(make_proxy(proxied_connection::entry_store, index, store_address_))},
-							  {"contact_ms", options_.contact_time.count()}};
+							  {"contact_ms", options_.contact_time.count()},
+							  {"longest_run_lease_ms", options_.longest_lease.count()}};
 		settings["listen"] = {{"callers", to_string(entry.caller_address)},
 							  {"readiness", to_string(address_picker_.allocate())},
 							  {"metrics", to_string(address_picker_.allocate())}};
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -28,8 +28,6 @@
 		constexpr std::string_view stop_path = "/run-stop";
 		constexpr std::string_view hold_path = "/hold";
 
-		constexpr std::int64_t first_clock_ms = 1;
-
 		http_response no_response()
 		{
 			return {0, {}, ""};
@@ -72,6 +70,7 @@
 		incarnation_state out;
 		out.id = std::move(id);
 		out.begins_at = begins_at;
+		out.first_clock_ms = next_first_clock_ms;
 		out.start_time_ms = next_start_time_ms.value_or(unix_ms(begins_at, boottime_now()));
 		next_start_time_ms.reset();
 		out.is_namesake = !former_names_.emplace(out.id, out.start_time_ms).second;
@@ -132,12 +131,12 @@
 	std::int64_t worker_standin::clock_ms() const
 	{
 		const auto age = std::chrono::duration_cast<millis>(boottime_now() - current_.begins_at);
-		return first_clock_ms + std::max<std::int64_t>(0, age.count());
+		return current_.first_clock_ms + std::max<std::int64_t>(0, age.count());
 	}
 
 	instant worker_standin::lease_lapse() const
 	{
-		return current_.begins_at + millis{current_.lease_ms + 1 - first_clock_ms};
+		return current_.begins_at + millis{current_.lease_ms + 1 - current_.first_clock_ms};
 	}
 
 	asio::awaitable<void> worker_standin::send_heartbeats()
@@ -246,6 +245,19 @@
 		return path == hold_path ? faults.hold_delay : call_delay{};
 	}
 
+	asio::awaitable<void> worker_standin::wait_until_admitted(std::string_view path)
+	{
+		if (path == start_path)
+		{
+			++waiting_starts;
+			while (faults.starts_wait)
+				co_await pause_for(io_, poll_interval);
+			--waiting_starts;
+		}
+		while (path == hold_path && faults.holds_wait)
+			co_await pause_for(io_, poll_interval);
+	}
+
 	bool worker_standin::consume_late_call(std::string_view path)
 	{
 		if (path == start_path)
@@ -270,6 +282,7 @@
 		const auto delay = delay_of(path);
 		if (delay.before_execution.count() > 0)
 			co_await pause_for(io_, delay.before_execution);
+		co_await wait_until_admitted(path);
 		co_await wait_until_up();
 		const auto executed_by = current_.name;
 		auto out = co_await execute(std::move(request), std::move(how));
