Owners: a lapse is logged with the lease that was counted

A log told only that a lease was over. It now tells whether the owner had confirmed it, assumed that its predecessor had, or counted the longest lease that a call to a former incarnation may have given.

--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -269,8 +269,13 @@
 		/// \brief The earlier incarnations of an agent's worker of which nothing runs any more.
 		[[nodiscard]] std::vector<worker_incarnation> earlier_incarnations(const agent_peer& peer) const;
 		void handle_expired_leases(instant now);
-		/// When the runs of a worker end unless it is confirmed again.
-		[[nodiscard]] instant lease_end_of(const worker_incarnation& worker) const;
+		/// The last lease that a worker may hold unless it is confirmed again.
+		struct counted_lease
+		{
+			instant end{};
+			std::string_view why_expired; ///< For the log, once it has ended: which lease it was.
+		};
+		[[nodiscard]] counted_lease lease_of(const worker_incarnation& worker) const;
 		/// Requeues the runs of a worker that reported a planned end.
 		void handle_planned_end(agent_peer& peer, const wire::job_report& report, instant now);
 		void handle_lost_run(const lost_run& lost, const worker_incarnation& worker, instant now);
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -245,27 +245,35 @@
 		wake();
 	}
 
-	instant job_term::lease_end_of(const worker_incarnation& worker) const
+	job_term::counted_lease job_term::lease_of(const worker_incarnation& worker) const
 	{
 		const auto confirmed = confirmed_at_.find(worker);
+		const bool is_confirmed = confirmed != confirmed_at_.end();
+		const counted_lease owned{lease_end(is_confirmed ? confirmed->second : began_at_, run_lease_times_),
+								  is_confirmed ? "confirmed lease expired" : "predecessor's lease expired"};
 		const auto held = held_until_.find(worker);
-		const auto held_until = held == held_until_.end() ? instant{} : held->second;
-		const auto confirmed_at = confirmed == confirmed_at_.end() ? began_at_ : confirmed->second;
-		return std::max(held_until, lease_end(confirmed_at, run_lease_times_));
+		if (held != held_until_.end() && held->second > owned.end)
+			return {held->second, "unconfirmed lease expired"};
+		return owned;
 	}
 
 	void job_term::handle_expired_leases(instant now)
 	{
-		std::vector<worker_incarnation> lapsed;
+		struct lapsed_worker
+		{
+			worker_incarnation worker;
+			std::string_view why;
+		};
+		std::vector<lapsed_worker> lapsed;
 		for (const auto& [worker, keys] : table_.placed)
-			if (now >= lease_end_of(worker))
-				lapsed.push_back(worker);
-		for (const auto& worker : lapsed)
+			if (const auto lease = lease_of(worker); now >= lease.end)
+				lapsed.push_back({worker, lease.why_expired});
+		for (const auto& [worker, why] : lapsed)
 		{
 			const auto* peer = peer_of(worker);
 			const bool crashed = peer != nullptr && !peer->worker.responsive && !peer->worker.draining;
-			handle_lost_worker({worker, crashed ? peer->worker.last_response : std::nullopt, {}, {}}, crashed,
-							   "lease expired", now);
+			handle_lost_worker({worker, crashed ? peer->worker.last_response : std::nullopt, {}, {}}, crashed, why,
+							   now);
 		}
 	}
 
--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -110,7 +110,7 @@
 			const auto location = agent_of_worker_.find(worker.current_incarnation);
 			const bool is_current = location != agent_of_worker_.end() && location->second.agent == name;
 			const auto unconfirmed_end = lease_end(worker.first_report, run_lease_times_);
-			if (is_current && now < std::max(unconfirmed_end, lease_end_of(worker.current_incarnation)))
+			if (is_current && now < std::max(unconfirmed_end, lease_of(worker.current_incarnation).end))
 				for (const auto& run_id : worker.unplaced)
 					out.insert(run_id.task);
 		}
