Agents report how long a lease may last that no owner has confirmed

Cause: a start for a former incarnation may give the next one the longest lease, since its deadline is a time on another clock. The owner that heard the first report of the incarnation counted that, in memory. Its successor counted from the beginning of its term only what its predecessor may have confirmed.

The agent now counts it, from the first listing call that shuts out calls with other tokens, and says in each report how much of it is left. Any owner that hears the agent counts it. An agent that has just started assumes it for its first incarnation, and counts anew if its worker has seen a higher token, from its predecessor. Workers with new ids, and crashes without a restart, wait no longer than before.

--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -110,7 +110,11 @@
 			record_result(result, boottime_now());
 			has_just_stated_start_time_ = result.outcome == order_outcome::done && only_asks(order);
 			if (result.outcome == order_outcome::fenced)
+			{
 				raise_fencing_token(result.clock_ms);
+				may_be_leased_by_others_ = true;
+				unconfirmed_lease_end_ = longest_lease_end(boottime_now(), longest_lease_);
+			}
 			if (result.outcome == order_outcome::unknown)
 			{
 				++fencing_token_; // the call may be carried out late, by the next incarnation too; it is refused then
@@ -211,6 +215,8 @@
 		if ((!ends_.empty() && ends_.back().number > ends_reported_) || !has_listing_)
 			request_report_();
 		has_listing_ = true;
+		if (std::exchange(may_be_leased_by_others_, false))
+			unconfirmed_lease_end_ = longest_lease_end(boottime_now(), longest_lease_);
 		if (!pacing_in_progress_)
 			asio::co_spawn(io_, pace_fillers(), asio::detached);
 	}
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -159,6 +159,9 @@
 		// Without a lease here, the runs of the next incarnation may have been started by an earlier process.
 		if (lease_deadline_ms_ > 0)
 			former_lease_end_ = lease_end_time();
+		// This process cannot know whether the first incarnation that it sees has followed another one.
+		may_be_leased_by_others_ = !worker_ || worker_->incarnation.id() == heartbeat.incarnation.id();
+		unconfirmed_lease_end_ = {};
 		announced_exit_ = false;
 		worker_exited_ = false;
 		log_event(event::worker_seen, {{"worker", heartbeat.incarnation.str()},
@@ -331,7 +334,10 @@
 		out.pace_percent = mean_pace();
 		out.responsive = failed_listings_ < max_failed_listings;
 		out.lease_ends = closing_;
-		out.unheard_ms = std::chrono::duration_cast<millis>(boottime_now() - clock_read_at_).count();
+		const auto now = boottime_now();
+		out.unheard_ms = std::chrono::duration_cast<millis>(now - clock_read_at_).count();
+		if (now < unconfirmed_lease_end_)
+			out.__set_unconfirmed_lease_ms(std::chrono::ceil<millis>(unconfirmed_lease_end_ - now).count());
 		if (lost_incarnation_ && (out.full || lost_report_due_))
 			out.__set_lost(to_wire(
 				lost_worker{
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -239,6 +239,11 @@
 		/// When the lease of the former incarnation ends; empty if this process has not seen one, or the owner has
 		/// confirmed the current one.
 		std::optional<instant> former_lease_end_;
+		/// Calls with other tokens than the one in use may still extend the worker's lease: calls to an incarnation
+		/// with the same id, or of an earlier process of this agent. A listing call with the token in use ends that.
+		bool may_be_leased_by_others_{};
+		/// Until when the worker may hold the lease of such a call; the epoch if it cannot.
+		instant unconfirmed_lease_end_{};
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
 		/// Up to which number a call without an answer acknowledged ends; the next incarnation may carry it out. 0 if
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -276,6 +276,8 @@
 			std::string_view why_expired; ///< For the log, once it has ended: which lease it was.
 		};
 		[[nodiscard]] counted_lease lease_of(const worker_incarnation& worker) const;
+		/// Records until when a worker may hold a lease that no owner has confirmed.
+		void note_unconfirmed_lease(const worker_incarnation& worker, instant end);
 		/// Requeues the runs of a worker that reported a planned end.
 		void handle_planned_end(agent_peer& peer, const wire::job_report& report, instant now);
 		void handle_lost_run(const lost_run& lost, const worker_incarnation& worker, instant now);
@@ -316,8 +318,8 @@
 		absl::flat_hash_map<std::string, std::shared_ptr<agent_peer>> peers_;
 		absl::flat_hash_set<std::string> withheld_agents_;              ///< Agents for which an order was withheld.
 		absl::flat_hash_map<worker_incarnation, instant> confirmed_at_; ///< Time of the latest confirmation, by worker.
-		/// Until when an incarnation may keep its runs under the lease of a call to an earlier one, by incarnation.
-		absl::flat_hash_map<worker_incarnation, instant> held_until_;
+		/// Until when an incarnation may keep its runs under the lease of a call to an earlier one.
+		absl::flat_hash_map<worker_incarnation, instant> unconfirmed_lease_ends_;
 		/// The agent of each worker that was reported in this term or stored by the previous owner.
 		absl::flat_hash_map<worker_incarnation, agent_location> agent_of_worker_;
 		/// Suspected tasks by the worker that crashed while running them.
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -208,8 +208,7 @@
 			if (earlier.id() != current.id())
 				continue;
 			// The worker may hold the lease of a call to the earlier incarnation for as long as the platform allows.
-			held_until_[current] =
-				lease_end(now + settings_.longest_run_lease - run_lease_times_.lease, run_lease_times_);
+			note_unconfirmed_lease(current, longest_lease_end(now, settings_.longest_run_lease));
 			for (const auto& run_id : runs_on(table_, earlier))
 				if (std::find(listed.begin(), listed.end(), run_id) != listed.end() || may_refer_to(earlier, current))
 					transfer_run(table_, run_id, current);
@@ -245,15 +244,21 @@
 		wake();
 	}
 
+	void job_term::note_unconfirmed_lease(const worker_incarnation& worker, instant end)
+	{
+		auto& known_end = unconfirmed_lease_ends_[worker];
+		known_end = std::max(known_end, end);
+	}
+
 	job_term::counted_lease job_term::lease_of(const worker_incarnation& worker) const
 	{
 		const auto confirmed = confirmed_at_.find(worker);
 		const bool is_confirmed = confirmed != confirmed_at_.end();
 		const counted_lease owned{lease_end(is_confirmed ? confirmed->second : began_at_, run_lease_times_),
 								  is_confirmed ? "confirmed lease expired" : "predecessor's lease expired"};
-		const auto held = held_until_.find(worker);
-		if (held != held_until_.end() && held->second > owned.end)
-			return {held->second, "unconfirmed lease expired"};
+		const auto unconfirmed = unconfirmed_lease_ends_.find(worker);
+		if (unconfirmed != unconfirmed_lease_ends_.end() && unconfirmed->second > owned.end)
+			return {unconfirmed->second, "unconfirmed lease expired"};
 		return owned;
 	}
 
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -126,6 +126,8 @@
 		const auto named = worker_of(report);
 		if (!may_refer_to(named, worker.current_incarnation))
 			begin_incarnation(peer, named, report, now);
+		if (report.__isset.unconfirmed_lease_ms)
+			note_unconfirmed_lease(worker.current_incarnation, now + millis{report.unconfirmed_lease_ms});
 		worker.last_response = now - millis{report.unheard_ms};
 		worker.last_report = now;
 		worker.service = service_id{report.service_name};
--- a/packages/jobs/include/trailjunction/jobs/run_lease.hpp
+++ b/packages/jobs/include/trailjunction/jobs/run_lease.hpp
@@ -23,6 +23,10 @@
 	/// \brief When no run of a worker can continue if nothing is confirmed after \p last_confirmed.
 	[[nodiscard]] instant lease_end(instant last_confirmed, const run_lease_times& times) noexcept;
 
+	/// \brief When no run of a worker can continue that holds the longest lease which the platform grants.
+	/// \param granted_by Time by which the lease was granted.
+	[[nodiscard]] instant longest_lease_end(instant granted_by, millis longest_lease) noexcept;
+
 	/// \brief Whether a worker that was last confirmed at \p last_confirmed still has a lease under which a run may
 	/// start. Without a lease its agent refuses every start.
 	[[nodiscard]] bool may_start(instant last_confirmed, const run_lease_times& times, instant now) noexcept;
--- a/packages/jobs/src/run_lease.cpp
+++ b/packages/jobs/src/run_lease.cpp
@@ -9,6 +9,13 @@
 		return last_confirmed + std::chrono::ceil<millis>(slowed) + times.safety_margin;
 	}
 
+	instant longest_lease_end(instant granted_by, millis longest_lease) noexcept
+	{
+		run_lease_times times;
+		times.lease = longest_lease;
+		return lease_end(granted_by, times);
+	}
+
 	bool may_start(instant last_confirmed, const run_lease_times& times, instant now) noexcept
 	{
 		return now < last_confirmed + times.lease;
--- a/packages/wire/wire.thrift
+++ b/packages/wire/wire.thrift
@@ -345,6 +345,7 @@
 	17: optional job_lost_worker lost, // set if full is set, and in the first report of an incarnation
 	18: list<task_run> unlisted, // runs that the worker had and lists no more, neither as running nor as ended
 	19: optional i64 worker_start_ms,
+	20: optional i64 unconfirmed_lease_ms, // how much longer the worker may hold a lease that no owner has confirmed
 }
 
 /** Content of a frame: exactly one member is set. */
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -72,7 +72,9 @@
 			restarted_worker_fixture& test_;
 		};
 
-		explicit restarted_worker_fixture(millis lease = millis{5'000}, bool is_confirmed = true)
+		static constexpr auto longest_lease = millis{5'000};
+
+		explicit restarted_worker_fixture(millis lease = longest_lease, bool is_confirmed = true)
 		{
 			runs.set_lease(lease);
 			runs.on_heartbeat(heartbeat_of(first, clock_ms, 57));
@@ -125,7 +127,7 @@
 		int stops{};
 		std::vector<std::int64_t> tokens;
 		std::vector<listing_order> orders;
-		run_manager runs{io, [this](endpoint) { return std::make_unique<port>(*this); }, millis{5'000}, pacing_policy{},
+		run_manager runs{io, [this](endpoint) { return std::make_unique<port>(*this); }, longest_lease, pacing_policy{},
 						 [] {
 						 }};
 	};
@@ -444,6 +446,66 @@
 	CHECK(boottime_now() - reported_at >= test.settings.longest_run_lease);
 }
 
+TEST_CASE("an agent reports how long its worker may hold the lease of a call to its former incarnation", "[jobs]")
+{
+	// Guards against a new owner that counts only the leases which owners confirm.
+	restarted_worker_fixture test;
+	const auto restarted_at = boottime_now();
+	test.restart(second);
+	test.runs.on_heartbeat(heartbeat_of(second, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == second; }));
+	const auto report = test.runs.report(true);
+	const auto reported_at = boottime_now();
+	REQUIRE(report.__isset.unconfirmed_lease_ms);
+	CHECK(reported_at + millis{report.unconfirmed_lease_ms} >= restarted_at + restarted_worker_fixture::longest_lease);
+}
+
+TEST_CASE("an agent counts the longest lease anew if its worker has seen a higher fencing token", "[jobs]")
+{
+	// Guards against a call of an earlier process of the agent that extends the lease later than the first listing.
+	restarted_worker_fixture test;
+	test.seen_token = test.tokens.back() + 1;
+	const auto fenced_at = boottime_now();
+	test.await_calls(3);
+	const auto report = test.runs.report(true);
+	const auto reported_at = boottime_now();
+	REQUIRE(report.__isset.unconfirmed_lease_ms);
+	CHECK(reported_at + millis{report.unconfirmed_lease_ms} >= fenced_at + restarted_worker_fixture::longest_lease);
+}
+
+TEST_CASE("a worker with another id holds no lease of a call to the former one", "[jobs]")
+{
+	restarted_worker_fixture test;
+	const worker_incarnation other{"life-2", worker_start_time{some_time_ms + 5'000}};
+	test.restart(other);
+	test.runs.on_heartbeat(heartbeat_of(other, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == other; }));
+	CHECK_FALSE(test.runs.report(true).__isset.unconfirmed_lease_ms);
+}
+
+TEST_CASE("a new owner counts the unconfirmed lease that an agent reports", "[jobs]")
+{
+	// Guards against a task that starts elsewhere while its run goes on under a lease that the former owner knew of.
+	constexpr auto remaining = millis{3'000};
+	scene test;
+	test.settings.contact = millis{300};
+	test.submit(first_job, one_task());
+	auto job = test.stored_job(first_job);
+	job.status = job_status::running;
+	job.tasks[0].run = 1;
+	job.tasks[0].phase = task_stage::running;
+	job.tasks[0].worker = second;
+	test.store.put(job_partition, progress_table, first_job, encode_progress(job));
+	test.agent.full_report = report_of(second);
+	test.agent.full_report.running.push_back(running_row({{job_id{first_job}, 0, 0, 0}, 1}));
+	test.agent.full_report.responsive = false;
+	test.agent.full_report.__set_unconfirmed_lease_ms(remaining.count());
+	const auto began_at = boottime_now();
+	test.begin_term();
+	REQUIRE(test.run_until([&] { return test.stored_job(first_job).tasks[0].worker.empty(); }));
+	CHECK(boottime_now() - began_at >= remaining);
+}
+
 TEST_CASE("an owner's confirmation acknowledges only ends that the present incarnation has listed", "[jobs]")
 {
 	// Guards against ends that are never reported: an owner of an earlier version counts on over a restart.
