Tests: an unconfirmed lease is not ended by a stop

Stops wait now like the other calls, and the tests require that the run goes on when the worker is cut off. A cluster without an owner is a failure.

--- a/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
+++ b/packages/testkit/include/trailjunction/testkit/worker_standin.hpp
@@ -43,6 +43,7 @@
 		call_delay stop_delay;
 		call_delay hold_delay; ///< Of calls to `/hold`, which renew the lease and list the runs.
 		bool starts_wait{};    ///< Starts are carried out once this is unset, by the incarnation that is there then.
+		bool stops_wait{};     ///< The same for stops.
 		bool holds_wait{};     ///< The same for calls to `/hold`.
 	};
 
@@ -224,7 +225,9 @@
 		[[nodiscard]] http_response answer_start(const boost::json::object& body, bool late);
 		[[nodiscard]] http_response make_response(int status, const char* reason = "");
 		[[nodiscard]] call_delay delay_of(std::string_view path) const;
-		/// Delays a call for as long as the faults say that calls of its kind wait.
+		/// Whether the faults say that calls of this kind wait.
+		[[nodiscard]] bool must_wait(std::string_view path) const noexcept;
+		/// Delays a call for as long as calls of its kind wait.
 		boost::asio::awaitable<void> wait_until_admitted(std::string_view path);
 		/// Decrements the number of calls of this kind that are to be carried out late.
 		/// \returns Whether the number was above 0.
--- a/packages/testkit/src/worker_standin.cpp
+++ b/packages/testkit/src/worker_standin.cpp
@@ -245,17 +245,22 @@
 		return path == hold_path ? faults.hold_delay : call_delay{};
 	}
 
-	asio::awaitable<void> worker_standin::wait_until_admitted(std::string_view path)
+	bool worker_standin::must_wait(std::string_view path) const noexcept
 	{
 		if (path == start_path)
-		{
-			++waiting_starts;
-			while (faults.starts_wait)
-				co_await pause_for(io_, poll_interval);
-			--waiting_starts;
-		}
-		while (path == hold_path && faults.holds_wait)
+			return faults.starts_wait;
+		if (path == stop_path)
+			return faults.stops_wait;
+		return path == hold_path && faults.holds_wait;
+	}
+
+	asio::awaitable<void> worker_standin::wait_until_admitted(std::string_view path)
+	{
+		const int starts = path == start_path ? 1 : 0;
+		waiting_starts += starts;
+		while (must_wait(path))
 			co_await pause_for(io_, poll_interval);
+		waiting_starts -= starts;
 	}
 
 	bool worker_standin::consume_late_call(std::string_view path)
--- a/tests/unconfirmed_leases.cpp
+++ b/tests/unconfirmed_leases.cpp
@@ -35,38 +35,70 @@
 	public:
 		unconfirmed_lease_fixture() : system{options()} {}
 
-		/// \returns Whether the next incarnation has begun the run, with the longest lease.
-		[[nodiscard]] bool begin()
+		/// Submits the job, and restarts the worker that its task is ordered to before the start is carried out.
+		/// \returns Whether all of that has happened.
+		[[nodiscard]] bool restart_before_start()
 		{
 			for (int i = 0; i < workers; ++i)
 				system.with_worker(i, [](worker_standin& worker) { set_clock_far_ahead(worker); });
 			if (!system.wait_ready())
 				return false;
-			set_for_all([](worker_faults& faults) { faults.starts_wait = true; });
+			for (int i = 0; i < workers; ++i)
+				system.with_worker(i, [](worker_standin& worker) { worker.faults.starts_wait = true; });
 			if (!job_cluster::wait_until([&] { return system.submit(0, some_job, 1, work) == 200; }, longest_wait) ||
 				!job_cluster::wait_until([&] { return find_waiting_start(); }, longest_wait))
 				return false;
-			set_for_all([](worker_faults& faults) { faults.holds_wait = true; });
-			system.with_worker(restarted_, [](worker_standin& worker) { worker.restart_in_place(); });
-			set_for_all([](worker_faults& faults) { faults.starts_wait = false; });
+			system.with_worker(restarted_,
+							   [](worker_standin& worker)
+							   {
+								   worker.faults.holds_wait = worker.faults.stops_wait = true;
+								   worker.restart_in_place();
+							   });
+			return true;
+		}
+
+		/// \returns Whether the next incarnation has begun the run, with the longest lease.
+		[[nodiscard]] bool begin()
+		{
+			if (!restart_before_start())
+				return false;
+			for (int i = 0; i < workers; ++i)
+				let_starts_through(i);
 			return job_cluster::wait_until([&] { return system.start_count(some_task) == 1; }, longest_wait) &&
 				   remaining_lease() > longest_lease - max_reaction_time;
 		}
 
+		void let_starts_through(int worker)
+		{
+			system.with_worker(worker, [](worker_standin& standin) { standin.faults.starts_wait = false; });
+		}
+
 		/// Lets the agent's listing calls through, and waits until the owner has stored where the run is.
 		[[nodiscard]] bool wait_known_to_owner()
 		{
-			set_for_all([](worker_faults& faults) { faults.holds_wait = false; });
+			system.with_worker(restarted_, [](worker_standin& worker) { worker.faults.holds_wait = false; });
 			const auto start_time = system.with_worker(restarted_, [](worker_standin& worker)
 													   { return static_cast<std::uint64_t>(worker.start_time_ms()); });
 			return job_cluster::wait_until([&] { return stored_start_time() == start_time; }, longest_wait);
 		}
 
-		/// Cuts the worker off from its agent; its run goes on.
-		void cut_off()
+		/// Cuts the worker off from its agent.
+		/// \returns Whether its run goes on.
+		[[nodiscard]] bool cut_off()
 		{
 			system.with_worker(restarted_, [](worker_standin& worker) { worker.faults.silent = true; });
-			set_for_all([](worker_faults& faults) { faults.holds_wait = false; });
+			const auto runs = system.all_started_runs();
+			return std::ranges::all_of(runs, [](const worker_standin::started_run& run)
+									   { return run.task != some_task || (!run.ended_at && !run.stop_requested_at); });
+		}
+
+		/// Kills the owner and starts it again.
+		[[nodiscard]] bool replace_owner()
+		{
+			const auto owner = system.owner();
+			if (owner >= 0)
+				system.restart_entry(owner);
+			return owner >= 0;
 		}
 
 		[[nodiscard]] bool wait_second_start()
@@ -105,12 +137,6 @@
 			worker.next_first_clock_ms = usual;
 		}
 
-		void set_for_all(const std::function<void(worker_faults&)>& change)
-		{
-			for (int i = 0; i < workers; ++i)
-				system.with_worker(i, [&](worker_standin& worker) { change(worker.faults); });
-		}
-
 		bool find_waiting_start()
 		{
 			for (int i = 0; i < workers; ++i)
@@ -151,7 +177,7 @@
 	unconfirmed_lease_fixture test;
 	REQUIRE(test.begin());
 	REQUIRE(test.wait_known_to_owner());
-	test.cut_off();
+	REQUIRE(test.cut_off());
 	check_runs(test);
 }
 
@@ -163,7 +189,7 @@
 	unconfirmed_lease_fixture test;
 	REQUIRE(test.begin());
 	REQUIRE(test.wait_known_to_owner());
-	test.cut_off();
-	test.system.restart_entry(test.system.owner());
+	REQUIRE(test.cut_off());
+	REQUIRE(test.replace_owner());
 	check_runs(test);
 }
