--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -111,7 +111,7 @@
 			has_just_stated_start_time_ = result.outcome == order_outcome::done && only_asks(order);
 			if (result.outcome == order_outcome::fenced)
 			{
-				raise_fencing_token(result.clock_ms);
+				raise_fencing_token();
 				may_be_leased_by_others_ = true;
 				unconfirmed_lease_end_ = longest_lease_end(boottime_now(), longest_lease_);
 			}
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -22,13 +22,12 @@
 		/// Rounding error of two readings of the worker's clock.
 		constexpr auto max_clock_reading_error = millis{10};
 
-		/// A fencing token for an incarnation. It is above those of its former incarnations unless the clock of the
-		/// instance was set back, and above those of earlier processes of its agent, since the worker's clock has
-		/// advanced since.
-		std::int64_t fencing_token_of(const worker_incarnation& worker, std::int64_t worker_clock_ms) noexcept
+		/// A fencing token for an incarnation that is first seen at \p now. It is above those of earlier processes of
+		/// this agent unless the instance's clock was set back. The worker's clock cannot serve, since it starts anew
+		/// with each incarnation.
+		std::int64_t fencing_token_at(std::chrono::system_clock::time_point now) noexcept
 		{
-			const auto start_time = worker.start_time().value_or(worker_start_time{});
-			return static_cast<std::int64_t>(start_time.value) + worker_clock_ms;
+			return std::chrono::floor<millis>(now).time_since_epoch().count();
 		}
 	}
 
@@ -97,9 +96,8 @@
 			heartbeat.address == worker_->address ? port_ : make_port_(heartbeat.address);
 		// The token is that of the current incarnation, which may be the one that answers.
 		const bool same_id = heartbeat.incarnation.id() == current.id();
-		const order_authority authority{heartbeat.incarnation,
-										same_id ? fencing_token_
-												: fencing_token_of(heartbeat.incarnation, heartbeat.clock_ms)};
+		const auto token_of_new_id = std::max(fencing_token_, fencing_token_at(std::chrono::system_clock::now()));
+		const order_authority authority{heartbeat.incarnation, same_id ? fencing_token_ : token_of_new_id};
 		const listing_order plain_listing;
 		const auto result = co_await port->list(authority, plain_listing, boottime_now() + worker_call_timeout);
 		probed_incarnations_.erase(heartbeat.incarnation);
@@ -110,7 +108,7 @@
 		const bool is_proof =
 			result.outcome == order_outcome::done || (result.outcome == order_outcome::fenced && !same_id);
 		if (result.outcome == order_outcome::fenced && same_id)
-			raise_fencing_token(result.clock_ms);
+			raise_fencing_token();
 		if (is_proof)
 		{
 			name_repetitions_ = 0;
@@ -176,7 +174,7 @@
 		heartbeat_at_ = boottime_now();
 		// Above the tokens of all orders to former incarnations: one that is carried out late is refused as soon as
 		// this incarnation has answered one call.
-		fencing_token_ = std::max(fencing_token_ + 1, fencing_token_of(stated_name, heartbeat.clock_ms));
+		fencing_token_ = std::max(fencing_token_ + 1, fencing_token_at(std::chrono::system_clock::now()));
 		fencing_token_step_ = first_fencing_token_step;
 		worker_clock_ms_ = 0;
 		lease_deadline_ms_ = 0;
@@ -292,10 +290,9 @@
 		return adjusted_clock_read_time() + millis{std::max<std::int64_t>(0, lease_deadline_ms_ - worker_clock_ms_)};
 	}
 
-	void run_manager::raise_fencing_token(std::int64_t worker_clock_ms)
+	void run_manager::raise_fencing_token() noexcept
 	{
-		fencing_token_ =
-			std::max(fencing_token_ + fencing_token_step_.count(), fencing_token_of(stated_name_, worker_clock_ms));
+		fencing_token_ += fencing_token_step_.count();
 		fencing_token_step_ *= 2;
 	}
 
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -197,7 +197,7 @@
 		/// Stops runs that late orders to the former incarnation have started, once no owner counts on them any more.
 		void stop_unconfirmed_runs(instant now);
 		/// Raises the fencing token above one that the worker has seen from an earlier process of this agent.
-		void raise_fencing_token(std::int64_t worker_clock_ms);
+		void raise_fencing_token() noexcept;
 		[[nodiscard]] bool has_ended(const task_run& id) const noexcept;
 		/// Whether a heartbeat with the current name is of an earlier incarnation that stated the same name.
 		[[nodiscard]] bool is_of_former_namesake(const worker_heartbeat& heartbeat, instant now) const noexcept;
