--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -197,7 +197,7 @@
 		/// Stops runs that late orders to the former incarnation have started, once no owner counts on them any more.
 		void stop_unconfirmed_runs(instant now);
 		/// Raises the fencing token above one that the worker has seen from an earlier process of this agent.
-		void raise_fencing_token(std::int64_t worker_clock_ms);
+		void raise_fencing_token() noexcept;
 		[[nodiscard]] bool has_ended(const task_run& id) const noexcept;
 		/// Whether a heartbeat with the current name is of an earlier incarnation that stated the same name.
 		[[nodiscard]] bool is_of_former_namesake(const worker_heartbeat& heartbeat, instant now) const noexcept;
@@ -239,6 +239,11 @@
 		/// When the lease of the former incarnation ends; empty if this process has not seen one, or the owner has
 		/// confirmed the current one.
 		std::optional<instant> former_lease_end_;
+		/// Calls with other tokens than the one in use may still extend the worker's lease: calls to an incarnation
+		/// with the same id, or of an earlier process of this agent. A listing call with the token in use ends that.
+		bool may_be_leased_by_others_{};
+		/// Until when the worker may hold the lease of such a call; the epoch if it cannot.
+		instant unconfirmed_lease_end_{};
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
 		/// Up to which number a call without an answer acknowledged ends; the next incarnation may carry it out. 0 if
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -208,8 +208,7 @@
 			if (earlier.id() != current.id())
 				continue;
 			// The worker may hold the lease of a call to the earlier incarnation for as long as the platform allows.
-			held_until_[current] =
-				lease_end(now + settings_.longest_run_lease - run_lease_times_.lease, run_lease_times_);
+			note_unconfirmed_lease(current, longest_lease_end(now, settings_.longest_run_lease));
 			for (const auto& run_id : runs_on(table_, earlier))
 				if (std::find(listed.begin(), listed.end(), run_id) != listed.end() || may_refer_to(earlier, current))
 					transfer_run(table_, run_id, current);
@@ -245,27 +244,41 @@
 		wake();
 	}
 
-	instant job_term::lease_end_of(const worker_incarnation& worker) const
+	void job_term::note_unconfirmed_lease(const worker_incarnation& worker, instant end)
+	{
+		auto& known_end = unconfirmed_lease_ends_[worker];
+		known_end = std::max(known_end, end);
+	}
+
+	job_term::counted_lease job_term::lease_of(const worker_incarnation& worker) const
 	{
 		const auto confirmed = confirmed_at_.find(worker);
-		const auto held = held_until_.find(worker);
-		const auto held_until = held == held_until_.end() ? instant{} : held->second;
-		const auto confirmed_at = confirmed == confirmed_at_.end() ? began_at_ : confirmed->second;
-		return std::max(held_until, lease_end(confirmed_at, run_lease_times_));
+		const bool is_confirmed = confirmed != confirmed_at_.end();
+		const counted_lease owned{lease_end(is_confirmed ? confirmed->second : began_at_, run_lease_times_),
+								  is_confirmed ? "confirmed lease expired" : "predecessor's lease expired"};
+		const auto unconfirmed = unconfirmed_lease_ends_.find(worker);
+		if (unconfirmed != unconfirmed_lease_ends_.end() && unconfirmed->second > owned.end)
+			return {unconfirmed->second, "unconfirmed lease expired"};
+		return owned;
 	}
 
 	void job_term::handle_expired_leases(instant now)
 	{
-		std::vector<worker_incarnation> lapsed;
+		struct lapsed_worker
+		{
+			worker_incarnation worker;
+			std::string_view why;
+		};
+		std::vector<lapsed_worker> lapsed;
 		for (const auto& [worker, keys] : table_.placed)
-			if (now >= lease_end_of(worker))
-				lapsed.push_back(worker);
-		for (const auto& worker : lapsed)
+			if (const auto lease = lease_of(worker); now >= lease.end)
+				lapsed.push_back({worker, lease.why_expired});
+		for (const auto& [worker, why] : lapsed)
 		{
 			const auto* peer = peer_of(worker);
 			const bool crashed = peer != nullptr && !peer->worker.responsive && !peer->worker.draining;
-			handle_lost_worker({worker, crashed ? peer->worker.last_response : std::nullopt, {}, {}}, crashed,
-							   "lease expired", now);
+			handle_lost_worker({worker, crashed ? peer->worker.last_response : std::nullopt, {}, {}}, crashed, why,
+							   now);
 		}
 	}
 
