Agents: the unconfirmed lease counts refusals, suspensions and incarnations that were never listed

Two tests compared with the lease alone, so that 250 ms of margin hid what they guard against; they compare with its counted end now.

--- a/packages/agent/src/process/run_listings.cpp
+++ b/packages/agent/src/process/run_listings.cpp
@@ -98,7 +98,8 @@
 			const bool asks_for_namesake = std::exchange(may_be_next_namesake_, false);
 			const bool follows_statement = has_just_stated_start_time_;
 			const auto deadline = boottime_now() + order.max_wait + worker_call_timeout;
-			auto result = co_await port->list(authority(), order, deadline);
+			const auto called_with = authority();
+			auto result = co_await port->list(called_with, order, deadline);
 			if (!is_current(incarnation_id))
 				continue;
 			if (stated_name_.start_time() && shows_restart(listing_memory_, least_clock_ms, result))
@@ -110,11 +111,7 @@
 			record_result(result, boottime_now());
 			has_just_stated_start_time_ = result.outcome == order_outcome::done && only_asks(order);
 			if (result.outcome == order_outcome::fenced)
-			{
-				raise_fencing_token();
-				may_be_leased_by_others_ = true;
-				unconfirmed_lease_end_ = longest_lease_end(boottime_now(), longest_lease_);
-			}
+				raise_fencing_token(boottime_now());
 			if (result.outcome == order_outcome::unknown)
 			{
 				++fencing_token_; // the call may be carried out late, by the next incarnation too; it is refused then
@@ -124,6 +121,8 @@
 			{
 				fencing_token_step_ = first_fencing_token_step;
 				unanswered_acknowledgement_ = 0;
+				if (called_with.fencing_token == fencing_token_ && std::exchange(may_be_leased_by_others_, false))
+					note_leased_by_others(boottime_now());
 				apply_listing(std::move(result.listing), result.clock_ms);
 				stop_unconfirmed_runs(boottime_now());
 				co_await pause_after_listing(order);
@@ -215,8 +214,6 @@
 		if ((!ends_.empty() && ends_.back().number > ends_reported_) || !has_listing_)
 			request_report_();
 		has_listing_ = true;
-		if (std::exchange(may_be_leased_by_others_, false))
-			unconfirmed_lease_end_ = longest_lease_end(boottime_now(), longest_lease_);
 		if (!pacing_in_progress_)
 			asio::co_spawn(io_, pace_fillers(), asio::detached);
 	}
--- a/packages/agent/src/process/run_manager.cpp
+++ b/packages/agent/src/process/run_manager.cpp
@@ -108,7 +108,7 @@
 		const bool is_proof =
 			result.outcome == order_outcome::done || (result.outcome == order_outcome::fenced && !same_id);
 		if (result.outcome == order_outcome::fenced && same_id)
-			raise_fencing_token();
+			raise_fencing_token(boottime_now());
 		if (is_proof)
 		{
 			name_repetitions_ = 0;
@@ -157,14 +157,15 @@
 		// Without a lease here, the runs of the next incarnation may have been started by an earlier process.
 		if (lease_deadline_ms_ > 0)
 			former_lease_end_ = lease_end_time();
-		// This process cannot know whether the first incarnation that it sees has followed another one.
-		may_be_leased_by_others_ = !worker_ || worker_->incarnation.id() == heartbeat.incarnation.id();
-		unconfirmed_lease_end_ = {};
+		// An incarnation that was never listed may have had another id than the worker.
+		may_be_leased_by_others_ = !has_listing_ || worker_->incarnation.id() == heartbeat.incarnation.id();
+		leased_by_others_at_.reset();
 		announced_exit_ = false;
 		worker_exited_ = false;
 		log_event(event::worker_seen, {{"worker", heartbeat.incarnation.str()},
 									   {"before", worker_ ? worker_->incarnation.str() : ""},
-									   {"unanswered_acknowledgement", unanswered_acknowledgement_}});
+									   {"unanswered_acknowledgement", unanswered_acknowledgement_},
+									   {"may_be_leased_by_others", may_be_leased_by_others_ ? 1 : 0}});
 		if (!port_ || worker_->address != heartbeat.address)
 			port_ = make_port_(heartbeat.address);
 		worker_ = heartbeat;
@@ -290,8 +291,26 @@
 		return adjusted_clock_read_time() + millis{std::max<std::int64_t>(0, lease_deadline_ms_ - worker_clock_ms_)};
 	}
 
-	void run_manager::raise_fencing_token() noexcept
+	millis run_manager::unconfirmed_lease(instant now) const noexcept
 	{
+		if (!leased_by_others_at_)
+			return millis{0};
+		// The worker's clock may have been suspended with this instance.
+		const auto suspended = std::max(std::chrono::nanoseconds{0}, total_suspended_time() - suspended_when_leased_);
+		const auto end = longest_lease_end(*leased_by_others_at_ + suspended, longest_lease_);
+		return std::max(millis{0}, std::chrono::ceil<millis>(end - now));
+	}
+
+	void run_manager::note_leased_by_others(instant now) noexcept
+	{
+		leased_by_others_at_ = now;
+		suspended_when_leased_ = total_suspended_time();
+	}
+
+	void run_manager::raise_fencing_token(instant now) noexcept
+	{
+		may_be_leased_by_others_ = true;
+		note_leased_by_others(now);
 		fencing_token_ += fencing_token_step_.count();
 		fencing_token_step_ *= 2;
 	}
@@ -333,8 +352,8 @@
 		out.lease_ends = closing_;
 		const auto now = boottime_now();
 		out.unheard_ms = std::chrono::duration_cast<millis>(now - clock_read_at_).count();
-		if (now < unconfirmed_lease_end_)
-			out.__set_unconfirmed_lease_ms(std::chrono::ceil<millis>(unconfirmed_lease_end_ - now).count());
+		if (const auto lease = unconfirmed_lease(now); lease > millis{0})
+			out.__set_unconfirmed_lease_ms(lease.count());
 		if (lost_incarnation_ && (out.full || lost_report_due_))
 			out.__set_lost(to_wire(
 				lost_worker{
--- a/packages/agent/src/process/run_manager.hpp
+++ b/packages/agent/src/process/run_manager.hpp
@@ -38,8 +38,8 @@
 	inline constexpr auto first_fencing_token_step = millis{1'000};
 
 	/// \brief Carries out an owner's orders on the worker and reports their outcomes.
-	/// \details Keeps no state that the worker does not list again: an agent that restarts learns everything from the
-	/// first listing, except the attributes of its runs, which the owner sends again.
+	/// \details An agent that restarts learns its state from the first listing, except the attributes of its runs,
+	/// which the owner sends again, and the lease that its worker holds: that is assumed to be the longest one.
 	class run_manager final : public worker_listener
 	{
 	public:
@@ -196,8 +196,12 @@
 		[[nodiscard]] instant lease_end_time() const noexcept;
 		/// Stops runs that late orders to the former incarnation have started, once no owner counts on them any more.
 		void stop_unconfirmed_runs(instant now);
+		/// How much longer the worker may hold a lease that no owner has confirmed; 0 if it holds none.
+		[[nodiscard]] millis unconfirmed_lease(instant now) const noexcept;
+		/// Records that a call with another token may have extended the worker's lease by now.
+		void note_leased_by_others(instant now) noexcept;
 		/// Raises the fencing token above one that the worker has seen from an earlier process of this agent.
-		void raise_fencing_token() noexcept;
+		void raise_fencing_token(instant now) noexcept;
 		[[nodiscard]] bool has_ended(const task_run& id) const noexcept;
 		/// Whether a heartbeat with the current name is of an earlier incarnation that stated the same name.
 		[[nodiscard]] bool is_of_former_namesake(const worker_heartbeat& heartbeat, instant now) const noexcept;
@@ -242,8 +246,10 @@
 		/// Calls with other tokens than the one in use may still extend the worker's lease: calls to an incarnation
 		/// with the same id, or of an earlier process of this agent. A listing call with the token in use ends that.
 		bool may_be_leased_by_others_{};
-		/// Until when the worker may hold the lease of such a call; the epoch if it cannot.
-		instant unconfirmed_lease_end_{};
+		/// Time by which the worker had carried out such calls, as far as is known; empty if none was to be expected.
+		std::optional<instant> leased_by_others_at_;
+		/// Total time for which this instance had been suspended by leased_by_others_at_.
+		std::chrono::nanoseconds suspended_when_leased_{};
 		std::int64_t ends_kept_{};
 		std::int64_t ends_reported_{};
 		/// Up to which number a call without an answer acknowledged ends; the next incarnation may carry it out. 0 if
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -127,7 +127,12 @@
 		if (!may_refer_to(named, worker.current_incarnation))
 			begin_incarnation(peer, named, report, now);
 		if (report.__isset.unconfirmed_lease_ms)
-			note_unconfirmed_lease(worker.current_incarnation, now + millis{report.unconfirmed_lease_ms});
+		{
+			const auto longest = longest_lease_end(now, settings_.longest_run_lease);
+			const auto most = std::chrono::ceil<millis>(longest - now);
+			note_unconfirmed_lease(worker.current_incarnation,
+								   now + std::clamp(millis{report.unconfirmed_lease_ms}, millis{0}, most));
+		}
 		worker.last_response = now - millis{report.unheard_ms};
 		worker.last_report = now;
 		worker.service = service_id{report.service_name};
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -457,7 +457,8 @@
 	const auto report = test.runs.report(true);
 	const auto reported_at = boottime_now();
 	REQUIRE(report.__isset.unconfirmed_lease_ms);
-	CHECK(reported_at + millis{report.unconfirmed_lease_ms} >= restarted_at + restarted_worker_fixture::longest_lease);
+	CHECK(reported_at + millis{report.unconfirmed_lease_ms} >=
+		  longest_lease_end(restarted_at, restarted_worker_fixture::longest_lease));
 }
 
 TEST_CASE("an agent counts the longest lease anew if its worker has seen a higher fencing token", "[jobs]")
@@ -470,7 +471,24 @@
 	const auto report = test.runs.report(true);
 	const auto reported_at = boottime_now();
 	REQUIRE(report.__isset.unconfirmed_lease_ms);
-	CHECK(reported_at + millis{report.unconfirmed_lease_ms} >= fenced_at + restarted_worker_fixture::longest_lease);
+	CHECK(reported_at + millis{report.unconfirmed_lease_ms} >=
+		  longest_lease_end(fenced_at, restarted_worker_fixture::longest_lease));
+}
+
+TEST_CASE("the lease that a worker may hold lasts longer by the time for which its instance was suspended", "[jobs]")
+{
+	// Guards against a worker whose own clock stood still meanwhile.
+	constexpr auto suspension = millis{60'000};
+	restarted_worker_fixture test;
+	test.restart(second);
+	test.runs.on_heartbeat(heartbeat_of(second, second_clock_ms, 1));
+	REQUIRE(test.run_until([&] { return test.reported() == second; }));
+	const auto before = test.runs.report(true);
+	simulate_suspension(suspension);
+	const auto after = test.runs.report(true);
+	REQUIRE(after.__isset.unconfirmed_lease_ms);
+	constexpr auto time_between_reports = millis{1'000};
+	CHECK(millis{after.unconfirmed_lease_ms} >= millis{before.unconfirmed_lease_ms} - time_between_reports);
 }
 
 TEST_CASE("a worker with another id holds no lease of a call to the former one", "[jobs]")
