Owners: a run that no listing has shown waits for the longest lease

Cause: a start for the former incarnation may begin the run in the next one, under the platform's longest lease. If the worker is cut off before its agent has listed it, nobody hears of the next incarnation: the owner released the former one's runs after its own lease. The answer to a start does not help, since it does not state which incarnation gave it.

A run that a listing has shown can only be in the incarnation that listed it, and waits for the owner's lease as before. Any other run of the worker is now lost when the longest lease is over, counted from the worker's last confirmation or the last start order that its agent may still have carried out, whichever is later. The run stays placed until then, so that a successor counts it as well; its row says `running` only once a listing has shown it. The blame for a crash is shared among all runs when the first of them is lost. An agent that sees another incarnation releases all runs at once, as before.

Cost: the row of a job is not written again when its run is listed, so after a takeover all runs of a worker whose agent cannot be reached wait for the longest lease, unless their job was written later for another reason.

--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -207,6 +207,8 @@
 			known_running, ///< The run exists: the order only tells the agent its properties.
 		};
 		void order_start(const task_run& run_id, order_kind kind);
+		/// Records that the agent of the task's worker may call the worker to start the task's latest run.
+		void note_start_order(job_task& task, instant now);
 		/// \param why The reason that is logged.
 		/// \returns Whether the order was sent.
 		bool order_stop(agent_peer& peer, const task_run& run_id, std::string_view why);
@@ -246,7 +248,18 @@
 		void move_tasks_for_upkeep(instant now);
 
 		// job_term_crashes.cpp: lost workers, and the tasks suspected of crashing them
-		void handle_lost_worker(lost_worker worker, bool crashed, std::string_view why, instant now);
+		/// Which runs of a lost worker are over.
+		enum class lost_scope
+		{
+			all,
+			listed, ///< Others may go on in the next incarnation; their losses are postponed.
+		};
+		void handle_lost_worker(lost_worker worker, bool crashed, std::string_view why, instant now,
+								lost_scope scope = lost_scope::all);
+		/// The runs that are lost with a worker, with the blame that they got when the first of them was lost.
+		[[nodiscard]] std::vector<lost_run> take_lost_runs(const lost_worker& worker, bool crashed);
+		/// Removes from \p lost the runs that the next incarnation may have, and postpones their losses.
+		void postpone_unlisted(const worker_incarnation& worker, std::vector<lost_run>& lost);
 		/// Records a crash and the workers that have been silent since about the same time.
 		void record_crash(lost_worker& worker, instant now);
 		/// Clears tasks of the crashes of nearly all workers at the same time.
@@ -276,6 +289,13 @@
 			std::string_view why_expired; ///< For the log, once it has ended: which lease it was.
 		};
 		[[nodiscard]] counted_lease lease_of(const worker_incarnation& worker) const;
+		/// When owners last confirmed the worker, or may have done so before this term.
+		[[nodiscard]] instant last_confirmed(const worker_incarnation& worker) const;
+		/// When the lease ends that owners have confirmed, or may have confirmed before this term.
+		[[nodiscard]] instant own_lease_end(const worker_incarnation& worker) const;
+		/// When runs of a worker are over that no listing has shown. The next incarnation may have begun them under the
+		/// platform's longest lease, and neither its agent nor an owner need have heard of it.
+		[[nodiscard]] instant unlisted_lease_end(const worker_incarnation& worker) const;
 		/// Records until when a worker may hold a lease that no owner has confirmed.
 		void note_unconfirmed_lease(const worker_incarnation& worker, instant end);
 		/// Requeues the runs of a worker that reported a planned end.
@@ -320,6 +340,9 @@
 		absl::flat_hash_map<worker_incarnation, instant> confirmed_at_; ///< Time of the latest confirmation, by worker.
 		/// Until when an incarnation may keep its runs under the lease of a call to an earlier one.
 		absl::flat_hash_map<worker_incarnation, instant> unconfirmed_lease_ends_;
+		absl::flat_hash_map<worker_incarnation, instant> start_ordered_at_; ///< Time of the latest start order.
+		/// Runs of lost workers that are over at unlisted_lease_end().
+		absl::flat_hash_map<worker_incarnation, std::vector<lost_run>> postponed_losses_;
 		/// The agent of each worker that was reported in this term or stored by the previous owner.
 		absl::flat_hash_map<worker_incarnation, agent_location> agent_of_worker_;
 		/// Suspected tasks by the worker that crashed while running them.
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -31,6 +31,9 @@
 		/// itself may be cut off.
 		constexpr auto max_report_age = millis{1'000};
 
+		/// For the log: the lease that a run held which no listing had shown.
+		constexpr std::string_view unlisted_lease_expired = "unlisted run's lease expired";
+
 		std::string names_of(const crash_record& record)
 		{
 			return absl::StrJoin(record.workers, " ",
@@ -80,7 +83,31 @@
 			log_event(event::tasks_cleared, {{"tasks", cleared.size()}, {"workers_up", sightings.size()}});
 	}
 
-	void job_term::handle_lost_worker(lost_worker worker, bool crashed, std::string_view why, instant now)
+	std::vector<lost_run> job_term::take_lost_runs(const lost_worker& worker, bool crashed)
+	{
+		auto postponed = postponed_losses_.extract(worker.incarnation);
+		if (postponed.empty())
+			return collect_lost_runs(table_, worker, crashed, default_crash_policy);
+		auto lost = std::move(postponed.mapped());
+		std::erase_if(lost, [&](const lost_run& run) { return !is_placed_on(worker.incarnation, run.run_id); });
+		return lost;
+	}
+
+	void job_term::postpone_unlisted(const worker_incarnation& worker, std::vector<lost_run>& lost)
+	{
+		const auto is_over = [this](const lost_run& run)
+		{
+			return find_task(table_, run.run_id.task)->is_listed || pending_starts_.contains(run.run_id);
+		};
+		const auto first_postponed = std::stable_partition(lost.begin(), lost.end(), is_over);
+		if (first_postponed == lost.end())
+			return;
+		postponed_losses_[worker].assign(std::make_move_iterator(first_postponed), std::make_move_iterator(lost.end()));
+		lost.erase(first_postponed, lost.end());
+	}
+
+	void job_term::handle_lost_worker(lost_worker worker, bool crashed, std::string_view why, instant now,
+									  lost_scope scope)
 	{
 		// A worker that may have gone down for the upkeep of its instance does not count as crashed.
 		crashed = crashed && (!upkeep_ || !upkeep_->may_have_gone_down(without_start_time(worker.incarnation)));
@@ -89,7 +116,9 @@
 		// If neither its agent nor this owner was there, as after a power loss, the time of the crash is unknown. It
 		// cannot be compared with crashes of other workers then, so it is held against no task.
 		const bool witnessed = worker.last_response.has_value();
-		auto lost = collect_lost_runs(table_, worker, crashed && witnessed, default_crash_policy);
+		auto lost = take_lost_runs(worker, crashed && witnessed);
+		if (scope == lost_scope::listed)
+			postpone_unlisted(worker.incarnation, lost);
 		if (lost.empty())
 			return;
 		log_event(event::worker_lapsed, {{"worker", worker.incarnation.str()},
@@ -252,33 +281,71 @@
 
 	job_term::counted_lease job_term::lease_of(const worker_incarnation& worker) const
 	{
-		const auto confirmed = confirmed_at_.find(worker);
-		const bool is_confirmed = confirmed != confirmed_at_.end();
-		const counted_lease owned{lease_end(is_confirmed ? confirmed->second : began_at_, run_lease_times_),
-								  is_confirmed ? "confirmed lease expired" : "predecessor's lease expired"};
+		const counted_lease owned{own_lease_end(worker), confirmed_at_.contains(worker)
+															 ? "confirmed lease expired"
+															 : "predecessor's lease expired"};
 		const auto unconfirmed = unconfirmed_lease_ends_.find(worker);
 		if (unconfirmed != unconfirmed_lease_ends_.end() && unconfirmed->second > owned.end)
 			return {unconfirmed->second, "unconfirmed lease expired"};
 		return owned;
 	}
 
+	void job_term::note_start_order(job_task& task, instant now)
+	{
+		// The agent makes no call once its worker's lease is over, however often the order is repeated.
+		if (now >= own_lease_end(task.worker))
+			return;
+		start_ordered_at_[task.worker] = now;
+		task.is_listed = false;
+	}
+
+	instant job_term::last_confirmed(const worker_incarnation& worker) const
+	{
+		const auto confirmed = confirmed_at_.find(worker);
+		return confirmed == confirmed_at_.end() ? began_at_ : confirmed->second;
+	}
+
+	instant job_term::own_lease_end(const worker_incarnation& worker) const
+	{
+		return lease_end(last_confirmed(worker), run_lease_times_);
+	}
+
+	instant job_term::unlisted_lease_end(const worker_incarnation& worker) const
+	{
+		auto granted_by = last_confirmed(worker);
+		if (const auto ordered = start_ordered_at_.find(worker); ordered != start_ordered_at_.end())
+			granted_by = std::max(granted_by, ordered->second);
+		return std::max(lease_of(worker).end, longest_lease_end(granted_by, settings_.longest_run_lease));
+	}
+
 	void job_term::handle_expired_leases(instant now)
 	{
 		struct lapsed_worker
 		{
 			worker_incarnation worker;
 			std::string_view why;
+			lost_scope scope;
 		};
 		std::vector<lapsed_worker> lapsed;
 		for (const auto& [worker, keys] : table_.placed)
-			if (const auto lease = lease_of(worker); now >= lease.end)
-				lapsed.push_back({worker, lease.why_expired});
-		for (const auto& [worker, why] : lapsed)
+		{
+			const auto lease = lease_of(worker);
+			if (now < lease.end)
+				postponed_losses_.erase(worker); // it has been confirmed again
+			else if (now >= unlisted_lease_end(worker))
+				lapsed.push_back({worker,
+								  postponed_losses_.contains(worker) ? unlisted_lease_expired : lease.why_expired,
+								  lost_scope::all});
+			else if (!postponed_losses_.contains(worker))
+				lapsed.push_back({worker, lease.why_expired, lost_scope::listed});
+		}
+		absl::erase_if(postponed_losses_, [this](const auto& entry) { return !table_.placed.contains(entry.first); });
+		for (const auto& [worker, why, scope] : lapsed)
 		{
 			const auto* peer = peer_of(worker);
 			const bool crashed = peer != nullptr && !peer->worker.responsive && !peer->worker.draining;
-			handle_lost_worker({worker, crashed ? peer->worker.last_response : std::nullopt, {}, {}}, crashed, why,
-							   now);
+			handle_lost_worker({worker, crashed ? peer->worker.last_response : std::nullopt, {}, {}}, crashed, why, now,
+							   scope);
 		}
 	}
 
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -238,6 +238,7 @@
 			confirm_run(table_, run.run_id, now);
 			record_checkpoint(table_, run.run_id, run.checkpoint);
 			find_task(table_, run.run_id.task)->measurement = run.measurement;
+			find_task(table_, run.run_id.task)->is_listed = true;
 			note_at_work(table_, run.run_id, run.progress_percent >= serving_percent);
 		}
 	}
@@ -409,7 +410,7 @@
 	void job_term::order_start(const task_run& run_id, order_kind kind)
 	{
 		const auto* job = find_job(table_, run_id.task.job);
-		const auto* task = find_task(table_, run_id.task);
+		auto* task = find_task(table_, run_id.task);
 		if (job == nullptr || task->run != run_id.run || task->worker.empty())
 			return;
 		auto* peer = peer_of(task->worker);
@@ -442,6 +443,8 @@
 		if (group.filler)
 			order.pressures = colocated_pressures(task->worker, group.image);
 		const bool sent = send_order(*peer, to_envelope(std::move(order)));
+		if (sent && kind != order_kind::known_running)
+			note_start_order(*task, boottime_now());
 		if (sent && kind == order_kind::repeated)
 			log_event(event::start_repeated,
 					  {{"task", to_string(run_id.task)}, {"run", run_id.run}, {"worker", task->worker.str()}});
--- a/packages/jobs/include/trailjunction/jobs/job_state.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_state.hpp
@@ -53,6 +53,9 @@
 		instant held_until{};
 		std::int64_t held_until_ms{}; ///< held_until in ms of the store's clock; 0 if that is not known yet.
 		bool is_serving{}; ///< Its worker reports that the latest run serves callers; long-running tasks only.
+		/// A listing of its worker has shown the latest run, so no later incarnation with the worker's id can have it.
+		/// The answer to a start proves less: it does not state which incarnation gave it.
+		bool is_listed{};
 	};
 
 	/// \brief The status of a job.
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -50,7 +50,7 @@
 struct task
 {
 	1: i32 place,               // occurrence, group and index as one number; see task_index()
-	2: i32 phase,
+	2: i32 phase,               // of a placed task, running only if a listing of its worker has shown the run
 	3: i32 run,
 	4: i32 failures,
 	5: i32 worker,              // index into progress.workers, or -1
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: MIT
+#include "job_tasks.hpp"
+
 #include <trailjunction/jobs/held_tasks.hpp>
 #include <trailjunction/jobs/job_rows.hpp>
 
@@ -23,6 +25,14 @@
 		/// Stands for an age without a known upper bound in rows.
 		constexpr std::int64_t unknown_age_ms = -1;
 
+		/// A successor cannot tell which incarnation has confirmed a run that no listing has shown.
+		task_stage stored_phase(const job_task& task) noexcept
+		{
+			if (!is_placed(task))
+				return task.phase;
+			return task.is_listed ? task_stage::running : task_stage::ordered;
+		}
+
 		template <typename Row>
 		std::string encode(const Row& row)
 		{
@@ -217,14 +227,14 @@
 		for (std::size_t i = 0; i < job.tasks.size(); ++i)
 		{
 			const auto& from = job.tasks[i];
-			const bool placed = from.phase == task_stage::ordered || from.phase == task_stage::running;
+			const bool placed = is_placed(from);
 			// Of an ended job, only tasks that are still placed are stored: once there are none, decode_end() reports
 			// the job as ended.
 			if (from.run == 0 || (has_ended(job.status) && !placed))
 				continue;
 			stored::task to;
 			to.place = static_cast<std::int32_t>(i);
-			to.phase = static_cast<std::int32_t>(from.phase);
+			to.phase = static_cast<std::int32_t>(stored_phase(from));
 			to.run = static_cast<std::int32_t>(from.run);
 			to.failures = static_cast<std::int32_t>(from.failures);
 			to.worker = placed ? worker_index(row, from.worker) : -1;
@@ -267,7 +277,8 @@
 			auto& to = job.tasks[static_cast<std::size_t>(from.place)];
 			to.phase = static_cast<task_stage>(from.phase);
 			// The worker has to confirm the run again to the process that reads the row.
-			if (to.phase == task_stage::running)
+			to.is_listed = to.phase == task_stage::running;
+			if (to.is_listed)
 				to.phase = task_stage::ordered;
 			to.run = static_cast<std::uint32_t>(from.run);
 			to.failures = static_cast<std::uint32_t>(from.failures);
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -253,6 +253,7 @@
 		task.held_until = instant{};
 		task.held_until_ms = 0;
 		task.stop_ordered_at = instant{};
+		task.is_listed = false;
 		task.run = next_run(job, key, task);
 		if (job.status == job_status::queued)
 			job.status = job_status::running;
--- a/tests/unconfirmed_leases.cpp
+++ b/tests/unconfirmed_leases.cpp
@@ -37,13 +37,16 @@
 		unconfirmed_lease_fixture() : system{options()} {}
 
 		/// Submits the job, and restarts the worker that its task is ordered to before the start is carried out.
+		/// \param uptime How long the agents know the former incarnation.
 		/// \returns Whether all of that has happened.
-		[[nodiscard]] bool restart_before_start()
+		[[nodiscard]] bool restart_before_start(millis uptime = millis{0})
 		{
 			for (int i = 0; i < workers; ++i)
 				system.with_worker(i, [](worker_standin& worker) { set_clock_far_ahead(worker); });
 			if (!system.wait_ready())
 				return false;
+			const auto ready_at = boottime_now();
+			(void)job_cluster::wait_until([&] { return boottime_now() >= ready_at + uptime; }, longest_wait);
 			for (int i = 0; i < workers; ++i)
 				system.with_worker(i, [](worker_standin& worker) { worker.faults.starts_wait = true; });
 			if (!job_cluster::wait_until([&] { return system.submit(0, some_job, 1, work) == 200; }, longest_wait) ||
@@ -59,9 +62,9 @@
 		}
 
 		/// \returns Whether the next incarnation has begun the run, with the longest lease.
-		[[nodiscard]] bool begin()
+		[[nodiscard]] bool begin(millis uptime = millis{0})
 		{
-			if (!restart_before_start())
+			if (!restart_before_start(uptime))
 				return false;
 			for (int i = 0; i < workers; ++i)
 				let_starts_through(i);
@@ -240,3 +243,14 @@
 	INFO(violations);
 	CHECK(violations.empty());
 }
+
+TEST_CASE("a task does not run twice if its worker is cut off before its agent has listed the incarnation that runs it",
+		  "[process]")
+{
+	// Guards against an owner that counts only its own lease for a run that no listing has shown.
+	unconfirmed_lease_fixture test;
+	// Agents count the longest lease for the first incarnation that they see.
+	REQUIRE(test.begin(longest_lease + max_reaction_time));
+	REQUIRE(test.cut_off());
+	check_runs(test);
+}
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -524,6 +524,146 @@
 	CHECK(boottime_now() - began_at >= remaining);
 }
 
+namespace
+{
+	/// A lease that does not end before a test that waits for its end has failed.
+	constexpr auto longer_than_tests = millis{3 * test_timeout};
+
+	/// An owner whose leases are far shorter than the platform's longest one.
+	struct short_lease_scene : scene
+	{
+		short_lease_scene()
+		{
+			settings.contact = millis{300};
+			settings.longest_run_lease = millis{4'000};
+			agent.full_report = report_of(first);
+		}
+
+		static task_run run_of(std::uint32_t index)
+		{
+			return {{job_id{first_job}, 0, 0, index}, 1};
+		}
+
+		/// Lets the owner start all tasks of a job; the worker confirms them.
+		void start_tasks(std::uint32_t count)
+		{
+			begin_term();
+			auto spec = one_task();
+			spec.groups[0].count = count;
+			submit(first_job, spec);
+			REQUIRE(run_until([&] { return agent.received_starts.size() == count; }));
+			auto report = report_of(first);
+			report.full = false;
+			for (std::uint32_t i = 0; i < count; ++i)
+				report.started.push_back(to_wire(run_of(i)));
+			agent.send_report(report);
+		}
+
+		/// Reports a run as listed, and waits for the confirmation.
+		void list(const task_run& run_id)
+		{
+			auto report = report_of(first);
+			report.full = false;
+			report.running.push_back(running_row(run_id));
+			const auto confirms = agent.received_confirms.size();
+			const auto is_confirmed = [&]
+			{
+				agent.send_report(report);
+				return agent.received_confirms.size() > confirms;
+			};
+			REQUIRE(run_until(is_confirmed));
+		}
+
+		/// Cuts the worker off from its agent.
+		void cut_off()
+		{
+			agent.full_report.responsive = false;
+			auto report = agent.full_report;
+			report.full = false;
+			agent.send_report(report);
+		}
+
+		void await_release(std::size_t task)
+		{
+			REQUIRE(run_until([&] { return stored_job(first_job).tasks[task].worker.empty(); }));
+		}
+
+		/// Stores a running job with one task in the given phase.
+		void store_task(task_stage phase)
+		{
+			submit(first_job, one_task());
+			auto job = stored_job(first_job);
+			job.status = job_status::running;
+			job.tasks[0].run = 1;
+			job.tasks[0].phase = phase;
+			job.tasks[0].is_listed = phase == task_stage::running;
+			job.tasks[0].worker = first;
+			store.put(job_partition, progress_table, first_job, encode_progress(job));
+		}
+	};
+}
+
+TEST_CASE("an owner counts the longest lease for a run that no listing has shown", "[jobs]")
+{
+	// Guards against a task that starts elsewhere while the next incarnation, of which no agent has heard, has its run.
+	short_lease_scene test;
+	const auto began_at = boottime_now();
+	test.start_tasks(1);
+	test.cut_off();
+	test.await_release(0);
+	CHECK(boottime_now() - began_at >= test.settings.longest_run_lease);
+}
+
+TEST_CASE("a run that a listing has shown waits for no other lease than its owner's", "[jobs]")
+{
+	short_lease_scene test;
+	const auto began_at = boottime_now();
+	test.start_tasks(2);
+	test.list(test.run_of(0));
+	test.cut_off();
+	test.await_release(0);
+	CHECK(test.stored_job(first_job).tasks[1].worker == first);
+	test.await_release(1);
+	CHECK(boottime_now() - began_at >= test.settings.longest_run_lease);
+	const auto job = test.stored_job(first_job);
+	CHECK(job.tasks[0].crashes.workers.size() == 1);
+	CHECK(job.tasks[1].crashes.workers.size() == 1);
+	CHECK(job.tasks[0].crashes.blame + job.tasks[1].crashes.blame < 1.0); // shared once, although lost one by one
+}
+
+TEST_CASE("runs that were lost one by one with their worker are released at once by its next incarnation", "[jobs]")
+{
+	short_lease_scene test;
+	test.settings.longest_run_lease = longer_than_tests;
+	test.start_tasks(2);
+	test.list(test.run_of(0));
+	test.cut_off();
+	test.await_release(0);
+	test.agent.send_report(report_of(second));
+	CHECK(test.run_until([&] { return test.stored_job(first_job).tasks[1].worker != first; }));
+}
+
+TEST_CASE("a new owner counts the longest lease for a run of which it knows only the order", "[jobs]")
+{
+	short_lease_scene test;
+	test.store_task(task_stage::ordered);
+	test.agent.full_report.worker.clear();
+	const auto began_at = boottime_now();
+	test.begin_term();
+	test.await_release(0);
+	CHECK(boottime_now() - began_at >= test.settings.longest_run_lease);
+}
+
+TEST_CASE("a new owner counts its own lease for a run that its predecessor has seen listed", "[jobs]")
+{
+	short_lease_scene test;
+	test.settings.longest_run_lease = longer_than_tests;
+	test.store_task(task_stage::running);
+	test.agent.full_report.worker.clear();
+	test.begin_term();
+	test.await_release(0);
+}
+
 TEST_CASE("an owner's confirmation acknowledges only ends that the present incarnation has listed", "[jobs]")
 {
 	// Guards against ends that are never reported: an owner of an earlier version counts on over a restart.
