Tests: connections to all addresses of an entry, with calls to the store

Each server limits its own connections, so that three full servers together with one open call to the store for each caller exceed the descriptors of a machine.

--- a/tests/unbounded_clients.cpp
+++ b/tests/unbounded_clients.cpp
@@ -218,6 +218,50 @@
 	CHECK(serves_job(system));
 }
 
+TEST_CASE("connections to all addresses of an entry do not exhaust its descriptors while the store is silent",
+		  "[process][hostile]")
+{
+	constexpr std::size_t connections = 1'100;   // to each address
+	constexpr auto observe_time = millis{2'000}; // in which the requests reach the store
+	REQUIRE(allow_descriptors(test_descriptors));
+	auto options = one_of_each();
+	options.proxies = true;
+	job_cluster system{options};
+	REQUIRE(system.wait_ready());
+	const auto hold_store = [&](bool held)
+	{
+		system.with_proxy(proxied_connection::entry_store, 0,
+						  [held](fault_proxy& proxy) { proxy.faults().hold_all = held; });
+	};
+	const auto settings = system.settings_file(0);
+	hostile_crowd of_readiness{listener(settings, "readiness"), connections, {}};
+	hostile_crowd of_metrics{listener(settings, "metrics"), connections, {}};
+	hostile_crowd of_callers{listener(settings, "callers"),
+							 connections,
+							 {.opening = "GET /merges/00000000000000b2 HTTP/1.1\r\nHost: jobs.example\r\n\r\n"}};
+	process_usage usage;
+	const auto observe = [&]
+	{
+		usage.observe(system.entry(0).id());
+		return usage.descriptors >= max_descriptors;
+	};
+	hold_store(true);
+	for (auto* crowd : {&of_readiness, &of_metrics, &of_callers})
+		crowd->run(observe);
+	(void)job_cluster::wait_until(observe, observe_time);
+	for (auto* crowd : {&of_readiness, &of_metrics, &of_callers})
+		crowd->close();
+	hold_store(false);
+	const bool served = serves_job(system);
+	INFO(system.logs());
+	INFO(usage.memory_bytes / mib << " MiB resident, " << usage.descriptors << " descriptors");
+	CHECK(system.entry(0).running());
+	CHECK(usage.memory_bytes > 0);
+	CHECK(usage.memory_bytes < entry_memory);
+	CHECK(usage.descriptors < max_descriptors);
+	CHECK(served);
+}
+
 TEST_CASE("trailers without end to the heartbeat address do not exhaust an agent's memory", "[process][hostile]")
 {
 	check_agent("heartbeats", endless_trailers(chunked_heartbeat), endless_connections);
