Owners store until when a worker may hold an unconfirmed lease

An agent reports how much longer its worker may hold a lease that no owner has confirmed, but a new owner that cannot reach the agent, since it is cut off or killed too, hears no report: it counted its own lease from the beginning of its term and started the tasks elsewhere.

The worker's row gets the end of that lease, in ms of the store's clock. A new owner converts it by its own latest answer of the store, no earlier than the actual end, and at most to the longest lease from now, should that clock have been set back. The row is written with the first report of an incarnation, as before, and again only if the end has moved by 50 ms or more, so that reports which take longer cause no writes; the margin of a longest lease, 150 ms, covers that. Rows of earlier versions lack the field; they count as before.

Not covered: if an owner dies between storing the runs that it placed on the next incarnation and that incarnation's row (only when more than 90 rows wait at once), its successor knows of no unconfirmed lease.

--- a/packages/entry/src/connection/agent_peer.hpp
+++ b/packages/entry/src/connection/agent_peer.hpp
@@ -107,6 +107,7 @@
 		worker_state worker;
 		bool room_outdated{};                  ///< The worker has reported since its free capacity was last computed.
 		worker_incarnation stored_incarnation; ///< The incarnation of the worker that the store holds for this agent.
+		instant stored_lease_end{}; ///< The end of its unconfirmed lease that the store holds; instant{} if none.
 
 	private:
 		boost::asio::awaitable<void> dial_loop();
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -60,6 +60,10 @@
 		/// of this age has lost one or two measurements of a pair of images.
 		constexpr auto store_pressures_interval = millis{2'000};
 
+		/// Growth of the end of an unconfirmed lease from which on it is stored again. Reports that take longer than
+		/// others let it appear later. It is below the margin that is added to each longest lease.
+		constexpr auto min_stored_lease_growth = millis{50};
+
 		stored::queue_depth depth_row(const queue_id& queue, std::int64_t waiting)
 		{
 			stored::queue_depth out;
@@ -300,20 +304,32 @@
 		{
 			if (out.saved.size() + out.workers == max_rows)
 				break; // left to the next transaction
-			if (peer->worker.current_incarnation.empty() ||
-				peer->worker.current_incarnation == peer->stored_incarnation)
+			const auto& worker = peer->worker.current_incarnation;
+			const auto unconfirmed_end = unconfirmed_lease_end(worker);
+			const bool is_stored = worker == peer->stored_incarnation &&
+								   unconfirmed_end < peer->stored_lease_end + min_stored_lease_growth;
+			if (worker.empty() || is_stored)
 				continue;
-			stored::worker row;
-			row.life = peer->worker.current_incarnation.id();
-			if (const auto& start_time = peer->worker.current_incarnation.start_time())
-				row.__set_start_ms(static_cast<std::int64_t>(start_time->value));
-			row.address = to_string(peer->agent_address());
-			out.change.put.push_back({{workers_table, name}, encode_worker(row)});
-			peer->stored_incarnation = peer->worker.current_incarnation;
+			out.change.put.push_back({{workers_table, name}, encode_worker(worker_row(*peer))});
+			peer->stored_incarnation = worker;
+			peer->stored_lease_end = unconfirmed_end;
 			++out.workers;
 		}
 	}
 
+	stored::worker job_term::worker_row(const agent_peer& peer) const
+	{
+		const auto& worker = peer.worker.current_incarnation;
+		stored::worker row;
+		row.life = worker.id();
+		if (const auto& start_time = worker.start_time())
+			row.__set_start_ms(static_cast<std::int64_t>(start_time->value));
+		row.address = to_string(peer.agent_address());
+		if (const auto unconfirmed_end = unconfirmed_lease_end(worker); unconfirmed_end != instant{})
+			row.__set_unconfirmed_lease_end_ms(store_now_ms(unconfirmed_end));
+		return row;
+	}
+
 	void job_term::add_pressures(batch& out, instant now)
 	{
 		if (pressures_.pairs.empty() || now - pressures_stored_at_ < store_pressures_interval)
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -128,6 +128,7 @@
 		[[nodiscard]] bool has_recent_submissions(millis max_age, instant now) const noexcept;
 		void add_progress_removals(batch& out);
 		void add_workers(batch& out);
+		[[nodiscard]] stored::worker worker_row(const agent_peer& peer) const;
 		void add_pressures(batch& out, instant now);
 		boost::asio::awaitable<bool> commit(batch& pending);
 		void on_committed(const batch& durable_batch, instant now);
@@ -298,6 +299,10 @@
 		[[nodiscard]] instant unlisted_lease_end(const worker_incarnation& worker) const;
 		/// Records until when a worker may hold a lease that no owner has confirmed.
 		void note_unconfirmed_lease(const worker_incarnation& worker, instant end);
+		/// \returns instant{} if the worker holds no such lease.
+		[[nodiscard]] instant unconfirmed_lease_end(const worker_incarnation& worker) const;
+		/// Records the unconfirmed lease of a worker that an earlier owner has stored.
+		void restore_unconfirmed_lease(const stored::worker& row, instant now);
 		/// Requeues the runs of a worker that reported a planned end.
 		void handle_planned_end(agent_peer& peer, const wire::job_report& report, instant now);
 		void handle_lost_run(const lost_run& lost, const worker_incarnation& worker, instant now);
--- a/packages/entry/src/process/job_term_crashes.cpp
+++ b/packages/entry/src/process/job_term_crashes.cpp
@@ -279,15 +279,31 @@
 		known_end = std::max(known_end, end);
 	}
 
+	instant job_term::unconfirmed_lease_end(const worker_incarnation& worker) const
+	{
+		const auto found = unconfirmed_lease_ends_.find(worker);
+		return found == unconfirmed_lease_ends_.end() ? instant{} : found->second;
+	}
+
+	void job_term::restore_unconfirmed_lease(const stored::worker& row, instant now)
+	{
+		if (!row.__isset.unconfirmed_lease_end_ms)
+			return;
+		// The store's clock was read before the answer arrived, so this is no earlier than the actual end. It is no
+		// later than that of a lease granted now, should the store's clock have been set back.
+		const auto longest = longest_lease_end(now, settings_.longest_run_lease) - committed_at_;
+		const millis remaining{row.unconfirmed_lease_end_ms - owned_.store_ms};
+		note_unconfirmed_lease(incarnation_of(row),
+							   committed_at_ + std::clamp(remaining, millis{0}, std::chrono::ceil<millis>(longest)));
+	}
+
 	job_term::counted_lease job_term::lease_of(const worker_incarnation& worker) const
 	{
 		const counted_lease owned{own_lease_end(worker), confirmed_at_.contains(worker)
 															 ? "confirmed lease expired"
 															 : "predecessor's lease expired"};
-		const auto unconfirmed = unconfirmed_lease_ends_.find(worker);
-		if (unconfirmed != unconfirmed_lease_ends_.end() && unconfirmed->second > owned.end)
-			return {unconfirmed->second, "unconfirmed lease expired"};
-		return owned;
+		const auto unconfirmed_end = unconfirmed_lease_end(worker);
+		return unconfirmed_end > owned.end ? counted_lease{unconfirmed_end, "unconfirmed lease expired"} : owned;
 	}
 
 	void job_term::note_start_order(job_task& task, instant now)
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -233,13 +233,17 @@
 
 	void job_term::apply_workers(const std::vector<stored_row>& rows)
 	{
+		const auto now = boottime_now();
 		for (const auto& row : rows)
 		{
 			const auto worker = decode_worker(row.value);
-			if (worker.ok())
-				agent_of_worker_[incarnation_of(*worker)] = {row.name.key, worker->address};
-			else
+			if (!worker.ok())
+			{
 				log_event(event::row_unreadable, {{"worker", row.name.key}, {"reason", worker.status().ToString()}});
+				continue;
+			}
+			agent_of_worker_[incarnation_of(*worker)] = {row.name.key, worker->address};
+			restore_unconfirmed_lease(*worker, now);
 		}
 	}
 
--- a/packages/jobs/jobs.thrift
+++ b/packages/jobs/jobs.thrift
@@ -144,6 +144,7 @@
 	1: string life,
 	2: string address,          // where its agent accepted connections then
 	3: optional i64 start_ms,   // start time of the incarnation; unset if unknown
+	4: optional i64 unconfirmed_lease_end_ms, // until when it may hold a lease that no owner has confirmed, in ms of the store's clock; unset if it holds none
 }
 
 /** How much a filler image slows down a serving image; see filler_pressure.hpp. */
--- a/tests/worker_incarnations.cpp
+++ b/tests/worker_incarnations.cpp
@@ -664,6 +664,80 @@
 	test.await_release(0);
 }
 
+namespace
+{
+	/// The clock of memory_store, in ms.
+	std::int64_t store_now_ms()
+	{
+		return to_millis(boottime_now());
+	}
+
+	/// Stores a running task and the row of its worker, whose agent no owner can reach any more.
+	struct unheard_agent_scene : short_lease_scene
+	{
+		void store_worker(millis unconfirmed_lease)
+		{
+			store_task(task_stage::running);
+			stored::worker row;
+			row.life = first.id();
+			row.__set_start_ms(static_cast<std::int64_t>(some_time_ms));
+			row.__set_unconfirmed_lease_end_ms(store_now_ms() + unconfirmed_lease.count());
+			row.address = to_string(agent.link_address());
+			store.put(job_partition, workers_table, "agent-1", encode_worker(row));
+			agent.full_report.worker.clear();
+		}
+	};
+}
+
+TEST_CASE("a new owner that cannot reach an agent counts the unconfirmed lease that its predecessor stored", "[jobs]")
+{
+	// Guards against a task that starts elsewhere while its run goes on under a lease that only the former owner knew
+	// of.
+	constexpr auto remaining = millis{3'000};
+	unheard_agent_scene test;
+	const auto stored_at = boottime_now();
+	test.store_worker(remaining);
+	test.begin_term();
+	test.await_release(0);
+	CHECK(boottime_now() - stored_at >= remaining);
+}
+
+TEST_CASE("a new owner counts no stored lease that is longer than the platform's longest one", "[jobs]")
+{
+	// Guards against tasks that wait for hours because the store's clock was set back.
+	unheard_agent_scene test;
+	test.store_worker(millis{3'600'000});
+	const auto began_at = boottime_now();
+	test.begin_term();
+	test.await_release(0);
+	CHECK(boottime_now() - began_at >= test.settings.longest_run_lease);
+}
+
+TEST_CASE("an owner stores until when a worker may hold a lease that no owner has confirmed", "[jobs]")
+{
+	constexpr auto remaining = millis{3'000};
+	short_lease_scene test;
+	test.agent.full_report.__set_unconfirmed_lease_ms(remaining.count());
+	const auto stored_worker = [&]
+	{
+		const auto row = test.store.value(job_partition, workers_table, "agent-1");
+		return row.empty() ? stored::worker{} : *decode_worker(row);
+	};
+	auto least_end_ms = store_now_ms() + remaining.count();
+	test.begin_term();
+	REQUIRE(test.run_until([&] { return !stored_worker().life.empty(); }));
+	CHECK(stored_worker().unconfirmed_lease_end_ms >= least_end_ms);
+
+	// The agent has found that the lease may end later, without another incarnation.
+	constexpr auto longer = millis{3'900};
+	auto report = test.agent.full_report;
+	report.full = false;
+	report.__set_unconfirmed_lease_ms(longer.count());
+	least_end_ms = store_now_ms() + longer.count();
+	test.agent.send_report(report);
+	REQUIRE(test.run_until([&] { return stored_worker().unconfirmed_lease_end_ms >= least_end_ms; }));
+}
+
 TEST_CASE("an owner's confirmation acknowledges only ends that the present incarnation has listed", "[jobs]")
 {
 	// Guards against ends that are never reported: an owner of an earlier version counts on over a restart.
