Storms cut restarted workers off while the owner is replaced

Its longest lease was the owners' lease, and the clock of each incarnation began at 1.

With TRAILJUNCTION_STORM_CUTS, starts before a restart are late and carried out by the next incarnation, whose clock begins anywhere; some workers are cut off 0.2 to 2 s after it for 4 to 9 s; the owner is stopped or killed meanwhile. The longest lease is 10 s and the owners' 3 s; half of the jobs outlast both. These faults have a sequence of their own, so the plans of storms without them are the same.

--- a/tests/job_storm.cpp
+++ b/tests/job_storm.cpp
@@ -11,6 +11,7 @@
 ///
 /// - TRAILJUNCTION_STORM_MS: the period in which faults begin, 20000 by default. A shorter plan is a prefix of a longer
 ///   one with the same seed, except that its long jobs are shorter.
+/// - TRAILJUNCTION_STORM_CUTS: if set, workers are cut off soon after restarts under their ids (storm_options::cuts).
 /// - TRAILJUNCTION_STORM_RESTARTS: if set, workers also restart under their ids and long-running tasks run during the
 ///   storm. Every third seed has no other faults then.
 /// - TRAILJUNCTION_STORM_PROGRAMS: the build directory of the programs under test, such as that of an older version.
@@ -39,6 +40,8 @@
 	/// CPU of a worker. A run takes 500, so a worker has room for six or ten runs.
 	constexpr std::int64_t small_worker_cpu_milli = 3'000;
 	constexpr std::int64_t large_worker_cpu_milli = 5'000;
+	/// Room for the tasks of storms with cuts, which last long.
+	constexpr std::int64_t huge_worker_cpu_milli = 16'000;
 	constexpr auto short_stop_time = millis{50};
 	constexpr int min_long_stop_ms = 200;
 	constexpr int max_long_stop_ms = 900;
@@ -46,6 +49,10 @@
 	constexpr int min_start_delay_ms = 420;
 	constexpr int max_start_delay_ms = 800;
 
+	/// Longer than the lease of an owner, which is two contact times.
+	constexpr auto longest_lease_with_cuts = millis{10'000};
+	constexpr auto contact_time_with_cuts = millis{1'500};
+
 	void add_restarts(storm_options& options)
 	{
 		constexpr std::uint64_t calm_seed_period = 3;
@@ -67,6 +74,7 @@
 		}
 		if (const char* text = std::getenv("TRAILJUNCTION_STORM_RESTARTS"); text != nullptr)
 			add_restarts(out);
+		out.cuts = std::getenv("TRAILJUNCTION_STORM_CUTS") != nullptr;
 		constexpr std::uint64_t slow_start_seed_period = 4;
 		if (seed % slow_start_seed_period != 1)
 			return out;
@@ -84,6 +92,11 @@
 		out.entries = options.entries;
 		out.workers = options.workers;
 		out.proxies = true;
+		if (options.cuts)
+		{
+			out.longest_lease = longest_lease_with_cuts;
+			out.contact_time = contact_time_with_cuts;
+		}
 		return out;
 	}
 
@@ -93,7 +106,8 @@
 		seeded_random random{options.seed};
 		const bool checks_room = !random.one_in(4);
 		const bool slow_stops = random.one_in(2);
-		const auto cpu_milli = random.one_in(2) ? small_worker_cpu_milli : large_worker_cpu_milli;
+		const auto usual_cpu_milli = random.one_in(2) ? small_worker_cpu_milli : large_worker_cpu_milli;
+		const auto cpu_milli = options.cuts ? huge_worker_cpu_milli : usual_cpu_milli;
 		for (int i = 0; i < options.workers; ++i)
 		{
 			const auto stop_time = slow_stops ? random.duration(min_long_stop_ms, max_long_stop_ms) : short_stop_time;
@@ -109,6 +123,18 @@
 		}
 	}
 
+	/// Restarts each worker with a clock that begins anywhere.
+	void set_clocks(job_cluster& system, const storm_options& options)
+	{
+		seeded_random random{options.seed};
+		for (int i = 0; i < options.workers; ++i)
+		{
+			system.with_worker(i, [&](worker_standin& worker)
+							   { worker.next_first_clock_ms = any_first_clock_ms(random); });
+			restart_in_place(system, i, millis{0});
+		}
+	}
+
 	/// Carries out the fault plan of a storm. \returns The first violation found during it.
 	std::optional<violation> run_faults(job_cluster& system, const storm_options& options,
 										std::vector<std::string>& events)
@@ -139,6 +165,8 @@
 	std::string run_storm(const storm_options& options)
 	{
 		job_cluster system{cluster_of(options)};
+		if (options.cuts)
+			set_clocks(system, options);
 		if (!system.wait_ready())
 			return "not ready:\n" + system.logs();
 		configure_workers(system, options);
@@ -168,7 +196,7 @@
 				jobs.push_back(std::move(job));
 		if (found)
 			return report;
-		found = find_unfinished(system, jobs, options.restarts_in_place);
+		found = find_unfinished(system, jobs, options.restarts_in_place || options.cuts);
 		if (!found)
 			found = find_idle_long_running(system, long_running, begin);
 		if (!found)
@@ -197,6 +225,16 @@
 		return run_storm(options);
 	}
 
+	/// Runs a short storm whose only faults are restarts of workers under their ids, cuts soon after and other owners.
+	std::string run_short_storm_of_cuts(std::uint64_t seed)
+	{
+		auto options = options_of(seed);
+		options.fault_period = short_period;
+		options.cuts = true;
+		options.other_faults = false;
+		return run_storm(options);
+	}
+
 	/// The first and the last seed of a text such as `3-20` or `7`.
 	std::pair<std::uint64_t, std::uint64_t> seeds_of(const char* text)
 	{
@@ -280,3 +318,20 @@
 	INFO(found);
 	CHECK(found.empty());
 }
+
+TEST_CASE("no task runs twice when restarted workers are cut off and the owner stops", "[process]")
+{
+	// A worker held the longest lease, from a start for its former incarnation. The next owner counted only the lease
+	// that its predecessor may have confirmed, and started the worker's tasks again.
+	const auto found = run_short_storm_of_cuts(3);
+	INFO(found);
+	CHECK(found.empty());
+}
+
+TEST_CASE("no task runs twice when restarted workers are cut off and the owner is killed", "[process]")
+{
+	// As above, but most workers are cut off, and their tasks end meanwhile.
+	const auto found = run_short_storm_of_cuts(7);
+	INFO(found);
+	CHECK(found.empty());
+}
--- a/tests/job_storm.hpp
+++ b/tests/job_storm.hpp
@@ -29,6 +29,10 @@
 		/// Whether workers restart under their ids, too, and long-running tasks run during the storm. The other faults
 		/// of the plan are the same in either case.
 		bool restarts_in_place{};
+		/// Whether workers are also cut off from their agents soon after restarts under their ids, while the owner is
+		/// replaced and tasks run that outlast every lease. Their clocks begin anywhere then, and the longest lease is
+		/// longer than the owners'. The other faults of the plan are the same in either case.
+		bool cuts{};
 	};
 
 	/// \brief The build directory of the programs: TRAILJUNCTION_STORM_PROGRAMS, or that of the tests.
@@ -68,6 +72,8 @@
 
 	/// \brief Generates the fault plan of one storm, ordered by time.
 	[[nodiscard]] std::vector<fault_event> generate_faults(const storm_options& options);
+	/// \brief Any time that a worker's clock may show at its beginning. A later incarnation's clock may be behind it.
+	[[nodiscard]] std::int64_t any_first_clock_ms(seeded_random& random);
 	/// \brief Restarts a worker under the id that it has.
 	/// \param downtime The time without a worker.
 	void restart_in_place(job_cluster& system, int worker, millis downtime);
--- a/tests/job_storm_checks.cpp
+++ b/tests/job_storm_checks.cpp
@@ -24,6 +24,15 @@
 		/// A task is given up if this many workers in a row are lost soon after its start on them.
 		constexpr int min_lost_runs_of_given_up_task = 3;
 
+		/// Makes half of the jobs consist of few tasks that outlast every lease.
+		void lengthen_some(storm_job& job, seeded_random& random)
+		{
+			if (random.one_in(2))
+				return;
+			job.tasks = random.between(1, 2);
+			job.work = random.duration(8'000, 15'000);
+		}
+
 		storm_job generate_job(seeded_random& random, const storm_options& options, int client, int number)
 		{
 			storm_job out;
@@ -42,6 +51,8 @@
 				out.tasks = 1;
 				out.to_cancel = true;
 			}
+			if (options.cuts)
+				lengthen_some(out, random);
 			return out;
 		}
 
--- a/tests/job_storm_faults.cpp
+++ b/tests/job_storm_faults.cpp
@@ -317,8 +317,25 @@
 			}
 		}
 
+		/// Sets the clock of a worker's next incarnation. It is drawn from a sequence of its own, so that the rest of
+		/// the plan is the same without it.
+		void add_first_clock(fault_plan& plan, millis at, int worker)
+		{
+			constexpr std::uint64_t worker_factor = 1'000'003;
+			seeded_random clocks{plan.options.seed + static_cast<std::uint64_t>(at.count()) +
+								 worker_factor * static_cast<std::uint64_t>(worker + 1)};
+			const auto first_clock_ms = any_first_clock_ms(clocks);
+			plan.add(at, absl::StrCat("clock of worker ", worker + 1, " is to begin at ", first_clock_ms),
+					 [=](job_cluster& system) {
+						 system.with_worker(worker, [&](worker_standin& standin)
+											{ standin.next_first_clock_ms = first_clock_ms; });
+					 });
+		}
+
 		void add_restart_in_place(fault_plan& plan, millis at, int worker, millis downtime)
 		{
+			if (plan.options.cuts)
+				add_first_clock(plan, at, worker);
 			plan.add(at,
 					 absl::StrCat("worker ", worker + 1, " restarts under its id, down for ", downtime.count(), " ms"),
 					 [=](job_cluster& system) { restart_in_place(system, worker, downtime); });
@@ -458,6 +475,47 @@
 			std::move(restarts.events.begin(), restarts.events.end(), std::back_inserter(plan.events));
 		}
 
+		/// Restarts a worker while starts are on their way, which the next incarnation carries out, and cuts it off
+		/// from its agent soon after. Its runs go on for as long as its lease lasts.
+		void cut_off_after_restart(fault_plan& plan, millis at, int worker)
+		{
+			const int order_count = plan.random.between(1, 8);
+			const auto lead = plan.random.duration(300, 1'000); // each start before the restart is late by as much
+			const auto downtime = plan.random.duration(0, 600);
+			plan.add_worker_fault(at - lead, lead, worker, "late starts",
+								  [=](worker_faults& faults, bool on)
+								  {
+									  faults.late_orders = on ? order_count : 0;
+									  faults.late_delay = lead;
+								  });
+			add_restart_in_place(plan, at, worker, downtime);
+			const auto cut_duration = plan.random.duration(4'000, 9'000);
+			const auto cut_at = at + downtime + plan.random.duration(200, 2'000);
+			plan.add_worker_fault(cut_at, cut_duration, worker, "cut off",
+								  [](worker_faults& faults, bool on) { faults.silent = on; });
+		}
+
+		/// Cuts off some workers after restarts, but not all, and replaces the owner at about that time.
+		void cut_off_some_workers(fault_plan& plan, millis at)
+		{
+			const int first_worker = plan.any_worker();
+			const int count = plan.random.between(1, plan.options.workers - 1);
+			for (int i = 0; i < count; ++i)
+				cut_off_after_restart(plan, time_near(plan, at), (first_worker + i) % plan.options.workers);
+			if (!plan.random.one_in(4))
+				restart_entry(plan, at + plan.random.duration(300, 3'500));
+		}
+
+		void add_cuts(fault_plan& plan)
+		{
+			constexpr std::uint64_t sequence_offset = 2'000'000'011;
+			fault_plan cuts{plan.options, seeded_random{plan.options.seed + sequence_offset}, {}};
+			for (auto at = first_fault_at + cuts.random.duration(500, 2'000); at < plan.options.fault_period;
+				 at += cuts.random.duration(6'000, 10'000))
+				cut_off_some_workers(cuts, at);
+			std::move(cuts.events.begin(), cuts.events.end(), std::back_inserter(plan.events));
+		}
+
 		void add_random_fault(fault_plan& plan, millis at)
 		{
 			switch (plan.random.between(0, 15))
@@ -497,11 +555,19 @@
 				add_random_fault(plan, at);
 		if (options.restarts_in_place)
 			add_restarts_in_place(plan);
+		if (options.cuts)
+			add_cuts(plan);
 		std::stable_sort(plan.events.begin(), plan.events.end(),
 						 [](const fault_event& a, const fault_event& b) { return a.at < b.at; });
 		return std::move(plan.events);
 	}
 
+	std::int64_t any_first_clock_ms(seeded_random& random)
+	{
+		constexpr int latest_clock_ms = 1'000'000;
+		return random.one_in(2) ? 1 : random.between(1, latest_clock_ms);
+	}
+
 	void restart_in_place(job_cluster& system, int worker, millis downtime)
 	{
 		system.with_worker(worker, [&](worker_standin& standin) { standin.restart_in_place(downtime); });
