Model: owners count a lease that the agent reports

An owner may now release a run of the present incarnation when the lease that it counts is over. The run ends with it only if that is the longest lease wherever a late call may have given it. Each report says so to any owner; the mutant REPORTED_LEASE removes this. A refusal no longer hides a later one of the same task, which can happen now that a run is released without one.

The model assumes that a new owner hears the agent before its own lease is over; the header says that an implementation cannot know this.

--- a/model/restarts.pml
+++ b/model/restarts.pml
@@ -15,6 +15,11 @@
  * delayed over two restarts, the deadline of a start or a lease. Connections are not modelled; the
  * agents acknowledge only on one that the incarnation has answered on.
  *
+ * Worker A may be cut off while it runs. The next incarnation may hold the longest lease then, from a call to a former
+ * one. An owner counts it if it heard the first report of the incarnation, or is told by the agent. The model assumes that
+ * an owner hears the agent of a living incarnation before the owner's own lease is over. An implementation does not know
+ * that of an agent that is paused or cut off from a new owner.
+ *
  * step            rule
  * hear            a heartbeat of another incarnation causes a probe: a listing call with the highest token so far
  * handle_probe    the agent switches if the answer names that incarnation and its token is above the one in use
@@ -23,7 +28,7 @@
  * resolve         an unanswered start: a stop, and a settled listing without the run
  * MAY_REPORT      an incarnation is reported only after a settled listing; its first report is complete
  * handle_report   the owner places a run of the former incarnation on the reported one if the report names it; it
- *                 releases the others
+ *                 releases the others; each report tells whether the incarnation may hold the longest lease
  * expire          the owner releases a run when no lease is left, neither its own nor one that late calls may have given
  *                 to the next incarnation
  */
@@ -99,6 +104,7 @@
 /* the rest of the owner */
 byte reported = 1;      /* the incarnation that A's agent reported; 0: none */
 byte recording;         /* an end that was acknowledged and is not recorded yet */
+bool counts_longest;    /* it counts the longest lease for the reported incarnation */
 
 /* limits of the model */
 byte rare;              /* restarts of the agent or the owner, late heartbeats, lost answers, calls refused beside a probe */
@@ -404,7 +410,7 @@
 	report_due = true;
 	if
 	:: ended == r -> skip
-	:: else -> refused = r; refusal_due = true
+	:: else -> refused = (refused < r -> r : refused); refusal_due = true
 	fi
 }
 
@@ -443,8 +449,12 @@
 inline handle_report(l)
 {
 	reported = l;
+#ifndef NO_REPORTED_LEASE
+	counts_longest = counts_longest || l != 1;
+#endif
 	if
 	:: place != 0 && place != ON_B && place != l ->
+		counts_longest = true;
 		if
 #ifndef NO_TAKEOVER_OF_LATE_RUNS
 		:: (complete_due && known_at_work == run_number) || known_done == run_number -> place = l
@@ -524,6 +534,18 @@
 	od unless { FINISHED }
 }
 
+/* The lease of worker A ends, and with it all that runs there; a start in transit is too old. */
+inline lapse()
+{
+	start_token[1] = 0; start_token[2] = 0; start_token[3] = 0;
+	if
+	:: closed < at_work -> closed = at_work
+	:: else -> skip
+	fi;
+	at_work = 0;
+	ended_lapsed = (ended != 0)
+}
+
 inline place_on(l)
 {
 	run_number++;
@@ -554,18 +576,28 @@
 	:: atomic {
 		place != 0 && place != ON_B && !task_done && !SAME(place, life) && !SAME(reported, life) ->
 #ifndef NO_LATE_LEASE
-		start_token[1] = 0; start_token[2] = 0; start_token[3] = 0;
-		at_work = 0;
-		ended_lapsed = (ended != 0);
+		lapse();
 #endif
 		order_run = 0; order_life = 0;
 		reported = 0;
 		place = 0
 	}
+	/* expire: worker A is cut off, and the lease that the owner counts is over */
+	:: atomic {
+		place != 0 && place != ON_B && !task_done && SAME(place, life) && SAME(reported, life) && rare < RARE ->
+		rare++;
+		if
+		:: place == 1 || counts_longest -> lapse()
+		:: else -> skip /* a late call may have given it a longer one */
+		fi;
+		order_run = 0; order_life = 0;
+		place = 0
+	}
 	:: atomic {
 		rare < RARE ->
 		rare++;
 		reported = 0;
+		counts_longest = false;
 		recording = 0;
 		order_run = 0; order_life = 0; keep_run = 0; keep_life = 0;
 		report_due = (current != 0); complete_due = true
