HTTP: what a connection may hold of a message besides its body is limited

Cause: Beast's limits count header and body. Chunk extensions and trailers stay in the read buffer until they are complete, and the buffer had no largest size, in the server and in the client.

The buffer has one now, 32 KiB for requests and 64 KiB for responses; a server answers 431 with the outcome not-run and closes. Responses count as unanswered, as they did after the deadline.

--- a/packages/net/include/trailjunction/net/http_server.hpp
+++ b/packages/net/include/trailjunction/net/http_server.hpp
@@ -22,6 +22,8 @@
 	{
 		std::size_t max_header_bytes{16 * 1024};
 		std::size_t max_body_bytes{1024 * 1024};
+		/// What one connection may hold of a message besides its body: a header, a chunk extension or trailers.
+		std::size_t max_read_buffer_bytes{32 * 1024};
 		std::size_t max_connections{1024};
 		std::chrono::milliseconds header_timeout{10'000}; ///< Bounds an idle connection and the reading of a header.
 		std::chrono::milliseconds body_timeout{30'000};
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -30,6 +30,9 @@
 
 	namespace
 	{
+		/// What a response may hold besides its body: a header, a chunk extension or trailers.
+		constexpr std::size_t max_read_buffer_bytes = std::size_t{64} * 1024;
+
 		/// A refused connection proves that no process listens there; any other failure proves nothing.
 		http_result connect_failure(const std::string& host, const beast::error_code& error)
 		{
@@ -117,7 +120,7 @@
 			co_return http_result{written == 0 ? delivery_status::not_sent : delivery_status::unknown,
 								  absl::UnavailableError(absl::StrCat(state->host, ": ", write_error.message())),
 								  {}};
-		beast::flat_buffer buffer;
+		beast::flat_buffer buffer{max_read_buffer_bytes};
 		http::response_parser<http::string_body> parser;
 		parser.body_limit(state->max_body_bytes);
 		parser.skip(request.method == "HEAD");
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -44,7 +44,8 @@
 		/// response.
 		int status_of(const beast::error_code& error)
 		{
-			if (error == http::error::header_limit)
+			// The parser limits headers and bodies only; extensions and trailers fill the read buffer.
+			if (error == http::error::header_limit || error == http::error::buffer_overflow)
 				return 431;
 			if (error == http::error::body_limit)
 				return 413;
@@ -76,7 +77,7 @@
 	template <typename State>
 	static asio::awaitable<void> serve_connection(std::shared_ptr<State> state, beast::tcp_stream stream)
 	{
-		beast::flat_buffer buffer;
+		beast::flat_buffer buffer{state->limits.max_read_buffer_bytes};
 		bool keep_open = true;
 		while (keep_open && !state->stopping)
 		{
