HTTP server: the bodies of all connections together are limited

Each server counts the bytes that have arrived, until their requests are answered. Beyond 32 MiB it refuses the incomplete requests that have taken longest, since ordinary callers need far less time than clients that send slowly to hold memory. They get 503 with Retry-After and the outcome not-run. What Content-Length announces does not count.

--- a/packages/net/include/trailjunction/net/http_server.hpp
+++ b/packages/net/include/trailjunction/net/http_server.hpp
@@ -24,6 +24,9 @@
 		std::size_t max_body_bytes{1024 * 1024};
 		/// What one connection may hold of a message besides its body: a header, a chunk extension or trailers.
 		std::size_t max_read_buffer_bytes{32 * 1024};
+		/// Bytes of the request bodies that are held for all connections together, until they are answered. Beyond it,
+		/// the incomplete requests that have taken longest are refused.
+		std::size_t max_held_body_bytes{std::size_t{32} * 1024 * 1024};
 		std::size_t max_connections{1024};
 		std::chrono::milliseconds header_timeout{10'000}; ///< Bounds an idle connection and the reading of a header.
 		std::chrono::milliseconds body_timeout{30'000};
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "impl/beast_convert.hpp"
+#include "impl/body_budget.hpp"
 
 #include <trailjunction/net/coroutines.hpp>
 #include <trailjunction/net/http_server.hpp>
@@ -27,6 +28,7 @@
 		http_limits limits;
 		handler on_request;
 		asio::ip::tcp::acceptor acceptor;
+		impl::body_budget bodies;
 		std::unordered_set<beast::tcp_stream*> idle;
 		std::size_t in_flight{};
 		std::size_t connections{};
@@ -39,6 +41,7 @@
 		constexpr std::size_t max_linger_bytes = std::size_t{8} * 1024 * 1024;
 		constexpr std::size_t linger_chunk_bytes = 4096;
 		constexpr auto accept_retry_delay = std::chrono::milliseconds{50};
+		constexpr const char* retry_after_s = "1"; // of a request that the budget for bodies does not allow
 
 		/// The status of the response to a request that could not be read; 0 if the connection ended and gets no
 		/// response.
@@ -49,6 +52,8 @@
 				return 431;
 			if (error == http::error::body_limit)
 				return 413;
+			if (error == asio::error::no_memory)
+				return 503;
 			if (error == beast::error::timeout || error == http::error::end_of_stream ||
 				error == http::error::partial_message || error.category() == asio::error::get_system_category())
 				return 0;
@@ -73,6 +78,67 @@
 		}
 	}
 
+	/// The place of one request in the budget for bodies.
+	class budgeted_body
+	{
+	public:
+		budgeted_body(impl::body_budget& budget, beast::tcp_stream& stream)
+			: budget_{budget},
+			  body_{budget.add([&stream] { stream.cancel(); })}
+		{
+		}
+		~budgeted_body()
+		{
+			budget_.release(body_);
+		}
+		budgeted_body(const budgeted_body&) = delete;
+		budgeted_body& operator=(const budgeted_body&) = delete;
+
+		void update(std::size_t bytes, bool is_complete)
+		{
+			body_->is_complete = is_complete;
+			budget_.update(body_, bytes);
+		}
+		[[nodiscard]] bool is_evicted() const noexcept
+		{
+			return body_->is_evicted;
+		}
+
+	private:
+		impl::body_budget& budget_;
+		impl::body_budget::handle body_;
+	};
+
+	using request_parser = http::request_parser<http::string_body>;
+
+	/// Reads the body whose header has been read.
+	/// \returns The error that ended the reading; also set if the body was evicted.
+	static asio::awaitable<beast::error_code> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+														request_parser& parser, budgeted_body& body)
+	{
+		beast::error_code error;
+		parser.eager(true);
+		while (!error && !parser.is_done())
+		{
+			auto [read_error, bytes] = co_await http::async_read_some(stream, buffer, parser, as_result);
+			error = read_error;
+			body.update(parser.get().body().size(), !error && parser.is_done());
+			if (body.is_evicted())
+				error = asio::error::no_memory;
+		}
+		co_return error;
+	}
+
+	/// The response to a request that was not read completely.
+	static http_response refusal_of(int status, const beast::error_code& error)
+	{
+		auto out = error_response(status, error.message());
+		out.headers.push_back({"Trailjunction-Outcome", "not-run"});
+		if (error == asio::error::no_memory)
+			out.headers.push_back({"Retry-After", retry_after_s});
+		return out;
+	}
+
 	/// Serves one connection: reads and answers its requests in order.
 	template <typename State>
 	static asio::awaitable<void> serve_connection(std::shared_ptr<State> state, beast::tcp_stream stream)
@@ -81,7 +147,7 @@
 		bool keep_open = true;
 		while (keep_open && !state->stopping)
 		{
-			http::request_parser<http::string_body> parser;
+			request_parser parser;
 			parser.header_limit(static_cast<std::uint32_t>(state->limits.max_header_bytes));
 			parser.body_limit(state->limits.max_body_bytes);
 			stream.expires_after(state->limits.header_timeout);
@@ -92,11 +158,11 @@
 			// The parser does not check its limit if the header arrives in one piece.
 			if (!error && head_bytes > state->limits.max_header_bytes)
 				error = http::error::header_limit;
+			budgeted_body body{state->bodies, stream};
 			if (!error)
 			{
 				stream.expires_after(state->limits.body_timeout);
-				auto [body_error, body_bytes] = co_await http::async_read(stream, buffer, parser, as_result);
-				error = body_error;
+				error = co_await read_body(stream, buffer, parser, body);
 			}
 			http_response answer;
 			if (error)
@@ -104,8 +170,7 @@
 				const int status = status_of(error);
 				if (status == 0)
 					break;
-				answer = error_response(status, error.message());
-				answer.headers.push_back({"Trailjunction-Outcome", "not-run"});
+				answer = refusal_of(status, error);
 				keep_open = false;
 			}
 			else
@@ -154,8 +219,15 @@
 	}
 
 	http_server::http_server(asio::io_context& io, http_limits limits, handler on_request)
-		: state_{std::make_shared<shared_state>(
-			  shared_state{io, limits, std::move(on_request), asio::ip::tcp::acceptor{io}, {}, 0, 0, false})}
+		: state_{std::make_shared<shared_state>(shared_state{io,
+															 limits,
+															 std::move(on_request),
+															 asio::ip::tcp::acceptor{io},
+															 impl::body_budget{limits.max_held_body_bytes},
+															 {},
+															 0,
+															 0,
+															 false})}
 	{
 	}
 
