Readiness and metrics: 64 connections each

Only the platform and monitoring call readiness and metrics; they get tables of their size. Callers and their calls to the store stay below.

--- a/packages/agent/src/process/job_agent_process.cpp
+++ b/packages/agent/src/process/job_agent_process.cpp
@@ -22,6 +22,8 @@
 		constexpr auto idle_check_interval = millis{50};
 		constexpr auto register_timeout = millis{1'000}; ///< Timeout of one attempt to write the agent's row.
 		constexpr auto register_retry_delay = millis{500};
+		/// Limits of the server that only monitoring calls.
+		constexpr http_limits monitoring_limits{.max_connections = 64};
 
 		/// Writes the address at which owners reach this agent. The row stays when the process ends, since its
 		/// successor uses the same row.
@@ -92,7 +94,7 @@
 		owner_links links{io, runs};
 		started_links = &links;
 		http_server heartbeats{io, http_limits{}, adapters.make_heartbeat_handler(runs)};
-		http_server metrics_server{io, http_limits{},
+		http_server metrics_server{io, monitoring_limits,
 								   [&metrics](http_request request) -> asio::awaitable<http_response>
 								   {
 									   const auto answer =
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -29,6 +29,9 @@
 		constexpr auto stop_reserve = millis{500};
 		constexpr std::size_t depths_ring_capacity = 64;
 
+		/// Limits of servers that only the platform and monitoring call.
+		constexpr http_limits monitoring_limits{.max_connections = 64};
+
 		/// The servers for callers, readiness and metrics. Used only on the request thread.
 		struct client_servers
 		{
@@ -36,13 +39,13 @@
 				: store{adapters.make_store(io, *settings.store)},
 				  gateway{io, *store, metrics},
 				  callers{io, http_limits{}, adapters.make_job_handler(gateway)},
-				  readiness{io, http_limits{},
+				  readiness{io, monitoring_limits,
 							[this](http_request) -> asio::awaitable<http_response>
 							{
 								const bool ready = gateway.is_ready(boottime_now()) && !stopping;
 								co_return ready ? json_response(200, "{}") : error_response(503, "not ready");
 							}},
-				  metrics_server{io, http_limits{},
+				  metrics_server{io, monitoring_limits,
 								 [this](http_request request) -> asio::awaitable<http_response>
 								 {
 									 const auto answer = answer_health(request, metrics, [] { return std::string{}; });
