Agents: links that claim nothing are limited

A member claims as soon as it has connected, and a claim is small. Until then a frame may have 64 KiB, and of more than 64 such links the oldest closes. The owner's link is as before.

--- a/packages/agent/src/connection/owner_links.cpp
+++ b/packages/agent/src/connection/owner_links.cpp
@@ -21,6 +21,10 @@
 
 		/// An owner confirms each report, so a link that is silent for three intervals is broken.
 		constexpr link_limits limits{.idle_timeout = 3 * report_interval};
+		/// Largest frame before a claim; a claim is far smaller.
+		constexpr std::size_t max_unclaimed_frame_bytes = std::size_t{64} * 1024;
+		/// Links without a claim. A member claims as soon as it has connected.
+		constexpr std::size_t max_unclaimed_links = 64;
 	}
 
 	owner_links::owner_links(asio::io_context& io, run_manager& runs) : io_{io}, manager_{runs}, acceptor_{io} {}
@@ -51,6 +55,8 @@
 	void owner_links::start_link(asio::ip::tcp::socket socket)
 	{
 		const auto connection = std::make_shared<link>(std::move(socket), limits);
+		connection->set_max_frame_bytes(max_unclaimed_frame_bytes);
+		add_unclaimed(connection);
 		// The link keeps these handlers, and through them itself, alive until it has closed, then it releases them.
 		connection->start([this, connection, number = ++accepted_links_](wire::envelope&& message)
 						  { on_message(connection, number, std::move(message)); },
@@ -63,6 +69,23 @@
 						  });
 	}
 
+	void owner_links::add_unclaimed(const std::shared_ptr<link>& connection)
+	{
+		std::erase_if(unclaimed_,
+					  [](const std::weak_ptr<link>& other)
+					  {
+						  const auto open = other.lock();
+						  return !open || !open->is_open();
+					  });
+		unclaimed_.push_back(connection);
+		while (unclaimed_.size() > max_unclaimed_links)
+		{
+			if (const auto oldest = unclaimed_.front().lock())
+				oldest->close("too many links without a claim");
+			unclaimed_.pop_front();
+		}
+	}
+
 	void owner_links::on_message(const std::shared_ptr<link>& from, std::uint64_t number, wire::envelope&& message)
 	{
 		if (message.__isset.claim)
@@ -89,6 +112,8 @@
 			from->close("superseded");
 			return;
 		}
+		std::erase_if(unclaimed_, [&](const std::weak_ptr<link>& other) { return other.lock() == from; });
+		from->set_max_frame_bytes(limits.max_frame_bytes);
 		const auto previous = owner_;
 		owner_ = from;
 		owner_link_number_ = number;
--- a/packages/agent/src/connection/owner_links.hpp
+++ b/packages/agent/src/connection/owner_links.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 
 namespace trailjunction
@@ -32,6 +33,8 @@
 		boost::asio::awaitable<void> accept_loop();
 		boost::asio::awaitable<void> report_loop();
 		void start_link(boost::asio::ip::tcp::socket socket);
+		/// Registers a link without a claim, and closes the oldest such links if there are too many.
+		void add_unclaimed(const std::shared_ptr<link>& connection);
 		/// \param number Sequence number of the link, in the order of acceptance.
 		void on_message(const std::shared_ptr<link>& from, std::uint64_t number, wire::envelope&& message);
 		void on_claim(const std::shared_ptr<link>& from, std::uint64_t number, const wire::job_claim& claim);
@@ -41,7 +44,8 @@
 		run_manager& manager_;
 		boost::asio::ip::tcp::acceptor acceptor_;
 		std::shared_ptr<link> owner_;
-		std::uint64_t accepted_links_{}; ///< Number of links accepted so far.
+		std::deque<std::weak_ptr<link>> unclaimed_; ///< Links over which nothing was claimed, in order of acceptance.
+		std::uint64_t accepted_links_{};            ///< Number of links accepted so far.
 		/// Sequence number of the link over which the highest epoch was claimed last.
 		std::uint64_t owner_link_number_{};
 		epoch highest_epoch_;
--- a/packages/wire/include/trailjunction/wire/link.hpp
+++ b/packages/wire/include/trailjunction/wire/link.hpp
@@ -70,6 +70,12 @@
 			return bytes_received_;
 		}
 
+		/// \brief Changes the largest frame that is accepted from now on.
+		void set_max_frame_bytes(std::size_t bytes) noexcept
+		{
+			limits_.max_frame_bytes = bytes;
+		}
+
 		/// \brief Closes the link and calls the close handler asynchronously.
 		void close(const std::string& reason);
 
