--- a/tests/unconfirmed_leases.cpp
+++ b/tests/unconfirmed_leases.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 
 using namespace trailjunction;
 using namespace trailjunction::testkit;
@@ -96,6 +97,12 @@
 									   { return run.task != some_task || (!run.ended_at && !run.stop_requested_at); });
 		}
 
+		/// Keeps owners from hearing the agent; its worker's run goes on.
+		void pause_agent()
+		{
+			system.agent(restarted_).signal(SIGSTOP);
+		}
+
 		/// Kills the owner and starts it again.
 		[[nodiscard]] bool replace_owner()
 		{
@@ -254,3 +261,27 @@
 	REQUIRE(test.cut_off());
 	check_runs(test);
 }
+
+TEST_CASE("a task does not run twice if its worker is cut off before any listing and its owner is replaced",
+		  "[process]")
+{
+	unconfirmed_lease_fixture test;
+	REQUIRE(test.begin(longest_lease + max_reaction_time));
+	REQUIRE(test.cut_off());
+	REQUIRE(test.replace_owner());
+	check_runs(test);
+}
+
+TEST_CASE(
+	"a task does not run twice if its owner is replaced and its agent paused while its worker holds the lease of a "
+	"call to its former incarnation",
+	"[process]")
+{
+	// Guards against a new owner that counts the longest lease only if an agent tells it.
+	unconfirmed_lease_fixture test;
+	REQUIRE(test.begin(longest_lease + max_reaction_time));
+	REQUIRE(test.wait_known_to_owner());
+	test.pause_agent();
+	REQUIRE(test.replace_owner());
+	check_runs(test);
+}
