--- a/packages/entry/src/process/job_term_placing.cpp
+++ b/packages/entry/src/process/job_term_placing.cpp
@@ -109,8 +109,8 @@
 			// Another agent may report the worker by now; what this one has reported is no longer updated then.
 			const auto location = agent_of_worker_.find(worker.current_incarnation);
 			const bool is_current = location != agent_of_worker_.end() && location->second.agent == name;
-			const auto unconfirmed_end = lease_end(worker.first_report, run_lease_times_);
-			if (is_current && now < std::max(unconfirmed_end, lease_of(worker.current_incarnation).end))
+			const auto first_lease_end = lease_end(worker.first_report, run_lease_times_);
+			if (is_current && now < std::max(first_lease_end, lease_of(worker.current_incarnation).end))
 				for (const auto& run_id : worker.unplaced)
 					out.insert(run_id.task);
 		}
--- a/packages/entry/src/request/request_forwarder.cpp
+++ b/packages/entry/src/request/request_forwarder.cpp
@@ -27,6 +27,7 @@
 		{
 			http_limits limits;
 			limits.max_connections = 16'384;
+			limits.max_held_body_bytes = std::size_t{256} * 1024 * 1024;
 			return limits;
 		}
 
