HTTP server: a request that was read is not evicted from the budget for bodies

Found by reading the budget again: a request without a body counted as incomplete for as long as it was answered. If the budget ran out meanwhile, it was evicted, and the writing of its response cancelled.

A request takes a place in the budget once its header is read, and is complete as soon as nothing more is read.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <optional>
 #include <unordered_set>
 
 namespace trailjunction
@@ -94,11 +95,15 @@
 		budgeted_body(const budgeted_body&) = delete;
 		budgeted_body& operator=(const budgeted_body&) = delete;
 
-		void update(std::size_t bytes, bool is_complete)
+		void update(std::size_t bytes)
 		{
-			body_->is_complete = is_complete;
 			budget_.update(body_, bytes);
 		}
+		/// Nothing more is read, so the body cannot be evicted any more.
+		void complete() noexcept
+		{
+			body_->is_complete = true;
+		}
 		[[nodiscard]] bool is_evicted() const noexcept
 		{
 			return body_->is_evicted;
@@ -122,19 +127,23 @@
 		{
 			auto [read_error, bytes] = co_await http::async_read_some(stream, buffer, parser, as_result);
 			error = read_error;
-			body.update(parser.get().body().size(), !error && parser.is_done());
+			if (!error && parser.is_done())
+				body.complete();
+			body.update(parser.get().body().size());
 			if (body.is_evicted())
 				error = asio::error::no_memory;
 		}
+		body.complete();
 		co_return error;
 	}
 
 	/// The response to a request that was not read completely.
 	static http_response refusal_of(int status, const beast::error_code& error)
 	{
-		auto out = error_response(status, error.message());
+		const bool has_no_room = error == asio::error::no_memory;
+		auto out = error_response(status, has_no_room ? "too many request bodies" : error.message());
 		out.headers.push_back({"Trailjunction-Outcome", "not-run"});
-		if (error == asio::error::no_memory)
+		if (has_no_room)
 			out.headers.push_back({"Retry-After", retry_after_s});
 		return out;
 	}
@@ -158,11 +167,12 @@
 			// The parser does not check its limit if the header arrives in one piece.
 			if (!error && head_bytes > state->limits.max_header_bytes)
 				error = http::error::header_limit;
-			budgeted_body body{state->bodies, stream};
+			std::optional<budgeted_body> body;
 			if (!error)
 			{
+				body.emplace(state->bodies, stream);
 				stream.expires_after(state->limits.body_timeout);
-				error = co_await read_body(stream, buffer, parser, body);
+				error = co_await read_body(stream, buffer, parser, *body);
 			}
 			http_response answer;
 			if (error)
