--- a/tests/run_manager.cpp
+++ b/tests/run_manager.cpp
@@ -264,10 +264,17 @@
 TEST_CASE("a new incarnation of the worker gets a higher fencing token than all before", "[jobs]")
 {
 	fixture test;
+	const auto unix_now_ms = []
+	{
+		return std::chrono::floor<millis>(std::chrono::system_clock::now()).time_since_epoch().count();
+	};
 	const auto former_tokens = test.script.fencing_tokens;
+	const auto heard_at_ms = unix_now_ms();
 	test.runs.on_heartbeat(heartbeat_of("life-2"));
 	REQUIRE(test.run_until([&] { return test.script.fencing_tokens.size() > former_tokens.size() + 2; }));
 	CHECK(test.script.fencing_tokens.back() > *std::max_element(former_tokens.begin(), former_tokens.end()));
+	CHECK(test.script.fencing_tokens.back() >= heard_at_ms);
+	CHECK(test.script.fencing_tokens.back() <= unix_now_ms());
 	CHECK(test.runs.report(true).worker == "life-2");
 }
 
