--- a/review/standins-3/site.cc
+++ b/review/standins-3/site.cc
@@ -29,6 +29,8 @@
 		constexpr std::size_t max_entries = 100;
 		constexpr std::size_t max_transaction_bytes = 1'000'000;
 		constexpr int max_page_rows = 500;
+		/// Connections that a worker takes; it closes further ones (`maxConns` of the service).
+		constexpr std::size_t max_worker_connections = 64;
 
 		constexpr auto call_timeout = millis{5'000};
 		constexpr const char* host = "jobs.example";
@@ -121,6 +123,43 @@
 		co_return json_response(result.response.status, result.response.body);
 	}
 
+	// ------------------------------------------------------------------ the figures of running tasks
+
+	worker_front::worker_front(asio::io_context& io, endpoint worker, std::map<char, std::int64_t> figures)
+		: server_{io, http_limits{.max_connections = max_worker_connections},
+				  [this](http_request request) { return answer(std::move(request)); }},
+		  worker_{io, std::move(worker), 64},
+		  figures_{std::move(figures)}
+	{
+	}
+
+	endpoint worker_front::listen()
+	{
+		return server_.listen(any_port()).value();
+	}
+
+	asio::awaitable<http_response> worker_front::answer(http_request request)
+	{
+		const bool lists = path_of(request.target) == "/hold";
+		std::erase_if(request.headers, [](const http_header& header)
+					  { return header.name != "Content-Type" && header.name != "Expect-Instance"; });
+		const auto result = co_await worker_.send(std::move(request), boottime_now() + millis{10'000});
+		if (result.delivery != delivery_status::answered)
+			co_return http_response{0, {}, ""};
+		auto parsed = parse_json(result.response.body);
+		if (!lists || !parsed.ok() || !parsed->is_object())
+			co_return json_response(result.response.status, result.response.body);
+		auto& body = parsed->get_object();
+		if (auto* rows = body.if_contains("running"); rows != nullptr && rows->is_array())
+			for (auto& row : rows->get_array())
+			{
+				const auto& name = row.get_array().at(0).get_string();
+				if (const auto figure = figures_.find(name[0]); figure != figures_.end())
+					row.get_array().at(4) = figure->second;
+			}
+		co_return json_response(result.response.status, json::serialize(body));
+	}
+
 	// ------------------------------------------------------------------ the deployment
 
 	site::site(site_options options, recorder& record) : options_{std::move(options)}, record_{record}
@@ -193,7 +232,12 @@
 				worker->sends_start_time = options_.states_born;
 				worker->next_first_clock_ms = 482'113;
 				worker->restart_in_place();
-				const auto address = worker->listen();
+				auto address = worker->listen();
+				if (!options_.figures.empty())
+				{
+					fronts_.push_back(std::make_unique<worker_front>(thread_.io(), address, options_.figures));
+					address = fronts_.back()->listen();
+				}
 				worker->start_heartbeats(address);
 				workers_.push_back(std::move(worker));
 			});
--- a/review/standins-3/site.hh
+++ b/review/standins-3/site.hh
@@ -12,6 +12,7 @@
 #include <trailjunction/testkit/worker_standin.hpp>
 
 #include <fstream>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -67,6 +68,22 @@
 		http_client rows_;
 	};
 
+	/// \brief Stands before a worker stand-in and adds to each row of `running` the fifth entry, which the project's
+	/// stand-in leaves at 0: tasks of jobs whose id begins with a digit given in the constructor get its figure.
+	class worker_front
+	{
+	public:
+		worker_front(boost::asio::io_context& io, endpoint worker, std::map<char, std::int64_t> figures);
+		[[nodiscard]] endpoint listen();
+
+	private:
+		boost::asio::awaitable<http_response> answer(http_request request);
+
+		http_server server_;
+		http_client worker_;
+		std::map<char, std::int64_t> figures_;
+	};
+
 	struct site_options
 	{
 		std::string programs; ///< The folder below which the programs were built.
@@ -75,6 +92,7 @@
 		std::int64_t worker_cpu_milli{32'000};
 		bool states_born{}; ///< Whether workers state their start time.
 		std::string more_routes; ///< Further members of a route, beginning with a comma.
+		std::map<char, std::int64_t> figures; ///< If any, workers are called through a worker_front.
 	};
 
 	/// \brief Starts all processes and stand-ins; the destructor ends them.
@@ -144,6 +162,7 @@
 		std::unique_ptr<limited_store> store_;
 		endpoint store_address_;
 		std::vector<std::unique_ptr<worker_standin>> workers_;
+		std::vector<std::unique_ptr<worker_front>> fronts_;
 		std::vector<process_state> agents_;
 		std::vector<process_state> entries_;
 	};
