--- a/review/standins-3/site.cc
+++ b/review/standins-3/site.cc
@@ -29,6 +29,8 @@
 		constexpr std::size_t max_entries = 100;
 		constexpr std::size_t max_transaction_bytes = 1'000'000;
 		constexpr int max_page_rows = 500;
+		/// Ends that a worker lists at once; it sends the rest once these are acknowledged.
+		constexpr std::size_t max_listed_ends = 500;
 		/// Connections that a worker takes; it closes further ones (`maxConns` of the service).
 		constexpr std::size_t max_worker_connections = 64;
 
@@ -150,6 +152,8 @@
 		if (!lists || !parsed.ok() || !parsed->is_object())
 			co_return json_response(result.response.status, result.response.body);
 		auto& body = parsed->get_object();
+		if (auto* ends = body.if_contains("finished"); ends != nullptr && ends->is_array() && ends->get_array().size() > max_listed_ends)
+			ends->get_array().resize(max_listed_ends);
 		if (auto* rows = body.if_contains("running"); rows != nullptr && rows->is_array())
 			for (auto& row : rows->get_array())
 			{
