--- a/review/standins-3/site.cc
+++ b/review/standins-3/site.cc
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -173,13 +174,27 @@
 
 	// ------------------------------------------------------------------ the figures of running tasks
 
+	namespace
+	{
+		/// The load of lasting tasks rises and falls with this period (swing_s of the site files).
+		constexpr std::int64_t swing_period_ms = 10'000;
+
+		std::int64_t swung(std::int64_t mean, double swing)
+		{
+			constexpr double full_turn = 6.283185307;
+			const auto turn = static_cast<double>(unix_ms() % swing_period_ms) / static_cast<double>(swing_period_ms);
+			return std::llround(static_cast<double>(mean) * (1.0 + swing * std::sin(full_turn * turn)));
+		}
+	}
+
 	worker_front::worker_front(asio::io_context& io, endpoint worker, std::map<char, std::int64_t> figures,
-							   std::string lasting)
+							   std::string lasting, double swing)
 		: server_{io, http_limits{.max_connections = max_worker_connections},
 				  [this](http_request request) { return answer(std::move(request)); }},
 		  worker_{io, std::move(worker), 64},
 		  figures_{std::move(figures)},
-		  lasting_{std::move(lasting)}
+		  lasting_{std::move(lasting)},
+		  swing_{swing}
 	{
 	}
 
@@ -208,9 +223,10 @@
 				const auto& name = row.get_array().at(0).get_string();
 				if (const auto figure = figures_.find(name[0]); figure != figures_.end())
 				{
-					row.get_array().at(4) = figure->second;
+					const bool is_lasting = lasting_.find(name[0]) != std::string::npos;
+					row.get_array().at(4) = is_lasting ? swung(figure->second, swing_) : figure->second;
 					// The project's stand-in lists 50 for every task; one that lasts is at work after a short start.
-					if (lasting_.find(name[0]) != std::string::npos)
+					if (is_lasting)
 						row.get_array().at(3) = 100;
 				}
 			}
@@ -294,7 +310,7 @@
 				auto address = worker->listen();
 				if (!options_.figures.empty())
 				{
-					fronts_.push_back(std::make_unique<worker_front>(thread_.io(), address, options_.figures, options_.lasting));
+					fronts_.push_back(std::make_unique<worker_front>(thread_.io(), address, options_.figures, options_.lasting, options_.figure_swing));
 					address = fronts_.back()->listen();
 				}
 				worker->start_heartbeats(address);
--- a/review/standins-3/site.hh
+++ b/review/standins-3/site.hh
@@ -73,7 +73,8 @@
 	class worker_front
 	{
 	public:
-		worker_front(boost::asio::io_context& io, endpoint worker, std::map<char, std::int64_t> figures, std::string lasting);
+		worker_front(boost::asio::io_context& io, endpoint worker, std::map<char, std::int64_t> figures, std::string lasting,
+					 double swing);
 		[[nodiscard]] endpoint listen();
 
 	private:
@@ -83,6 +84,7 @@
 		http_client worker_;
 		std::map<char, std::int64_t> figures_;
 		std::string lasting_;
+		double swing_;
 	};
 
 	struct site_options
@@ -95,6 +97,7 @@
 		std::string more_routes; ///< Further members of a route, beginning with a comma.
 		std::map<char, std::int64_t> figures; ///< If any, workers are called through a worker_front.
 		std::string lasting{"c"}; ///< Digits with which the ids of jobs of lasting tasks begin, for the worker_front.
+		double figure_swing{}; ///< Share by which the figures of lasting tasks rise and fall around those given.
 	};
 
 	/// \brief Starts all processes and stand-ins; the destructor ends them.
