Store: a transaction that is rejected for good is told from one that is refused for now

What callers saw: nothing by itself. The faults that follow could not be told apart in logs: the store's 400 and 413 had the outcome of its 429 and 503, and the owner repeated either without end, without the row, its size or the limit.

--- a/packages/core/include/trailjunction/core/event.hpp
+++ b/packages/core/include/trailjunction/core/event.hpp
@@ -96,6 +96,7 @@
 		long_running_idle = 461,
 		idle_ended = 462,
 		orders_withheld = 463,
+		row_rejected = 464,
 		wave_begun = 480,
 		wave_refused = 481,
 		wave_changed = 482,
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -25,7 +25,7 @@
 			event::start_unanswered,     event::worker_lapsed,       event::worker_avoided,     event::job_refused,
 			event::job_unknown,          event::row_unreadable,      event::runs_overlap,       event::owner_behind,
 			event::owner_handed_on,      event::task_given_up,       event::instance_suspended, event::task_held_back,
-			event::long_running_idle,
+			event::long_running_idle,    event::row_rejected,
 		};
 
 		constexpr std::initializer_list<event> event_list = {
@@ -74,6 +74,7 @@
 			event::tasks_cleared,        event::task_held_back,
 			event::task_released,        event::long_running_idle,
 			event::idle_ended,           event::orders_withheld,
+			event::row_rejected,
 		};
 	}
 
@@ -239,6 +240,8 @@
 			return "idle_ended";
 		case event::orders_withheld:
 			return "orders_withheld";
+		case event::row_rejected:
+			return "row_rejected";
 		case event::job_turned_away:
 			return "job_turned_away";
 		case event::wave_begun:
--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -196,7 +196,7 @@
 				out.store_ms = result.store_clock_ms;
 				break;
 			}
-			if (result.outcome == commit_outcome::refused)
+			if (result.outcome == commit_outcome::refused || result.outcome == commit_outcome::rejected)
 				co_return std::nullopt;
 			co_await pause_for(io_, retry_backoff);
 		}
--- a/packages/entry/src/process/job_term_expiry.cpp
+++ b/packages/entry/src/process/job_term_expiry.cpp
@@ -111,7 +111,7 @@
 			for (auto& removal : removals_of_expired(*page, partition))
 			{
 				const auto result = co_await store_.commit(std::move(removal), boottime_now() + call_timeout);
-				if (result.outcome == commit_outcome::refused || result.outcome == commit_outcome::unknown)
+				if (result.outcome != commit_outcome::applied && result.outcome != commit_outcome::conflict)
 					store_monitor_.record_failure("remove cancelled ids", result.reason);
 			}
 			if (!page->has_more || page->rows.empty())
--- a/packages/store/include/trailjunction/store/row_store.hpp
+++ b/packages/store/include/trailjunction/store/row_store.hpp
@@ -61,7 +61,8 @@
 	{
 		applied,
 		conflict, ///< Certain: a condition did not hold, and nothing was applied.
-		refused,  ///< Certain: the store did not accept it, and nothing was applied.
+		refused,  ///< Certain: the store did not accept it, and nothing was applied. It may accept it later.
+		rejected, ///< Certain: the store will never accept it, and nothing was applied; see row_limits.hpp.
 		unknown,  ///< It may have been applied, or may still be applied later if its conditions hold then.
 	};
 
--- a/packages/testkit/src/memory_store.cpp
+++ b/packages/testkit/src/memory_store.cpp
@@ -101,6 +101,13 @@
 			out.outcome = commit_outcome::refused;
 			co_return out;
 		}
+		if (const auto status = check_limits(change, limits); !status.ok())
+		{
+			out.outcome = commit_outcome::rejected;
+			out.reason = std::string{status.message()};
+			rejections.push_back(out.reason);
+			co_return out;
+		}
 		if (faults.transaction_duration.count() > 0)
 		{
 			out.outcome = co_await wait_for_turn(change, deadline);
--- a/packages/testkit/src/rows_standin.cpp
+++ b/packages/testkit/src/rows_standin.cpp
@@ -116,6 +116,8 @@
 		each_row(body, "remove", change, [&](const json::object& row) { change.remove.push_back(name_of(row)); });
 		const auto partition = change.partition;
 		const auto result = co_await store.commit(std::move(change), boottime_now() + call_timeout);
+		if (result.outcome == commit_outcome::rejected)
+			co_return error_response(400, result.reason);
 		if (result.outcome == commit_outcome::refused)
 			co_return error_response(503, "refused");
 		if (result.outcome == commit_outcome::unknown)
