--- a/packages/entry/src/job_entry_settings.cpp
+++ b/packages/entry/src/job_entry_settings.cpp
@@ -10,6 +10,7 @@
 	namespace
 	{
 		constexpr allowed_range time_range{100, 3'600'000};
+		constexpr allowed_range row_bytes_range{4'096, 1'000'000};
 		constexpr double min_processors = 0.001;
 		constexpr double max_processors = 10'000.0;
 
@@ -79,6 +80,9 @@
 							   limits.read("processors", cores, min_processors, max_processors);
 							   out.processors = share * cores;
 						   });
+		auto row_bytes = static_cast<std::int64_t>(out.store_limits.value_bytes);
+		reader.read("store_row_bytes", row_bytes, row_bytes_range);
+		out.store_limits.value_bytes = static_cast<std::size_t>(row_bytes);
 		reader.read("contact_ms", out.contact, time_range);
 		reader.read("longest_run_lease_ms", out.longest_run_lease, time_range);
 		reader.read("evacuate_within_ms", out.evacuate_within, time_range);
@@ -97,9 +101,9 @@
 	{
 		return left.member == right.member && left.data_centre == right.data_centre && left.callers == right.callers &&
 			   left.readiness == right.readiness && left.metrics == right.metrics && left.store == right.store &&
-			   left.contact == right.contact && left.longest_run_lease == right.longest_run_lease &&
-			   left.evacuate_within == right.evacuate_within && left.forecast_room == right.forecast_room &&
-			   same_upkeep_service(left, right);
+			   left.store_limits.value_bytes == right.store_limits.value_bytes && left.contact == right.contact &&
+			   left.longest_run_lease == right.longest_run_lease && left.evacuate_within == right.evacuate_within &&
+			   left.forecast_room == right.forecast_room && same_upkeep_service(left, right);
 	}
 
 	ownership_times ownership_times_of(const job_entry_settings& settings) noexcept
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -56,9 +56,6 @@
 		/// Time after a takeover without a forecast. Until workers have reported their capacity to the new owner, a
 		/// forecast would say that there is none.
 		constexpr auto first_forecast_delay = millis{3'000};
-		/// Minimum interval between two writes of the learned pressures. A successor that continues from stored values
-		/// of this age has lost one or two measurements of a pair of images.
-		constexpr auto store_pressures_interval = millis{2'000};
 
 		/// Growth of the end of an unconfirmed lease from which on it is stored again. Reports that take longer than
 		/// others let it appear later. It is below the margin that is added to each longest lease.
@@ -165,6 +162,8 @@
 			io_, [self]() -> asio::awaitable<void> { co_await self->remove_expired_cancellations(); }, asio::detached);
 		asio::co_spawn(
 			io_, [self]() -> asio::awaitable<void> { co_await self->monitor_load(); }, asio::detached);
+		asio::co_spawn(
+			io_, [self]() -> asio::awaitable<void> { co_await self->store_pressures(); }, asio::detached);
 		while (!over_)
 		{
 			co_await wait_for_work();
@@ -287,7 +286,6 @@
 					out.ends.push_back({peer, peer->worker.current_incarnation, peer->worker.last_end_seen,
 										peer->worker.full_reports});
 		add_workers(out);
-		add_pressures(out, now);
 		if (upkeep_)
 			upkeep_->add_unsaved_rows(out.change, max_wave_rows);
 		add_progress_removals(out);
@@ -330,14 +328,6 @@
 		return row;
 	}
 
-	void job_term::add_pressures(batch& out, instant now)
-	{
-		if (pressures_.pairs.empty() || now - pressures_stored_at_ < store_pressures_interval)
-			return;
-		pressures_stored_at_ = now;
-		out.change.put.push_back({{pressures_table, pressures_key}, encode_pressures(pressures_)});
-	}
-
 	void job_term::add_progress_removals(batch& out)
 	{
 		auto rows_left = max_rows - out.saved.size() - out.workers;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -129,7 +129,6 @@
 		void add_progress_removals(batch& out);
 		void add_workers(batch& out);
 		[[nodiscard]] stored::worker worker_row(const agent_peer& peer) const;
-		void add_pressures(batch& out, instant now);
 		boost::asio::awaitable<bool> commit(batch& pending);
 		void on_committed(const batch& durable_batch, instant now);
 		/// Orders a start that has been committed, or withdraws it if it is no longer permitted by now.
@@ -155,6 +154,11 @@
 		boost::asio::awaitable<void> remove_expired_cancellations_in(std::string partition);
 		[[nodiscard]] std::vector<job_id> expired_jobs(instant now) const;
 
+		// job_term_pressures.cpp: the learnt pressures in the store
+		void apply_pressures(const std::vector<stored_row>& rows);
+		/// Stores the learnt pressures as long as the term lasts.
+		boost::asio::awaitable<void> store_pressures();
+
 		// job_term_idle.cpp: long-running tasks without a run
 		/// Reports the long-running tasks without a run, by reason, when the next search is due.
 		void report_idle_if_due(instant now);
@@ -176,7 +180,6 @@
 		void store_undecoded_progress(const std::vector<stored_row>& rows);
 		void apply_agents(const std::vector<stored_row>& rows);
 		void apply_workers(const std::vector<stored_row>& rows);
-		void apply_pressures(const std::vector<stored_row>& rows);
 
 		// job_term_workers.cpp: reports from workers and orders to them
 		void on_report(agent_peer& peer, wire::job_report&& report);
@@ -332,7 +335,7 @@
 		/// Progress rows whose submission has not been read yet.
 		absl::flat_hash_map<job_id, std::string> undecoded_progress_;
 		pressure_model pressures_;
-		instant pressures_stored_at_{};
+		bool has_named_pressures_{}; ///< The store holds the row of an earlier version.
 		/// Free capacity of the workers for placement. An entry is recomputed only after a report of the worker or a
 		/// change of the runs placed on it, so that the cost of a round does not grow with the number of placed runs.
 		std::vector<worker_room> rooms_;
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -247,18 +247,6 @@
 		}
 	}
 
-	void job_term::apply_pressures(const std::vector<stored_row>& rows)
-	{
-		for (const auto& row : rows)
-		{
-			auto model = decode_pressures(row.value, boottime_now());
-			if (model.ok())
-				pressures_ = *std::move(model);
-			else
-				log_event(event::row_unreadable, {{"row", row.name.key}, {"reason", model.status().ToString()}});
-		}
-	}
-
 	void job_term::apply_agents(const std::vector<stored_row>& rows)
 	{
 		for (const auto& row : rows)
--- a/packages/entry/src/process/job_term_workers.cpp
+++ b/packages/entry/src/process/job_term_workers.cpp
@@ -25,7 +25,6 @@
 		constexpr int serving_percent = 100; ///< Progress reported by a long-running task that serves.
 
 		constexpr trust_policy default_trust_policy{};
-		constexpr pressure_policy default_pressure_policy{};
 		constexpr double millicores_per_core = 1'000.0;
 		constexpr double pressure_to_milli = 1'000.0;
 	}
--- a/packages/jobs/include/trailjunction/jobs.hpp
+++ b/packages/jobs/include/trailjunction/jobs.hpp
@@ -11,6 +11,7 @@
 #include "jobs/filler_pressure.hpp"
 #include "jobs/held_tasks.hpp"
 #include "jobs/idle_long_running.hpp"
+#include "jobs/image_digest.hpp"
 #include "jobs/job_configuration.hpp"
 #include "jobs/job_crashes.hpp"
 #include "jobs/job_fwd.hpp"
--- a/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
+++ b/packages/jobs/include/trailjunction/jobs/filler_pressure.hpp
@@ -16,19 +16,19 @@
 /// and one day of high load on both deployments (docs/MEASUREMENTS.md).
 #pragma once
 
+#include "image_digest.hpp"
 #include "job_ids.hpp"
 #include "load_forecast.hpp"
 
 #include <trailjunction/core/units.hpp>
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/hash/hash.h>
 
 #include <array>
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace trailjunction
@@ -57,9 +57,14 @@
 		double max_latency_ratio{4.0};
 		/// A measurement covers half a second; one taken sooner than this after the previous one is redundant.
 		millis min_sample_interval{400};
+		/// Maximum number of pairs in the model; the least recently measured ones are dropped.
+		std::size_t max_pairs{1'000};
 		load_policy load; ///< Parameters of the load forecast of each group.
 	};
 
+	/// \brief The policy that owners use.
+	inline constexpr pressure_policy default_pressure_policy{};
+
 	/// \brief Times after the placement decision at which the load is forecast. A filler takes about 0.3 s to start,
 	/// and those with the highest pressure run for about two seconds.
 	inline constexpr std::array<millis, 3> forecast_offsets{millis{500}, millis{1'250}, millis{2'000}};
@@ -97,38 +102,11 @@
 		instant updated_at{};
 	};
 
-	/// \brief The image of a serving task and that of a filler.
-	using image_pair = std::pair<std::string, std::string>;
-	/// \brief Non-owning image_pair, for lookups without copies: placement looks up several pairs per worker.
-	using image_pair_view = std::pair<std::string_view, std::string_view>;
-
-	/// \brief Hashes owning and non-owning image pairs.
-	struct image_pair_hash
-	{
-		using is_transparent = void;
-
-		[[nodiscard]] std::size_t operator()(const image_pair_view& pair) const noexcept
-		{
-			return absl::HashOf(pair.first, pair.second);
-		}
-	};
-
-	/// \brief Compares owning and non-owning image pairs.
-	struct image_pair_equal
-	{
-		using is_transparent = void;
-
-		[[nodiscard]] bool operator()(const image_pair_view& left, const image_pair_view& right) const noexcept
-		{
-			return left == right;
-		}
-	};
-
 	/// \brief The learnt state of the model.
 	struct pressure_model
 	{
 		/// Pressure per processor, by the images of the serving task and the filler.
-		absl::flat_hash_map<image_pair, estimate, image_pair_hash, image_pair_equal> pairs;
+		absl::flat_hash_map<image_pair, estimate> pairs;
 		/// ln(latency ratio) without fillers of each group of serving tasks, by the group's first task.
 		absl::flat_hash_map<task_key, estimate> bases;
 		/// Load of each group of serving tasks, by the group's first task.
@@ -158,6 +136,9 @@
 	void learn_pressure(pressure_model& model, const measured_latency& measured, std::span<const filler_use> fillers,
 						const pressure_policy& policy, instant now);
 
+	/// \brief Drops the least recently measured pairs while there are more than pressure_policy::max_pairs.
+	void drop_oldest_pairs(pressure_model& model, const pressure_policy& policy);
+
 	/// \brief Removes the bases, loads and measurement times of a job's tasks.
 	void forget_bases(pressure_model& model, const job_id& job);
 }
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -11,6 +11,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,18 +53,18 @@
 	[[nodiscard]] std::string encode_agent(const stored::agent& row);
 	[[nodiscard]] absl::StatusOr<stored::agent> decode_agent(std::string_view row);
 
-	/// \brief Maximum number of image pairs in the row of learnt pressures; the most recently updated ones are kept. A
-	/// pair takes some 40 bytes, so that the row stays well below the store's limit.
-	inline constexpr std::size_t max_stored_pairs = 500;
+	/// \brief Encodes the learnt pressures by the digests of their images, the most recently measured pairs first. The
+	/// bases of tasks are not stored, because they are learnt again within a second.
+	/// \param max_bytes Maximum size of the row; pairs that do not fit are left out.
+	[[nodiscard]] std::string encode_pressures(const pressure_model& model, std::size_t max_bytes);
 
-	/// \brief Encodes the learnt pressures. The bases of tasks are not stored, because they are learnt again within a
-	/// second.
-	[[nodiscard]] std::string encode_pressures(const pressure_model& model);
-
-	/// \brief Decodes encode_pressures()'s row.
+	/// \brief Decodes encode_pressures()'s row; data_loss if it is malformed.
 	/// \param now Used as the time of the latest updates.
 	[[nodiscard]] absl::StatusOr<pressure_model> decode_pressures(std::string_view row, instant now);
 
+	/// \brief Decodes the row of earlier versions, which holds the names of the images.
+	[[nodiscard]] absl::StatusOr<pressure_model> decode_named_pressures(std::string_view row, instant now);
+
 	/// \brief Encodes the row of the worker of one agent.
 	[[nodiscard]] std::string encode_worker(const stored::worker& worker);
 	[[nodiscard]] absl::StatusOr<stored::worker> decode_worker(std::string_view row);
--- a/packages/jobs/include/trailjunction/jobs/job_tables.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_tables.hpp
@@ -24,8 +24,9 @@
 	inline constexpr const char* progress_table = "job_progress";   ///< Progress of jobs.
 	inline constexpr const char* agents_table = "job_agents";       ///< Addresses at which agents accept connections.
 	inline constexpr const char* workers_table = "job_workers";     ///< The worker that each agent was last seen with.
-	inline constexpr const char* pressures_table = "job_pressures"; ///< A single row: the learnt pressures of fillers.
-	inline constexpr const char* pressures_key = "pairs";
+	inline constexpr const char* pressures_table = "job_pressures"; ///< The learnt pressures of fillers.
+	inline constexpr const char* pressures_key = "digests";         ///< The pressures by digests of image names.
+	inline constexpr const char* named_pressures_key = "pairs";     ///< The row of earlier versions, with the names.
 
 	/// \brief Suffix of the key of a cancellation in submissions_table; sorts after the job's own key.
 	inline constexpr const char* cancellation_suffix = ".cancelled";
--- a/packages/jobs/src/filler_pressure.cpp
+++ b/packages/jobs/src/filler_pressure.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace trailjunction
@@ -48,7 +49,7 @@
 		estimate pressure_now(const pressure_model& model, const std::string& serving, const std::string& filler,
 							  const pressure_policy& policy, instant now)
 		{
-			const auto found = model.pairs.find(image_pair_view{serving, filler});
+			const auto found = model.pairs.find(make_image_pair(serving, filler));
 			if (found == model.pairs.end())
 				return {policy.prior_pressure, policy.prior_variance, now};
 			return aged(found->second, policy.pressure_drift, policy.prior_variance, now);
@@ -95,7 +96,7 @@
 	double pressure_of(const pressure_model& model, const std::string& serving, const std::string& filler,
 					   const pressure_policy& policy)
 	{
-		const auto found = model.pairs.find(image_pair_view{serving, filler});
+		const auto found = model.pairs.find(make_image_pair(serving, filler));
 		return found == model.pairs.end() ? policy.prior_pressure : found->second.mean;
 	}
 
@@ -157,11 +158,24 @@
 		{
 			correct(entry.pressure, entry.cpus, error, variance);
 			entry.pressure.mean = std::clamp(entry.pressure.mean, 0.0, policy.max_pressure);
-			model.pairs[image_pair{measured.image, entry.image}] = entry.pressure;
+			model.pairs[make_image_pair(measured.image, entry.image)] = entry.pressure;
 		}
 		learn_load(model, measured.task, {now, measured_log_ratio - added, added_variance}, policy);
 	}
 
+	void drop_oldest_pairs(pressure_model& model, const pressure_policy& policy)
+	{
+		if (model.pairs.size() <= policy.max_pairs)
+			return;
+		std::vector<std::pair<instant, image_pair>> oldest;
+		for (const auto& [pair, pressure] : model.pairs)
+			oldest.emplace_back(pressure.updated_at, pair);
+		const auto first_kept = oldest.end() - static_cast<std::ptrdiff_t>(policy.max_pairs);
+		std::nth_element(oldest.begin(), first_kept, oldest.end());
+		for (auto dropped = oldest.begin(); dropped != first_kept; ++dropped)
+			model.pairs.erase(dropped->second);
+	}
+
 	void forget_bases(pressure_model& model, const job_id& job)
 	{
 		absl::erase_if(model.bases, [&](const auto& base) { return base.first.job == job; });
--- a/tests/filler_concentration.cpp
+++ b/tests/filler_concentration.cpp
@@ -31,7 +31,7 @@
 				assign(table, {job_id{"a"}, 0, 0, i}, worker_incarnation{"w1"}, start);
 			for (std::uint32_t i = 0; i < at_work; ++i)
 				assign(table, {job_id{"b"}, 0, 0, i}, worker_incarnation{"w1"}, start);
-			pressures.pairs[{"s", "heavy"}] = {pressure, 0.001, start};
+			pressures.pairs[make_image_pair("s", "heavy")] = {pressure, 0.001, start};
 		}
 
 		std::size_t place()
@@ -63,7 +63,7 @@
 	auto gentle = group_of(1, 1'000);
 	gentle.filler = true;
 	gentle.image = "gentle";
-	worker.pressures.pairs[{"s", "gentle"}] = {0.001, 0.001, start};
+	worker.pressures.pairs[make_image_pair("s", "gentle")] = {0.001, 0.001, start};
 	add_job(worker.table, job_of("c", {gentle}));
 	CHECK(worker.place() == 1);
 }
--- a/tests/job_placement.cpp
+++ b/tests/job_placement.cpp
@@ -135,8 +135,8 @@
 	assign(table, {job_id{"b"}, 0, 0, 0}, worker_incarnation{"w2"}, start);
 	std::vector<worker_room> rooms{room_of("w1"), room_of("w2")};
 	pressure_model pressures;
-	pressures.pairs[{"calm", "f"}] = {0.0, 0.001, start};
-	pressures.pairs[{"touchy", "f"}] = {0.4, 0.001, start};
+	pressures.pairs[make_image_pair("calm", "f")] = {0.0, 0.001, start};
+	pressures.pairs[make_image_pair("touchy", "f")] = {0.4, 0.001, start};
 	const placement_policy policy;
 	const auto place_by = [&](std::vector<worker_room> on)
 	{
@@ -148,11 +148,11 @@
 	CHECK(placed[0].worker == 0);
 	rooms[0].accepts = false;
 	CHECK(place_by(rooms).empty());
-	pressures.pairs[{"touchy", "f"}].mean = 0.05;
+	pressures.pairs[make_image_pair("touchy", "f")].mean = 0.05;
 	CHECK(place_by(rooms).size() == 1);
 	find_job(table, job_id{"c"})->accepted_at = start - std::chrono::seconds{30}; // the job is late
 	find_task(table, {job_id{"c"}, 0, 0, 0})->phase_since = start; // but not starving: a run has just ended
-	pressures.pairs[{"touchy", "f"}].mean = 0.2;
+	pressures.pairs[make_image_pair("touchy", "f")].mean = 0.2;
 	CHECK(place_by(rooms).empty());
 	find_job(table, job_id{"c"})->accepted_at = start; // the job has time left
 	CHECK(place_by(rooms).empty());
@@ -186,7 +186,7 @@
 		for (double pressure = 0.0; pressure < 0.5; pressure += 0.01)
 		{
 			pressure_model pressures;
-			pressures.pairs[{"s", "f"}] = {pressure, 0.001, start};
+			pressures.pairs[make_image_pair("s", "f")] = {pressure, 0.001, start};
 			std::vector<worker_room> rooms{room_of("w1")};
 			charge_workers(rooms, table, pressures, policy);
 			if (!place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {start, 0}).empty())
@@ -263,7 +263,7 @@
 TEST_CASE("a filler job without a running task for long gets one place regardless of the harm", "[jobs]")
 {
 	pressed_worker scenario{6};
-	scenario.pressures.pairs[{"s", "f"}] = {1.0, 0.001, start};
+	scenario.pressures.pairs[make_image_pair("s", "f")] = {1.0, 0.001, start};
 	CHECK(scenario.place_at(start + millis{500}) == 0);
 	CHECK(scenario.place_at(start + millis{2'500}) == 1);
 	add_job(scenario.table, job_of("c", {group_of(1, 1'000)}));
@@ -288,7 +288,7 @@
 	add_job(table, job_of("b", {filler}));
 	std::vector<worker_room> rooms{room_of("w1")};
 	pressure_model pressures;
-	pressures.pairs[{"touchy", "f"}] = {0.4, 0.001, start};
+	pressures.pairs[make_image_pair("touchy", "f")] = {0.4, 0.001, start};
 	const placement_policy policy;
 	charge_workers(rooms, table, pressures, policy);
 	const auto placed = place_tasks(rooms, table, waiting_tasks(table, 0), pressures, policy, {start, 0});
@@ -331,7 +331,7 @@
 	add_job(table, job_of("b", {filler}));
 	add_job(table, job_of("c", {filler}));
 	pressure_model pressures;
-	pressures.pairs[{"touchy", "f"}] = {1.0, 0.001, start};
+	pressures.pairs[make_image_pair("touchy", "f")] = {1.0, 0.001, start};
 	const placement_policy policy;
 	const auto place_at = [&](instant now)
 	{
--- a/tests/job_term.cpp
+++ b/tests/job_term.cpp
@@ -221,8 +221,9 @@
 	scene fixture;
 	fixture.settings.contact = millis{6'000};
 	pressure_model learnt;
-	learnt.pairs[{"serving", "filling"}] = {0.02, 0.001, boottime_now()};
-	fixture.store.put(job_partition, pressures_table, pressures_key, encode_pressures(learnt));
+	learnt.pairs[make_image_pair("serving", "filling")] = {0.02, 0.001, boottime_now()};
+	fixture.store.put(job_partition, pressures_table, pressures_key,
+					  encode_pressures(learnt, row_limits{}.value_bytes));
 	auto serving = one_task();
 	serving.groups[0].long_running = true;
 	serving.groups[0].image = "serving";
@@ -237,10 +238,17 @@
 	REQUIRE(fixture.run_until([&] { return fixture.agent.received_starts.size() == 2; }));
 	REQUIRE(fixture.agent.received_starts[1].pressures.size() == 1);
 	CHECK(fixture.agent.received_starts[1].pressures[0].milli == 20);
-	// The owner stores the pressures again during its term.
-	fixture.store.put(job_partition, pressures_table, pressures_key, "");
-	CHECK(
-		fixture.run_until([&] { return !fixture.store.value(job_partition, pressures_table, pressures_key).empty(); }));
+	// The owner stores the pressures again during its term, in a transaction without its lease.
+	const auto stores_pressures = [](const row_transaction& change)
+	{
+		return change.put.size() == 1 && change.put.front().name.table == pressures_table;
+	};
+	const auto& commits = fixture.store.requested_commits;
+	REQUIRE(fixture.run_until([&] { return std::any_of(commits.begin(), commits.end(), stores_pressures); }));
+	const auto stored = decode_pressures(
+		std::find_if(commits.begin(), commits.end(), stores_pressures)->put.front().value, boottime_now());
+	REQUIRE(stored.ok());
+	CHECK(stored->pairs.contains(make_image_pair("serving", "filling")));
 }
 
 TEST_CASE("reports of agents are not processed before all jobs are loaded", "[jobs]")
