Owner: a transaction that the store rejects for good no longer takes the lease

What callers saw: one value that the store can never hold ended all scheduling.

Cause: the transaction that renews the lease also carries the progress of all jobs, workers and waves, and job_term::commit() repeated a rejected one as it was, without end.

Change: a rejected transaction is reduced to the owner row, so that the lease is renewed; its other changes are pending again, and the next transactions hold half as many, down to one. The change that is rejected alone is given up by itself: a job fails (its pending starts are taken back, as no run may be ordered that is not stored), a worker's row, a wave or a removal is left out. Transactions are filled up to the limits of the store instead of to counts of rows.

Evidence: both tests in tests/rejected_transactions.cpp failed after 20 s before the change (no other job started); they pass with it.

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -42,14 +42,8 @@
 		/// Minimum interval between log lines of ended runs. The ends of one job spread over many rounds; one line per
 		/// job and round would exceed the limit of the log.
 		constexpr auto log_ends_interval = millis{250};
-		/// Maximum number of job rows in one transaction. The store accepts 100 entries; the owner row and its
-		/// condition take two.
-		constexpr std::size_t max_rows = 90;
-		/// Maximum number of upkeep wave rows in one transaction, in addition to all others. Each holds at most 64 KiB.
+		/// Maximum number of upkeep wave rows in one transaction, so that they leave room for jobs.
 		constexpr std::size_t max_wave_rows = 4;
-		/// Size at which a transaction takes no more job rows, in bytes of values. The store accepts 1 MB including
-		/// base64 encoding and names.
-		constexpr std::size_t max_bytes = 500'000;
 		/// Minimum interval between two forecasts. A forecast iterates over all waiting and running tasks, and entries
 		/// receive it twice per second.
 		constexpr auto forecast_interval = millis{250};
@@ -96,6 +90,7 @@
 		  commit_gap_{min_commit_gap},
 		  meter_{metrics, began_at_},
 		  idle_meter_{metrics},
+		  max_changes_{max_batch_changes},
 		  work_timer_{io}
 	{
 		if (upkeep != nullptr && settings_.upkeep)
@@ -259,21 +254,10 @@
 		}
 		batch out;
 		add_owner_row(out, has_recent_submissions(max_depths_age, now));
-		std::size_t bytes = 0;
-		for (const auto& id : table_.unsaved)
-		{
-			if (out.saved.size() == max_rows || bytes > max_bytes)
-				break;
-			auto& job = *find_job(table_, id);
-			if (has_ended(job.status) && job.ended_ms == 0)
-				job.ended_ms = store_now_ms(now);
-			auto row = encode_progress(job);
-			bytes += row.size();
-			out.change.put.push_back({{progress_table, id.str()}, std::move(row)});
-			out.saved.push_back(id);
-		}
-		for (const auto& id : out.saved)
-			table_.unsaved.erase(id);
+		auto space = space_left(out.change, settings_.store_limits);
+		if (upkeep_)
+			out.waves = upkeep_->add_unsaved_rows(out.change, space, std::min(max_wave_rows, max_changes_));
+		add_jobs(out, space, now);
 		const auto is_saved = [&](const task_run& run_id)
 		{
 			return !table_.unsaved.contains(run_id.task.job);
@@ -285,14 +269,29 @@
 				if (peer->worker.last_end_seen > peer->worker.last_end_stored)
 					out.ends.push_back({peer, peer->worker.current_incarnation, peer->worker.last_end_seen,
 										peer->worker.full_reports});
-		add_workers(out);
-		if (upkeep_)
-			upkeep_->add_unsaved_rows(out.change, max_wave_rows);
-		add_progress_removals(out);
+		add_workers(out, space);
+		add_progress_removals(out, space);
 		return out;
 	}
 
-	void job_term::add_workers(batch& out)
+	void job_term::add_jobs(batch& out, transaction_space& space, instant now)
+	{
+		for (const auto& id : table_.unsaved)
+		{
+			if (out.changes() >= max_changes_)
+				break;
+			auto& job = *find_job(table_, id);
+			if (has_ended(job.status) && job.ended_ms == 0)
+				job.ended_ms = store_now_ms(now);
+			if (!add_if_fits(out.change, space, {{{progress_table, id.str()}, encode_progress(job)}}))
+				break;
+			out.saved.push_back(id);
+		}
+		for (const auto& id : out.saved)
+			table_.unsaved.erase(id);
+	}
+
+	void job_term::add_workers(batch& out, transaction_space& space)
 	{
 		// A successor determines from the stored incarnation which runs were lost with it. Therefore the next
 		// incarnation is stored no earlier than the last job that the loss changed.
@@ -300,7 +299,7 @@
 			return;
 		for (const auto& [name, peer] : peers_)
 		{
-			if (out.saved.size() + out.workers == max_rows)
+			if (out.changes() >= max_changes_)
 				break; // left to the next transaction
 			const auto& worker = peer->worker.current_incarnation;
 			const auto unconfirmed_end = unconfirmed_lease_end(worker);
@@ -308,10 +307,11 @@
 								   unconfirmed_end < peer->stored_lease_end + min_stored_lease_growth;
 			if (worker.empty() || is_stored)
 				continue;
-			out.change.put.push_back({{workers_table, name}, encode_worker(worker_row(*peer))});
+			if (!add_if_fits(out.change, space, {{{workers_table, name}, encode_worker(worker_row(*peer))}}))
+				break;
 			peer->stored_incarnation = worker;
 			peer->stored_lease_end = unconfirmed_end;
-			++out.workers;
+			out.workers.push_back(peer);
 		}
 	}
 
@@ -328,16 +328,18 @@
 		return row;
 	}
 
-	void job_term::add_progress_removals(batch& out)
+	void job_term::add_progress_removals(batch& out, transaction_space& space)
 	{
-		auto rows_left = max_rows - out.saved.size() - out.workers;
-		for (; rows_left > 0 && !removed_submissions_.empty(); --rows_left)
+		while (out.changes() < max_changes_ && !removed_submissions_.empty())
 		{
-			const auto id = std::move(removed_submissions_.back());
-			removed_submissions_.pop_back();
+			const auto id = removed_submissions_.back();
 			// A job that was submitted again meanwhile has progress of its own.
-			if (find_job(table_, id) == nullptr)
-				out.change.remove.push_back({progress_table, id.str()});
+			const bool is_known_again = find_job(table_, id) != nullptr;
+			if (!is_known_again && !add_if_fits(out.change, space, {}, {{progress_table, id.str()}}))
+				return; // left to the next transaction
+			removed_submissions_.pop_back();
+			if (!is_known_again)
+				out.removed.push_back(id);
 		}
 	}
 
@@ -373,6 +375,8 @@
 				break;
 			}
 			store_monitor_.record_failure("commit", result.reason);
+			if (result.outcome == commit_outcome::rejected)
+				isolate_rejected(pending, result.reason, boottime_now());
 			// The pause also follows an immediate failure: a store that resets connections would otherwise get hundreds
 			// of requests.
 			co_await pause_for(io_, retry_backoff);
@@ -393,6 +397,8 @@
 		const busy_scope scope{meter_, owner_duty::acting};
 		if (upkeep_)
 			upkeep_->record_saved();
+		if (durable_batch.changes() > 0)
+			max_changes_ = std::min(2 * max_changes_, max_batch_changes);
 		meter_.load.ordered += durable_batch.starts.size();
 		++meter_.load.commits;
 		for (const auto& ends : durable_batch.ends)
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -103,10 +103,22 @@
 			std::vector<job_id> saved;
 			std::vector<task_run> starts;
 			std::vector<durable_ends> ends;
-			std::size_t workers{}; ///< Number of rows with incarnations of workers.
+			std::vector<std::shared_ptr<agent_peer>> workers; ///< Agents whose worker rows are written.
+			std::size_t waves{};                              ///< Number of rows with waves that are written.
+			std::vector<job_id> removed;                      ///< Jobs whose progress is removed.
 			instant sent{};
+
+			/// Number of changes besides the owner row; each is written or left out as a whole.
+			[[nodiscard]] std::size_t changes() const noexcept
+			{
+				return saved.size() + workers.size() + waves + removed.size();
+			}
 		};
 
+		/// Maximum number of changes in one transaction. The store accepts 100 entries; the owner row and its condition
+		/// take two, and a change may take several.
+		static constexpr std::size_t max_batch_changes = 90;
+
 		// job_term.cpp: the transactions
 		[[nodiscard]] batch make_batch(instant now);
 		void add_owner_row(batch& out, bool loaded);
@@ -126,11 +138,25 @@
 		void log_stale_input(instant now);
 		[[nodiscard]] millis evacuations_age(instant now) const noexcept;
 		[[nodiscard]] bool has_recent_submissions(millis max_age, instant now) const noexcept;
-		void add_progress_removals(batch& out);
-		void add_workers(batch& out);
+		void add_jobs(batch& out, transaction_space& space, instant now);
+		void add_progress_removals(batch& out, transaction_space& space);
+		void add_workers(batch& out, transaction_space& space);
 		[[nodiscard]] stored::worker worker_row(const agent_peer& peer) const;
 		boost::asio::awaitable<bool> commit(batch& pending);
 		void on_committed(const batch& durable_batch, instant now);
+		// job_term_rejections.cpp: transactions that the store rejects for good
+		/// \brief Reduces a rejected transaction to the owner row, so that the lease is renewed all the same.
+		/// \details Its other changes are pending again, and the following transactions hold fewer of them until only
+		/// the one that the store rejects is left out.
+		void isolate_rejected(batch& rejected, std::string_view reason, instant now);
+		/// Makes the changes of a batch other than the owner row pending again.
+		void restore_changes(const batch& rejected);
+		/// Gives up the only change of a batch.
+		void discard_change(const batch& rejected, instant now);
+		/// Starts of a job that are not ordered yet.
+		[[nodiscard]] std::vector<task_run> pending_starts_of(const job_id& id) const;
+		/// Fails a job whose progress cannot be stored, or stops storing it if it has ended already.
+		void discard_progress(const job_id& id, std::string_view reason, instant now);
 		/// Orders a start that has been committed, or withdraws it if it is no longer permitted by now.
 		/// \param held Tasks that must not start yet; see tasks_with_unplaced_runs().
 		void order_committed_start(const task_run& run_id, const absl::flat_hash_set<task_key>& held, instant now);
@@ -381,7 +407,8 @@
 		bool logged_stale_input_{};
 		owner_lag loop_lag_;
 		owner_lag feed_lag_; ///< Lag of the feeds without which nothing starts, while the store answers other requests.
-		owner_lag agent_lag_; ///< Silence of most agents while the store answers.
+		owner_lag agent_lag_;     ///< Silence of most agents while the store answers.
+		std::size_t max_changes_; ///< Maximum number of changes in a transaction; lower after a rejection.
 		bool handed_over_{};
 		std::int64_t agents_version_{};
 		boost::asio::steady_timer work_timer_;
--- /dev/null
+++ b/packages/entry/src/process/job_term_rejections.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief The part of job_term that keeps the lease when the store rejects a transaction for good.
+#include "job_term.hpp"
+
+#include "../upkeep/upkeep_controller.hpp"
+
+#include <trailjunction/core/event.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace trailjunction
+{
+	void job_term::isolate_rejected(batch& rejected, std::string_view reason, instant now)
+	{
+		const auto changes = rejected.changes();
+		log_event(event::row_rejected,
+				  {{"reason", reason},
+				   {"changes", changes},
+				   {"bytes", encoded_size(rejected.change)},
+				   {"within_limits", check_limits(rejected.change, settings_.store_limits).ToString()}});
+		metrics_.counter("job_commits_rejected", "Transactions of the owner that the store rejected for good.")
+			.Increment();
+		if (changes == 1)
+			discard_change(rejected, now);
+		else if (changes > 1)
+			restore_changes(rejected);
+		max_changes_ = std::max<std::size_t>(1, changes / 2);
+		rejected.change.put.resize(1); // the owner row
+		rejected.change.remove.clear();
+		rejected.saved.clear();
+		rejected.starts.clear();
+		rejected.ends.clear();
+		rejected.workers.clear();
+		rejected.waves = 0;
+		rejected.removed.clear();
+	}
+
+	void job_term::restore_changes(const batch& rejected)
+	{
+		table_.unsaved.insert(rejected.saved.begin(), rejected.saved.end());
+		for (const auto& peer : rejected.workers)
+			peer->stored_incarnation = {};
+		removed_submissions_.insert(removed_submissions_.end(), rejected.removed.begin(), rejected.removed.end());
+		if (upkeep_)
+			upkeep_->record_not_saved();
+	}
+
+	void job_term::discard_change(const batch& rejected, instant now)
+	{
+		for (const auto& id : rejected.saved)
+			discard_progress(id, "the store rejects its progress", now);
+		for (const auto& peer : rejected.workers)
+			log_event(event::row_rejected,
+					  {{"worker", peer->worker.current_incarnation.str()}, {"left_out", "worker"}});
+		for (const auto& id : rejected.removed)
+			log_event(event::row_rejected, {{"job", id.str()}, {"left_out", "removal"}});
+		if (rejected.waves > 0)
+			log_event(event::row_rejected, {{"left_out", "wave"}});
+	}
+
+	std::vector<task_run> job_term::pending_starts_of(const job_id& id) const
+	{
+		std::vector<task_run> out;
+		std::copy_if(pending_starts_.begin(), pending_starts_.end(), std::back_inserter(out),
+					 [&](const task_run& run_id) { return run_id.task.job == id; });
+		return out;
+	}
+
+	void job_term::discard_progress(const job_id& id, std::string_view reason, instant now)
+	{
+		// The row of a failed job only holds the tasks that may run, and its pending starts are not ordered any more.
+		for (const auto& run_id : pending_starts_of(id))
+		{
+			pending_starts_.erase(run_id);
+			release_run(table_, run_id, now);
+		}
+		const bool failed = fail_job(table_, id);
+		if (!failed)
+			table_.unsaved.erase(id);
+		log_event(event::row_rejected,
+				  {{"job", id.str()}, {"reason", reason}, {"left_out", failed ? "the job, which fails" : "its end"}});
+	}
+}
--- a/packages/entry/src/upkeep/upkeep_controller.cpp
+++ b/packages/entry/src/upkeep/upkeep_controller.cpp
@@ -401,21 +401,31 @@
 		}
 	}
 
-	void upkeep_controller::add_unsaved_rows(row_transaction& change, std::size_t max_rows)
+	std::size_t upkeep_controller::add_unsaved_rows(row_transaction& change, transaction_space& space,
+													std::size_t max_rows)
 	{
 		in_commit_.clear();
 		for (const auto& id : unsaved_)
 		{
 			if (in_commit_.size() == max_rows)
 				break;
+			const auto* wave = find_wave(id);
+			const bool added =
+				wave != nullptr ? add_if_fits(change, space, {{{waves_table, id.str()}, encode_wave_progress(*wave)}})
+								: add_if_fits(change, space, {}, {{waves_table, id.str()}});
+			if (!added)
+				break;
 			in_commit_.insert(id);
-			if (const auto* wave = find_wave(id); wave != nullptr)
-				change.put.push_back({{waves_table, id.str()}, encode_wave_progress(*wave)});
-			else
-				change.remove.push_back({waves_table, id.str()});
 		}
 		for (const auto& id : in_commit_)
 			unsaved_.erase(id);
+		return in_commit_.size();
+	}
+
+	void upkeep_controller::record_not_saved()
+	{
+		unsaved_.insert(in_commit_.begin(), in_commit_.end());
+		in_commit_.clear();
 	}
 
 	void upkeep_controller::record_saved()
--- a/packages/entry/src/upkeep/upkeep_controller.hpp
+++ b/packages/entry/src/upkeep/upkeep_controller.hpp
@@ -5,7 +5,7 @@
 
 #include <trailjunction/entry/upkeep_port.hpp>
 #include <trailjunction/net/process_metrics.hpp>
-#include <trailjunction/store/row_store.hpp>
+#include <trailjunction/store/row_limits.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -57,8 +57,13 @@
 			return !unsaved_.empty();
 		}
 		/// \brief Adds changed progress rows to a transaction of the term.
+		/// \param space What still fits into the transaction; reduced by what is added.
 		/// \param max_rows The maximum number of rows to add.
-		void add_unsaved_rows(row_transaction& change, std::size_t max_rows);
+		/// \returns The number of rows that were added.
+		[[nodiscard]] std::size_t add_unsaved_rows(row_transaction& change, transaction_space& space,
+												   std::size_t max_rows);
+		/// \brief Records that the added rows were not written; they are added to a later transaction.
+		void record_not_saved();
 		/// \brief Records that the transaction with the added rows was applied.
 		void record_saved();
 
--- a/packages/jobs/include/trailjunction/jobs/job_table.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_table.hpp
@@ -92,6 +92,10 @@
 	/// \returns Whether this changed anything.
 	bool cancel_job(job_table& table, const job_id& id);
 
+	/// \brief Ends a job as failed although its tasks may go on until they are stopped; does nothing if it has ended.
+	/// \returns Whether this changed anything.
+	bool fail_job(job_table& table, const job_id& id);
+
 	/// \brief Assigns a waiting task to a worker under the next run number, which the members of a gang share.
 	task_run assign(job_table& table, const task_key& key, const worker_incarnation& worker, instant now);
 
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -140,6 +140,18 @@
 			learn_run_time(table.run_time_model, job.queue.queue, group.estimate, took);
 		}
 
+		/// Ends a job on request; its runs are stopped later.
+		bool end_job(job_table& table, const job_id& id, job_status status)
+		{
+			auto* job = find_job(table, id);
+			if (job == nullptr || has_ended(job->status))
+				return false;
+			job->status = status;
+			table.stop_candidates.insert(id);
+			table.unsaved.insert(id);
+			return true;
+		}
+
 		/// The phase of a task after a run that did not end `done`.
 		task_stage phase_after(const job_state& job, const task_group& group, const job_task& task)
 		{
@@ -232,13 +244,12 @@
 
 	bool cancel_job(job_table& table, const job_id& id)
 	{
-		auto* job = find_job(table, id);
-		if (job == nullptr || has_ended(job->status))
-			return false;
-		job->status = job_status::cancelled;
-		table.stop_candidates.insert(id);
-		table.unsaved.insert(id);
-		return true;
+		return end_job(table, id, job_status::cancelled);
+	}
+
+	bool fail_job(job_table& table, const job_id& id)
+	{
+		return end_job(table, id, job_status::failed);
 	}
 
 	task_run assign(job_table& table, const task_key& key, const worker_incarnation& worker, instant now)
--- a/packages/store/include/trailjunction/store/row_limits.hpp
+++ b/packages/store/include/trailjunction/store/row_limits.hpp
@@ -9,6 +9,7 @@
 #include <absl/status/status.h>
 
 #include <cstddef>
+#include <vector>
 
 namespace trailjunction
 {
@@ -27,6 +28,22 @@
 	/// \brief Upper bound of the bytes that a transaction takes in the store's protocol.
 	[[nodiscard]] std::size_t encoded_size(const row_transaction& transaction) noexcept;
 
+	/// \brief What still fits into a transaction.
+	struct transaction_space
+	{
+		std::size_t entries{};
+		std::size_t bytes{}; ///< As encoded_size() counts them.
+	};
+
+	/// \brief What still fits into a transaction; nothing if it already exceeds a limit.
+	[[nodiscard]] transaction_space space_left(const row_transaction& transaction, const row_limits& limits) noexcept;
+
+	/// \brief Adds writes and removals to a transaction if all of them fit.
+	/// \param space What still fits into the transaction; reduced by what is added.
+	/// \returns Whether they were added.
+	[[nodiscard]] bool add_if_fits(row_transaction& transaction, transaction_space& space, std::vector<row_value> put,
+								   std::vector<row_name> remove = {});
+
 	/// \brief Checks a transaction against the limits.
 	/// \returns invalid_argument that names the first row, its size and the limit that it exceeds.
 	[[nodiscard]] absl::Status check_limits(const row_transaction& transaction, const row_limits& limits);
--- a/packages/store/src/row_limits.cpp
+++ b/packages/store/src/row_limits.cpp
@@ -3,6 +3,10 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 namespace trailjunction
 {
 	namespace
@@ -19,6 +23,11 @@
 			return (bytes + 2) / 3 * 4;
 		}
 
+		std::size_t entries_of(const row_transaction& transaction) noexcept
+		{
+			return transaction.conditions.size() + transaction.put.size() + transaction.remove.size();
+		}
+
 		std::size_t name_size(const row_name& name) noexcept
 		{
 			return entry_overhead + max_escaped_bytes * (name.table.size() + name.key.size());
@@ -50,7 +59,7 @@
 
 	std::size_t encoded_size(const row_transaction& transaction) noexcept
 	{
-		const auto entries = transaction.conditions.size() + transaction.put.size() + transaction.remove.size();
+		const auto entries = entries_of(transaction);
 		std::size_t out = transaction_overhead + entries * max_escaped_bytes * transaction.partition.size();
 		for (const auto& condition : transaction.conditions)
 			out += name_size(condition.name);
@@ -61,9 +70,36 @@
 		return out;
 	}
 
+	transaction_space space_left(const row_transaction& transaction, const row_limits& limits) noexcept
+	{
+		const auto entries = entries_of(transaction);
+		const auto bytes = encoded_size(transaction);
+		if (entries > limits.entries || bytes > limits.transaction_bytes)
+			return {};
+		return {limits.entries - entries, limits.transaction_bytes - bytes};
+	}
+
+	bool add_if_fits(row_transaction& transaction, transaction_space& space, std::vector<row_value> put,
+					 std::vector<row_name> remove)
+	{
+		row_transaction added;
+		added.partition = transaction.partition;
+		added.put = std::move(put);
+		added.remove = std::move(remove);
+		const auto entries = entries_of(added);
+		const auto bytes = encoded_size(added);
+		if (entries > space.entries || bytes > space.bytes)
+			return false;
+		space.entries -= entries;
+		space.bytes -= bytes;
+		std::move(added.put.begin(), added.put.end(), std::back_inserter(transaction.put));
+		std::move(added.remove.begin(), added.remove.end(), std::back_inserter(transaction.remove));
+		return true;
+	}
+
 	absl::Status check_limits(const row_transaction& transaction, const row_limits& limits)
 	{
-		const auto entries = transaction.conditions.size() + transaction.put.size() + transaction.remove.size();
+		const auto entries = entries_of(transaction);
 		if (entries > limits.entries)
 			return absl::InvalidArgumentError(
 				absl::StrCat("the transaction has ", entries, " entries, at most ", limits.entries, " are allowed"));
--- /dev/null
+++ b/tests/rejected_transactions.cpp
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+/// \file
+/// \brief Tests of an owner whose store rejects what it writes.
+#include "job_term_fixture.hpp"
+
+using namespace trailjunction;
+using namespace trailjunction::testkit;
+using namespace trailjunction::job_term_fixture;
+
+namespace
+{
+	constexpr const char* second_job = "00000000000000a2";
+
+	job_spec small_tasks(std::uint32_t count)
+	{
+		auto spec = one_task();
+		spec.groups[0].count = count;
+		spec.groups[0].claim = {1, 1, 0};
+		return spec;
+	}
+
+	std::size_t starts_of(const scene& fixture, const std::string& job)
+	{
+		const auto& starts = fixture.agent.received_starts;
+		return static_cast<std::size_t>(std::count_if(starts.begin(), starts.end(),
+													  [&](const wire::job_start& start)
+													  { return from_wire(start.what).task.job.str() == job; }));
+	}
+}
+
+// Guards against the end of all scheduling because the store rejects the progress of one job.
+TEST_CASE("a job whose progress the store rejects fails, and other jobs go on under the same owner", "[jobs]")
+{
+	scene fixture;
+	fixture.store.limits.value_bytes = 1'000; // less than the settings of the owner say
+	fixture.submit(first_job, small_tasks(100));
+	fixture.begin_term();
+	REQUIRE(fixture.run_until([&] { return !fixture.store.rejections.empty(); }));
+	fixture.submit(second_job, one_task());
+	REQUIRE(fixture.run_until([&] { return starts_of(fixture, second_job) == 1; }));
+	REQUIRE(fixture.run_until([&] { return fixture.stored_job(first_job).status == job_status::failed; }));
+	CHECK(starts_of(fixture, first_job) == 0); // no run is ordered that is not stored
+	CHECK(!fixture.term_over);
+	CHECK(fixture.store.rejections.size() < 20);
+}
+
+TEST_CASE("jobs that are written with one that the store rejects are not affected", "[jobs]")
+{
+	scene fixture;
+	fixture.store.limits.value_bytes = 1'000;
+	fixture.submit(first_job, small_tasks(100));
+	constexpr std::size_t other_jobs = 7;
+	for (std::size_t i = 0; i < other_jobs; ++i)
+		fixture.submit(absl::StrFormat("%016x", 0xb0 + i), small_tasks(1));
+	fixture.begin_term();
+	REQUIRE(fixture.run_until([&] { return fixture.agent.received_starts.size() == other_jobs; }));
+	CHECK(starts_of(fixture, first_job) == 0);
+	CHECK(!fixture.term_over);
+}
