--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -276,19 +276,67 @@
 
 	void job_term::add_jobs(batch& out, transaction_space& space, instant now)
 	{
-		for (const auto& id : table_.unsaved)
+		std::vector<job_id> unsaved{table_.unsaved.begin(), table_.unsaved.end()};
+		if (const auto deferred = std::find(unsaved.begin(), unsaved.end(), deferred_job_); deferred != unsaved.end())
+			std::iter_swap(unsaved.begin(), deferred);
+		deferred_job_.reset();
+		for (const auto& id : unsaved)
 		{
 			if (out.changes() >= max_changes_)
 				break;
 			auto& job = *find_job(table_, id);
 			if (has_ended(job.status) && job.ended_ms == 0)
 				job.ended_ms = store_now_ms(now);
-			if (!add_if_fits(out.change, space, {{{progress_table, id.str()}, encode_progress(job)}}))
+			auto progress = encode_within_limits(job, now);
+			if (!progress)
+				continue;
+			if (!add_progress(out, space, job, *std::move(progress)))
+			{
+				deferred_job_ = id;
 				break;
-			out.saved.push_back(id);
-		}
-		for (const auto& id : out.saved)
+			}
 			table_.unsaved.erase(id);
+		}
+	}
+
+	bool job_term::add_progress(batch& out, transaction_space& space, const job_state& job, progress_rows progress)
+	{
+		const auto rows = progress.values.size();
+		std::vector<row_value> put;
+		for (std::size_t i = 0; i < rows; ++i)
+			put.push_back({{progress_table, progress_key(job.id, i)}, std::move(progress.values[i])});
+		if (!add_if_fits(out.change, space, std::move(put), stored_progress_rows(job.id, rows)))
+			return false;
+		out.saved.push_back({job.id, rows});
+		return true;
+	}
+
+	std::optional<progress_rows> job_term::encode_within_limits(job_state& job, instant now)
+	{
+		const progress_limits limits{.row_bytes = settings_.store_limits.value_bytes};
+		auto progress = encode_progress(job, limits);
+		if (!progress.ok())
+		{
+			// The progress of a failed job holds no more than its placed tasks.
+			discard_progress(job.id, std::string{progress.status().message()}, now);
+			return std::nullopt;
+		}
+		if (progress->max_checkpoint_bytes && jobs_without_checkpoints_.insert(job.id).second)
+			log_event(event::row_rejected, {{"job", job.id.str()},
+											{"reason", "its progress exceeds the limits of the store"},
+											{"left_out", "checkpoints"},
+											{"max_checkpoint_bytes", *progress->max_checkpoint_bytes}});
+		return *std::move(progress);
+	}
+
+	std::vector<row_name> job_term::stored_progress_rows(const job_id& id, std::size_t first) const
+	{
+		std::vector<row_name> out;
+		const auto found = progress_row_counts_.find(id);
+		const auto count = found == progress_row_counts_.end() ? 1 : found->second;
+		for (auto i = first; i < count; ++i)
+			out.push_back({progress_table, progress_key(id, i)});
+		return out;
 	}
 
 	void job_term::add_workers(batch& out, transaction_space& space)
@@ -335,9 +383,10 @@
 			const auto id = removed_submissions_.back();
 			// A job that was submitted again meanwhile has progress of its own.
 			const bool is_known_again = find_job(table_, id) != nullptr;
-			if (!is_known_again && !add_if_fits(out.change, space, {}, {{progress_table, id.str()}}))
+			if (!is_known_again && !add_if_fits(out.change, space, {}, stored_progress_rows(id, 0)))
 				return; // left to the next transaction
 			removed_submissions_.pop_back();
+			jobs_without_checkpoints_.erase(id);
 			if (!is_known_again)
 				out.removed.push_back(id);
 		}
@@ -410,7 +459,14 @@
 		const auto held = tasks_with_unplaced_runs(now);
 		for (const auto& run_id : durable_batch.starts)
 			order_committed_start(run_id, held, now);
-		for (const auto& id : durable_batch.saved)
+		for (const auto& [id, rows] : durable_batch.saved)
+			if (rows > 1)
+				progress_row_counts_[id] = rows;
+			else
+				progress_row_counts_.erase(id);
+		for (const auto& id : durable_batch.removed)
+			progress_row_counts_.erase(id);
+		for (const auto& [id, rows] : durable_batch.saved)
 			if (const auto* job = find_job(table_, id); job != nullptr && has_ended(job->status))
 			{
 				log_event(event::job_ended, {{"job", id.str()}, {"status", to_string(job->status)}});
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -97,10 +97,16 @@
 			std::string agent;
 			std::string address; ///< Of its control endpoint when it reported the worker.
 		};
+		/// A job whose progress is written, and the number of rows that it takes.
+		struct saved_job
+		{
+			job_id id;
+			std::size_t rows{};
+		};
 		struct batch
 		{
 			row_transaction change;
-			std::vector<job_id> saved;
+			std::vector<saved_job> saved;
 			std::vector<task_run> starts;
 			std::vector<durable_ends> ends;
 			std::vector<std::shared_ptr<agent_peer>> workers; ///< Agents whose worker rows are written.
@@ -139,6 +145,14 @@
 		[[nodiscard]] millis evacuations_age(instant now) const noexcept;
 		[[nodiscard]] bool has_recent_submissions(millis max_age, instant now) const noexcept;
 		void add_jobs(batch& out, transaction_space& space, instant now);
+		/// Adds the progress of a job to a batch.
+		/// \returns Whether it fits.
+		[[nodiscard]] bool add_progress(batch& out, transaction_space& space, const job_state& job,
+										progress_rows progress);
+		/// The progress of a job as it is to be stored. If it exceeds the limits, the job fails.
+		[[nodiscard]] std::optional<progress_rows> encode_within_limits(job_state& job, instant now);
+		/// Keys of the rows with the progress of a job, from the index \p first on.
+		[[nodiscard]] std::vector<row_name> stored_progress_rows(const job_id& id, std::size_t first) const;
 		void add_progress_removals(batch& out, transaction_space& space);
 		void add_workers(batch& out, transaction_space& space);
 		[[nodiscard]] stored::worker worker_row(const agent_peer& peer) const;
@@ -204,6 +218,8 @@
 		/// Registers a job as ended if its stored progress says that it has ended and none of its runs is left.
 		[[nodiscard]] bool register_if_ended(const job_id& id, const std::string& submission);
 		void store_undecoded_progress(const std::vector<stored_row>& rows);
+		/// Decodes the stored progress of a job, if there is any.
+		[[nodiscard]] absl::Status apply_progress(job_state& job, instant now);
 		void apply_agents(const std::vector<stored_row>& rows);
 		void apply_workers(const std::vector<stored_row>& rows);
 
@@ -358,8 +374,13 @@
 		ownership_times ownership_times_;
 		run_lease_times run_lease_times_;
 		job_table table_;
-		/// Progress rows whose submission has not been read yet.
-		absl::flat_hash_map<job_id, std::string> undecoded_progress_;
+		/// Progress rows whose submission has not been read yet, by job.
+		absl::flat_hash_map<job_id, std::vector<std::string>> undecoded_progress_;
+		/// Number of rows with the progress of each job that has more than one in the store.
+		absl::flat_hash_map<job_id, std::size_t> progress_row_counts_;
+		/// Jobs of which checkpoints were left out of the store.
+		absl::flat_hash_set<job_id> jobs_without_checkpoints_;
+		std::optional<job_id> deferred_job_; ///< Did not fit into the latest transaction; goes first into the next one.
 		pressure_model pressures_;
 		bool has_named_pressures_{}; ///< The store holds the row of an earlier version.
 		/// Free capacity of the workers for placement. An entry is recomputed only after a report of the worker or a
--- a/packages/entry/src/process/job_term_inputs.cpp
+++ b/packages/entry/src/process/job_term_inputs.cpp
@@ -158,7 +158,10 @@
 	void job_term::store_undecoded_progress(const std::vector<stored_row>& rows)
 	{
 		for (const auto& row : rows)
-			undecoded_progress_[job_id{row.name.key}] = row.value;
+			undecoded_progress_[job_of_progress_key(row.name.key)].push_back(row.value);
+		for (const auto& [id, values] : undecoded_progress_)
+			if (values.size() > 1)
+				progress_row_counts_[id] = values.size();
 	}
 
 	asio::awaitable<void> job_term::apply_submissions_in_chunks(const std::vector<stored_row>& rows)
@@ -175,12 +178,12 @@
 		const auto found = undecoded_progress_.find(id);
 		if (found == undecoded_progress_.end())
 			return false;
-		const auto ended_ms = decode_end(found->second);
+		const auto ended_ms = decode_end(found->second.front());
 		if (!ended_ms.ok() || !*ended_ms)
 			return false; // a row that cannot be decoded is logged when its submission is processed
 		table_.ended[id] = **ended_ms;
 		// The owner that stored the failure may have been replaced before it knew that this was stored.
-		if (const auto status = decode_status(found->second); status.ok() && *status == job_status::failed)
+		if (const auto status = decode_status(found->second.front()); status.ok() && *status == job_status::failed)
 			if (auto job = decode_submission(id, submission, boottime_now()); job.ok())
 			{
 				job->status = *status;
@@ -190,6 +193,19 @@
 		return true;
 	}
 
+	absl::Status job_term::apply_progress(job_state& job, instant now)
+	{
+		const auto found = undecoded_progress_.find(job.id);
+		if (found == undecoded_progress_.end())
+			return absl::OkStatus();
+		const auto rows = std::move(found->second);
+		undecoded_progress_.erase(found);
+		for (const auto& row : rows)
+			if (auto status = decode_progress(job, row, now); !status.ok())
+				return status;
+		return absl::OkStatus();
+	}
+
 	void job_term::apply_submissions(std::span<const stored_row> rows)
 	{
 		const busy_scope scope{meter_, owner_duty::reading};
@@ -212,15 +228,10 @@
 				log_event(event::row_unreadable, {{"job", id.str()}, {"reason", job.status().ToString()}});
 				continue;
 			}
-			if (const auto found = undecoded_progress_.find(id); found != undecoded_progress_.end())
+			if (const auto status = apply_progress(*job, now); !status.ok())
 			{
-				const auto status = decode_progress(*job, found->second, now);
-				undecoded_progress_.erase(found);
-				if (!status.ok())
-				{
-					log_event(event::row_unreadable, {{"job", id.str()}, {"reason", status.ToString()}});
-					continue;
-				}
+				log_event(event::row_unreadable, {{"job", id.str()}, {"reason", status.ToString()}});
+				continue;
 			}
 			log_taken_up(*job);
 			restore_suspects(*job);
--- a/packages/entry/src/process/job_term_rejections.cpp
+++ b/packages/entry/src/process/job_term_rejections.cpp
@@ -39,7 +39,8 @@
 
 	void job_term::restore_changes(const batch& rejected)
 	{
-		table_.unsaved.insert(rejected.saved.begin(), rejected.saved.end());
+		for (const auto& job : rejected.saved)
+			table_.unsaved.insert(job.id);
 		for (const auto& peer : rejected.workers)
 			peer->stored_incarnation = {};
 		removed_submissions_.insert(removed_submissions_.end(), rejected.removed.begin(), rejected.removed.end());
@@ -49,8 +50,8 @@
 
 	void job_term::discard_change(const batch& rejected, instant now)
 	{
-		for (const auto& id : rejected.saved)
-			discard_progress(id, "the store rejects its progress", now);
+		for (const auto& job : rejected.saved)
+			discard_progress(job.id, "the store rejects its progress", now);
 		for (const auto& peer : rejected.workers)
 			log_event(event::row_rejected,
 					  {{"worker", peer->worker.current_incarnation.str()}, {"left_out", "worker"}});
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace trailjunction
 {
@@ -31,17 +32,38 @@
 	/// \brief Decodes encode_cancelled_id()'s row; data_loss if it is malformed.
 	[[nodiscard]] absl::StatusOr<std::int64_t> decode_cancelled_id(std::string_view row);
 
-	/// \brief Encodes the row with the progress of a job.
+	/// \brief Encodes the progress of a job as one row of any size.
 	[[nodiscard]] std::string encode_progress(const job_state& job);
 
-	/// \brief Decodes encode_progress()'s row into a job; data_loss if it is malformed or names tasks that do not
+	/// \brief Size limits of the rows with the progress of one job.
+	struct progress_limits
+	{
+		std::size_t row_bytes{65'536}; ///< Of each row.
+		/// Of all rows of a job together: they are written by one transaction, with room for the owner's row.
+		std::size_t total_bytes{500'000};
+	};
+
+	/// \brief The rows with the progress of a job; the key of each is progress_key() of its index.
+	struct progress_rows
+	{
+		std::vector<std::string> values; ///< At least one. Each can be decoded without the others.
+		/// Longer checkpoints are left out because the rows would exceed the limits with them.
+		std::optional<std::size_t> max_checkpoint_bytes;
+	};
+
+	/// \brief Encodes the progress of a job in as many rows as it needs.
+	/// \returns resource_exhausted if it exceeds the limits even without checkpoints.
+	[[nodiscard]] absl::StatusOr<progress_rows> encode_progress(const job_state& job, const progress_limits& limits);
+
+	/// \brief Decodes one row of the progress of a job into it; data_loss if it is malformed or names tasks that do not
 	/// exist.
 	[[nodiscard]] absl::Status decode_progress(job_state& job, std::string_view row, instant now);
 
-	/// \brief Decodes only the status in encode_progress()'s row.
+	/// \brief Decodes only the status in a row with the progress of a job; the same in all its rows.
 	[[nodiscard]] absl::StatusOr<job_status> decode_status(std::string_view row);
 
-	/// \brief When a job ended of which nothing runs any more, in ms of the store's clock.
+	/// \brief When a job ended of which nothing runs any more, in ms of the store's clock, by the first row with its
+	/// progress.
 	/// \returns Empty if it has not ended, some of its runs may go on, or the row does not contain the time of its end.
 	[[nodiscard]] absl::StatusOr<std::optional<std::int64_t>> decode_end(std::string_view row);
 
--- a/packages/jobs/include/trailjunction/jobs/job_spec.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_spec.hpp
@@ -62,8 +62,9 @@
 		return spec.first_due_ms + occurrence * spec.interval.count();
 	}
 
-	/// \brief The most tasks that one job may have over all occurrences; bounds the size of its progress row.
-	inline constexpr std::uint64_t max_tasks_per_job = 20'000;
+	/// \brief The most tasks that one job may have over all occurrences. The progress of a task takes 34 to 50 bytes
+	/// unless its runs crash, and that of all tasks has to fit into progress_limits::total_bytes.
+	inline constexpr std::uint64_t max_tasks_per_job = 10'000;
 
 	/// \brief Rejects what no queue could run: a graph in the wrong order, no tasks, too many tasks.
 	/// \returns invalid_argument that names the group and the fault.
--- a/packages/jobs/include/trailjunction/jobs/job_tables.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_tables.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 namespace trailjunction
 {
@@ -42,6 +43,13 @@
 	/// \brief The partition that holds a job's rows in submissions_table.
 	[[nodiscard]] std::string submission_partition(const job_id& id);
 
+	/// \brief The key of a row with the progress of a job.
+	/// \param row Its index, from 0; the first row has the id of the job as its key and sorts before the others.
+	[[nodiscard]] std::string progress_key(const job_id& id, std::size_t row);
+
+	/// \brief The job whose progress a row holds, by the key of the row.
+	[[nodiscard]] job_id job_of_progress_key(std::string_view key);
+
 	/// \brief The key of a job's cancellation.
 	[[nodiscard]] inline std::string cancellation_key(const job_id& id)
 	{
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -11,6 +11,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <span>
 
 namespace trailjunction
 {
@@ -230,6 +232,103 @@
 				out.earliest_crash = millis{from.crash_soonest_ms};
 			return out;
 		}
+
+		/// Whether a row has to hold the task. Of an ended job, only tasks that are still placed are stored: once there
+		/// are none, decode_end() reports the job as ended.
+		bool is_stored(const job_state& job, const job_task& task) noexcept
+		{
+			return task.run != 0 && (!has_ended(job.status) || is_placed(task));
+		}
+
+		std::vector<std::size_t> stored_positions(const job_state& job)
+		{
+			std::vector<std::size_t> out;
+			for (std::size_t i = 0; i < job.tasks.size(); ++i)
+				if (is_stored(job, job.tasks[i]))
+					out.push_back(i);
+			return out;
+		}
+
+		/// Encodes a task for a row, whose list of workers is extended as needed.
+		stored::task to_stored(stored::progress& row, const job_state& job, std::size_t position,
+							   std::size_t max_checkpoint_bytes)
+		{
+			const auto& from = job.tasks[position];
+			stored::task to;
+			to.place = static_cast<std::int32_t>(position);
+			to.phase = static_cast<std::int32_t>(stored_phase(from));
+			to.run = static_cast<std::int32_t>(from.run);
+			to.failures = static_cast<std::int32_t>(from.failures);
+			to.worker = is_placed(from) ? worker_index(row, from.worker) : -1;
+			if (from.phase != task_stage::done && from.checkpoint.size() <= max_checkpoint_bytes)
+				to.checkpoint = from.checkpoint;
+			for (const auto& worker : from.crashes.workers)
+				to.crashed.push_back(worker_index(row, worker));
+			for (const auto& age : from.crashes.ages)
+			{
+				to.crash_survived_each_ms.push_back(age.lower_bound.count());
+				to.crash_latest_each_ms.push_back(age.upper_bound.value_or(millis{unknown_age_ms}).count());
+			}
+			to.crash_age_ms = from.crashes.max_age.count();
+			for (const auto& worker : from.crashes.correlated)
+				to.crash_shared.push_back(worker_index(row, worker));
+			to.crash_blame_ppm = std::llround(from.crashes.blame * blame_ppm);
+			to.failed_run = static_cast<std::int32_t>(from.failed_run);
+			to.crashed_run = static_cast<std::int32_t>(from.crashed_run);
+			to.crash_survived_ms = from.crashes.longest_survived.count();
+			if (from.crashes.earliest_crash)
+				to.__set_crash_soonest_ms(from.crashes.earliest_crash->count());
+			if (from.phase == task_stage::waiting && from.held_until != instant{})
+				to.__set_held_until_ms(from.held_until_ms);
+			return to;
+		}
+
+		std::string encode_tasks(const job_state& job, std::span<const std::size_t> positions,
+								 std::size_t max_checkpoint_bytes)
+		{
+			stored::progress row;
+			row.status = static_cast<std::int32_t>(job.status);
+			row.ended_ms = job.ended_ms;
+			for (const auto position : positions)
+				row.tasks.push_back(to_stored(row, job, position, max_checkpoint_bytes));
+			return encode(row);
+		}
+
+		/// Encodes tasks in rows of limited size.
+		/// \returns Whether that is possible.
+		bool append_rows(std::vector<std::string>& out, const job_state& job, std::span<const std::size_t> positions,
+						 std::size_t max_checkpoint_bytes, std::size_t max_row_bytes)
+		{
+			auto row = encode_tasks(job, positions, max_checkpoint_bytes);
+			if (row.size() <= max_row_bytes)
+			{
+				out.push_back(std::move(row));
+				return true;
+			}
+			if (positions.size() < 2)
+				return false;
+			const auto parts = std::min(positions.size(), row.size() / max_row_bytes + 1);
+			const auto part_size = (positions.size() + parts - 1) / parts;
+			for (std::size_t first = 0; first < positions.size(); first += part_size)
+			{
+				const auto part = positions.subspan(first, std::min(part_size, positions.size() - first));
+				if (!append_rows(out, job, part, max_checkpoint_bytes, max_row_bytes))
+					return false;
+			}
+			return true;
+		}
+
+		std::size_t total_size(const std::vector<std::string>& rows) noexcept
+		{
+			std::size_t out = 0;
+			for (const auto& row : rows)
+				out += row.size();
+			return out;
+		}
+
+		/// Maximum sizes of checkpoints that are tried when the progress of a job exceeds its limits.
+		constexpr std::size_t checkpoint_bounds[] = {32'768, 16'384, 4'096, 1'024, 256, 64, 0};
+		constexpr auto any_checkpoint = std::numeric_limits<std::size_t>::max();
 	}
 
 	std::string encode_submission(const queue_policy& queue, const job_spec& spec)
@@ -265,46 +364,29 @@
 
 	std::string encode_progress(const job_state& job)
 	{
-		stored::progress row;
-		row.status = static_cast<std::int32_t>(job.status);
-		row.ended_ms = job.ended_ms;
-		for (std::size_t i = 0; i < job.tasks.size(); ++i)
+		return encode_tasks(job, stored_positions(job), any_checkpoint);
+	}
+
+	absl::StatusOr<progress_rows> encode_progress(const job_state& job, const progress_limits& limits)
+	{
+		const auto positions = stored_positions(job);
+		progress_rows out;
+		const auto fits = [&](std::size_t max_checkpoint_bytes)
 		{
-			const auto& from = job.tasks[i];
-			const bool placed = is_placed(from);
-			// Of an ended job, only tasks that are still placed are stored: once there are none, decode_end() reports
-			// the job as ended.
-			if (from.run == 0 || (has_ended(job.status) && !placed))
-				continue;
-			stored::task to;
-			to.place = static_cast<std::int32_t>(i);
-			to.phase = static_cast<std::int32_t>(stored_phase(from));
-			to.run = static_cast<std::int32_t>(from.run);
-			to.failures = static_cast<std::int32_t>(from.failures);
-			to.worker = placed ? worker_index(row, from.worker) : -1;
-			if (from.phase != task_stage::done)
-				to.checkpoint = from.checkpoint;
-			for (const auto& worker : from.crashes.workers)
-				to.crashed.push_back(worker_index(row, worker));
-			for (const auto& age : from.crashes.ages)
+			out.values.clear();
+			return append_rows(out.values, job, positions, max_checkpoint_bytes, limits.row_bytes) &&
+				   total_size(out.values) <= limits.total_bytes;
+		};
+		if (fits(any_checkpoint))
+			return out;
+		for (const auto bound : checkpoint_bounds)
+			if (fits(bound))
 			{
-				to.crash_survived_each_ms.push_back(age.lower_bound.count());
-				to.crash_latest_each_ms.push_back(age.upper_bound.value_or(millis{unknown_age_ms}).count());
+				out.max_checkpoint_bytes = bound;
+				return out;
 			}
-			to.crash_age_ms = from.crashes.max_age.count();
-			for (const auto& worker : from.crashes.correlated)
-				to.crash_shared.push_back(worker_index(row, worker));
-			to.crash_blame_ppm = std::llround(from.crashes.blame * blame_ppm);
-			to.failed_run = static_cast<std::int32_t>(from.failed_run);
-			to.crashed_run = static_cast<std::int32_t>(from.crashed_run);
-			to.crash_survived_ms = from.crashes.longest_survived.count();
-			if (from.crashes.earliest_crash)
-				to.__set_crash_soonest_ms(from.crashes.earliest_crash->count());
-			if (from.phase == task_stage::waiting && from.held_until != instant{})
-				to.__set_held_until_ms(from.held_until_ms);
-			row.tasks.push_back(std::move(to));
-		}
-		return encode(row);
+		return absl::ResourceExhaustedError(absl::StrCat("the progress of ", positions.size(),
+														 " tasks takes more than ", limits.total_bytes, " bytes"));
 	}
 
 	absl::Status decode_progress(job_state& job, std::string_view text, instant now)
--- a/packages/jobs/src/job_tables.cpp
+++ b/packages/jobs/src/job_tables.cpp
@@ -6,11 +6,27 @@
 
 namespace trailjunction
 {
+	namespace
+	{
+		/// Between a job's id and the index of a row with its progress; ids of jobs do not contain it.
+		constexpr const char* progress_row_separator = ".";
+	}
+
 	std::string submission_partition(std::size_t number)
 	{
 		return absl::StrCat("submissions-", number);
 	}
 
+	std::string progress_key(const job_id& id, std::size_t row)
+	{
+		return row == 0 ? id.str() : absl::StrCat(id.str(), progress_row_separator, row);
+	}
+
+	job_id job_of_progress_key(std::string_view key)
+	{
+		return job_id{std::string{key.substr(0, key.find(progress_row_separator))}};
+	}
+
 	std::string submission_partition(const job_id& id)
 	{
 		return submission_partition(stable_hash(id.str()) % submission_partitions);
--- a/tests/job_term_fixture.hpp
+++ b/tests/job_term_fixture.hpp
@@ -123,10 +123,13 @@
 			auto job = decode_submission(
 				job_id{id}, store.value(submission_partition(job_id{id}), submissions_table, id), boottime_now());
 			REQUIRE(job.ok());
-			const auto progress = store.value(job_partition, progress_table, id);
-			if (!progress.empty())
+			for (std::size_t row = 0;; ++row)
+			{
+				const auto progress = store.value(job_partition, progress_table, progress_key(job_id{id}, row));
+				if (progress.empty())
+					return *std::move(job);
 				REQUIRE(decode_progress(*job, progress, boottime_now()).ok());
-			return *std::move(job);
+			}
 		}
 
 		agent_standin agent{io};
