Owner: depths and forecast beside the owner's row, so that names cannot stop the lease

What callers saw: nothing yet; computed by the users: the counts of waiting jobs of 450 queues with names of 200 characters take 108,172 bytes, and the row that carries the lease could not be written.

Cause: the owner's row had no bound in bytes; operators choose the names.

Change: depths and forecast that do not fit go into further rows of the same transaction, three rows in all; readers take those that have the owner's version. For a rejection: no job is blamed for statistics that the store rejects, and the changes of a rejected transaction are tried first, fewer at a time, until the cause stands alone.

--- a/packages/entry/src/process/job_owner.cpp
+++ b/packages/entry/src/process/job_owner.cpp
@@ -38,9 +38,26 @@
 			return std::min(millis{row.lease_ms}, max_stated_lease);
 		}
 
+		/// The owner's row with the depths and the forecast of its further rows.
+		stored::ownership with_further_rows(stored::ownership row, const std::vector<stored_row>& rows)
+		{
+			for (const auto& further : rows)
+			{
+				// Rows of another version were left by an earlier transaction.
+				if (further.name.key == owner_key || further.version != rows.front().version)
+					continue;
+				if (const auto status = decode_further_ownership(row, further.value); !status.ok())
+				{
+					log_event(event::row_unreadable, {{"row", further.name.key}, {"reason", status.ToString()}});
+					row.loaded = false; // the depths are not complete
+				}
+			}
+			return row;
+		}
+
 		row_range owner_range()
 		{
-			return {owner_table, job_partition, owner_key, "", 1};
+			return {owner_table, job_partition, owner_key, "", 0};
 		}
 	}
 
@@ -135,7 +152,7 @@
 			co_return;
 		}
 		if (observation_.version != page->rows.front().version)
-			publish_depths(*row, page->store_clock_ms, now);
+			publish_depths(with_further_rows(*row, page->rows), page->store_clock_ms, now);
 		last_row_ = *row;
 		record_observation(observation_, page->rows.front().version,
 						   {row->released, is_own_row(*row), stated_lease(*row)}, now);
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -44,6 +44,9 @@
 		constexpr auto log_ends_interval = millis{250};
 		/// Maximum number of upkeep wave rows in one transaction, so that they leave room for jobs.
 		constexpr std::size_t max_wave_rows = 4;
+		/// Maximum number of rows in one transaction for the owner, its depths and its forecast, so that they leave
+		/// room for jobs.
+		constexpr std::size_t max_owner_rows = 3;
 		/// Minimum interval between two forecasts. A forecast iterates over all waiting and running tasks, and entries
 		/// receive it twice per second.
 		constexpr auto forecast_interval = millis{250};
@@ -204,13 +207,17 @@
 		const auto lease = lease_for(commit_latency_.usual, ownership_times_);
 		owned_.row.__set_lease_ms(lease.count());
 		owned_.lease = std::min(owned_.lease, lease); // a rival may read this row before its answer arrives
-		owned_.row.loaded = loaded;
+		// While the cause of a rejection is sought, no change may be blamed for statistics that the store rejects.
+		out.has_statistics = loaded && max_changes_ == max_batch_changes;
+		owned_.row.loaded = out.has_statistics;
 		owned_.row.depths.clear();
-		if (loaded)
+		if (out.has_statistics)
 			for (const auto& [queue, waiting] : count_waiting_jobs(table_))
 				owned_.row.depths.push_back(depth_row(queue, waiting));
-		forecast_if_due(loaded);
-		out.change.put.push_back({owner_row(), encode_ownership(owned_.row)});
+		forecast_if_due(out.has_statistics);
+		auto rows = encode_ownership(owned_.row, settings_.store_limits.value_bytes, max_owner_rows);
+		for (std::size_t i = 0; i < rows.size(); ++i)
+			out.change.put.push_back({{owner_table, ownership_key(i)}, std::move(rows[i])});
 	}
 
 	void job_term::forecast_if_due(bool loaded)
@@ -276,11 +283,7 @@
 
 	void job_term::add_jobs(batch& out, transaction_space& space, instant now)
 	{
-		std::vector<job_id> unsaved{table_.unsaved.begin(), table_.unsaved.end()};
-		if (const auto deferred = std::find(unsaved.begin(), unsaved.end(), deferred_job_); deferred != unsaved.end())
-			std::iter_swap(unsaved.begin(), deferred);
-		deferred_job_.reset();
-		for (const auto& id : unsaved)
+		for (const auto& id : unsaved_jobs())
 		{
 			if (out.changes() >= max_changes_)
 				break;
@@ -292,13 +295,21 @@
 				continue;
 			if (!add_progress(out, space, job, *std::move(progress)))
 			{
-				deferred_job_ = id;
+				first_jobs_.insert(id);
 				break;
 			}
 			table_.unsaved.erase(id);
 		}
 	}
 
+	std::vector<job_id> job_term::unsaved_jobs()
+	{
+		absl::erase_if(first_jobs_, [&](const job_id& id) { return !table_.unsaved.contains(id); });
+		std::vector<job_id> out{table_.unsaved.begin(), table_.unsaved.end()};
+		std::partition(out.begin(), out.end(), [&](const job_id& id) { return first_jobs_.contains(id); });
+		return out;
+	}
+
 	bool job_term::add_progress(batch& out, transaction_space& space, const job_state& job, progress_rows progress)
 	{
 		const auto rows = progress.values.size();
@@ -446,7 +457,9 @@
 		const busy_scope scope{meter_, owner_duty::acting};
 		if (upkeep_)
 			upkeep_->record_saved();
-		if (durable_batch.changes() > 0)
+		for (const auto& job : durable_batch.saved)
+			first_jobs_.erase(job.id);
+		if (!durable_batch.is_reduced && first_jobs_.empty())
 			max_changes_ = std::min(2 * max_changes_, max_batch_changes);
 		meter_.load.ordered += durable_batch.starts.size();
 		++meter_.load.commits;
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -112,6 +112,8 @@
 			std::vector<std::shared_ptr<agent_peer>> workers; ///< Agents whose worker rows are written.
 			std::size_t waves{};                              ///< Number of rows with waves that are written.
 			std::vector<job_id> removed;                      ///< Jobs whose progress is removed.
+			bool has_statistics{};                            ///< The owner row has depths and a forecast.
+			bool is_reduced{};                                ///< The store has rejected what else it held.
 			instant sent{};
 
 			/// Number of changes besides the owner row; each is written or left out as a whole.
@@ -145,6 +147,8 @@
 		[[nodiscard]] millis evacuations_age(instant now) const noexcept;
 		[[nodiscard]] bool has_recent_submissions(millis max_age, instant now) const noexcept;
 		void add_jobs(batch& out, transaction_space& space, instant now);
+		/// The jobs whose progress has changed, those of first_jobs_ first.
+		[[nodiscard]] std::vector<job_id> unsaved_jobs();
 		/// Adds the progress of a job to a batch.
 		/// \returns Whether it fits.
 		[[nodiscard]] bool add_progress(batch& out, transaction_space& space, const job_state& job,
@@ -380,7 +384,9 @@
 		absl::flat_hash_map<job_id, std::size_t> progress_row_counts_;
 		/// Jobs of which checkpoints were left out of the store.
 		absl::flat_hash_set<job_id> jobs_without_checkpoints_;
-		std::optional<job_id> deferred_job_; ///< Did not fit into the latest transaction; goes first into the next one.
+		/// Jobs whose progress goes first into the next transactions: one that did not fit into the latest, or those of
+		/// a rejected one.
+		absl::flat_hash_set<job_id> first_jobs_;
 		pressure_model pressures_;
 		bool has_named_pressures_{}; ///< The store holds the row of an earlier version.
 		/// Free capacity of the workers for placement. An entry is recomputed only after a report of the worker or a
@@ -428,8 +434,10 @@
 		bool logged_stale_input_{};
 		owner_lag loop_lag_;
 		owner_lag feed_lag_; ///< Lag of the feeds without which nothing starts, while the store answers other requests.
-		owner_lag agent_lag_;     ///< Silence of most agents while the store answers.
-		std::size_t max_changes_; ///< Maximum number of changes in a transaction; lower after a rejection.
+		owner_lag agent_lag_; ///< Silence of most agents while the store answers.
+		/// Maximum number of changes in a transaction. After a rejection it is lower, and statistics are left out,
+		/// until it has grown to max_batch_changes again.
+		std::size_t max_changes_;
 		bool handed_over_{};
 		std::int64_t agents_version_{};
 		boost::asio::steady_timer work_timer_;
--- a/packages/entry/src/process/job_term_rejections.cpp
+++ b/packages/entry/src/process/job_term_rejections.cpp
@@ -22,12 +22,17 @@
 				   {"within_limits", check_limits(rejected.change, settings_.store_limits).ToString()}});
 		metrics_.counter("job_commits_rejected", "Transactions of the owner that the store rejected for good.")
 			.Increment();
-		if (changes == 1)
+		if (changes == 1 && !rejected.has_statistics)
 			discard_change(rejected, now);
-		else if (changes > 1)
+		else
 			restore_changes(rejected);
 		max_changes_ = std::max<std::size_t>(1, changes / 2);
-		rejected.change.put.resize(1); // the owner row
+		// The owner row is the first.
+		owned_.row.loaded = false;
+		owned_.row.depths.clear();
+		owned_.row.room = {};
+		rejected.change.put.resize(1);
+		rejected.change.put.front().value = encode_ownership(owned_.row);
 		rejected.change.remove.clear();
 		rejected.saved.clear();
 		rejected.starts.clear();
@@ -35,12 +40,17 @@
 		rejected.workers.clear();
 		rejected.waves = 0;
 		rejected.removed.clear();
+		rejected.has_statistics = false;
+		rejected.is_reduced = true;
 	}
 
 	void job_term::restore_changes(const batch& rejected)
 	{
 		for (const auto& job : rejected.saved)
+		{
 			table_.unsaved.insert(job.id);
+			first_jobs_.insert(job.id);
+		}
 		for (const auto& peer : rejected.workers)
 			peer->stored_incarnation = {};
 		removed_submissions_.insert(removed_submissions_.end(), rejected.removed.begin(), rejected.removed.end());
--- a/packages/jobs/include/trailjunction/jobs/job_rows.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_rows.hpp
@@ -71,6 +71,19 @@
 	[[nodiscard]] std::string encode_ownership(const stored::ownership& row);
 	[[nodiscard]] absl::StatusOr<stored::ownership> decode_ownership(std::string_view row);
 
+	/// \brief Encodes the row of the shard's owner and as many further rows as its depths and its forecast need. The
+	/// first row always holds what the ownership depends on.
+	/// \details A forecast that does not fit is left out: entries then admit jobs without one. Depths that do not fit
+	/// are left out altogether, and the first row says that they are not loaded.
+	/// \param max_row_bytes Maximum size of each row.
+	/// \param max_rows Maximum number of rows; at least 1.
+	[[nodiscard]] std::vector<std::string> encode_ownership(const stored::ownership& row, std::size_t max_row_bytes,
+															std::size_t max_rows);
+
+	/// \brief Adds the depths and the forecast of a further row to those of the first one; data_loss if it is
+	/// malformed.
+	[[nodiscard]] absl::Status decode_further_ownership(stored::ownership& row, std::string_view further);
+
 	/// \brief Encodes the row of one agent.
 	[[nodiscard]] std::string encode_agent(const stored::agent& row);
 	[[nodiscard]] absl::StatusOr<stored::agent> decode_agent(std::string_view row);
--- a/packages/jobs/include/trailjunction/jobs/job_tables.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_tables.hpp
@@ -16,7 +16,9 @@
 	/// \brief Partition of the rows that the owner of the only shard writes; its transactions are serialized.
 	inline constexpr const char* job_partition = "jobs-0";
 	inline constexpr const char* agent_partition = "agents"; ///< Partition of agents_table.
-	inline constexpr const char* owner_table = "job_owner";  ///< A single row: the owner of the shard.
+	/// The row of the owner of the shard, and further rows with depths and forecasts that do not fit into it. A further
+	/// row is valid if it has the version of the owner's row.
+	inline constexpr const char* owner_table = "job_owner";
 	inline constexpr const char* owner_key = "owner";
 	inline constexpr const char* submissions_table = "job_submissions"; ///< Submitted jobs, and their cancellations.
 	/// Ids of jobs that were cancelled before their submission was stored; no such submission is stored any more. In
@@ -43,6 +45,10 @@
 	/// \brief The partition that holds a job's rows in submissions_table.
 	[[nodiscard]] std::string submission_partition(const job_id& id);
 
+	/// \brief The key of a row of owner_table.
+	/// \param row Its index, from 0; the first row is that of the owner and sorts before the others.
+	[[nodiscard]] std::string ownership_key(std::size_t row);
+
 	/// \brief The key of a row with the progress of a job.
 	/// \param row Its index, from 0; the first row has the id of the job as its key and sorts before the others.
 	[[nodiscard]] std::string progress_key(const job_id& id, std::size_t row);
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <span>
 
@@ -294,6 +295,20 @@
 			return encode(row);
 		}
 
+		/// Divides items into parts whose sizes differ by one at most.
+		/// \param parts Number of parts; limited to the number of items.
+		template <typename Item>
+		std::vector<std::span<const Item>> even_parts(std::span<const Item> items, std::size_t parts)
+		{
+			std::vector<std::span<const Item>> out;
+			for (auto left = std::min(parts, items.size()); left > 0; --left)
+			{
+				out.push_back(items.first(items.size() / left));
+				items = items.subspan(out.back().size());
+			}
+			return out;
+		}
+
 		/// Encodes tasks in rows of limited size.
 		/// \returns Whether that is possible.
 		bool append_rows(std::vector<std::string>& out, const job_state& job, std::span<const std::size_t> positions,
@@ -307,14 +322,9 @@
 			}
 			if (positions.size() < 2)
 				return false;
-			const auto parts = std::min(positions.size(), row.size() / max_row_bytes + 1);
-			const auto part_size = (positions.size() + parts - 1) / parts;
-			for (std::size_t first = 0; first < positions.size(); first += part_size)
-			{
-				const auto part = positions.subspan(first, std::min(part_size, positions.size() - first));
+			for (const auto part : even_parts(positions, row.size() / max_row_bytes + 1))
 				if (!append_rows(out, job, part, max_checkpoint_bytes, max_row_bytes))
 					return false;
-			}
 			return true;
 		}
 
@@ -326,6 +336,27 @@
 			return out;
 		}
 
+		/// Encodes depths in rows of limited size.
+		/// \returns Whether that is possible.
+		bool append_depths(std::vector<std::string>& out, std::span<const stored::queue_depth> depths,
+						   std::size_t max_row_bytes)
+		{
+			stored::ownership row;
+			row.depths.assign(depths.begin(), depths.end());
+			auto text = encode(row);
+			if (text.size() <= max_row_bytes)
+			{
+				out.push_back(std::move(text));
+				return true;
+			}
+			if (depths.size() < 2)
+				return false;
+			for (const auto part : even_parts(depths, text.size() / max_row_bytes + 1))
+				if (!append_depths(out, part, max_row_bytes))
+					return false;
+			return true;
+		}
+
 		/// Maximum sizes of checkpoints that are tried when the progress of a job exceeds its limits.
 		constexpr std::size_t checkpoint_bounds[] = {32'768, 16'384, 4'096, 1'024, 256, 64, 0};
 		constexpr auto any_checkpoint = std::numeric_limits<std::size_t>::max();
@@ -459,6 +490,40 @@
 		return decode<stored::ownership>(row);
 	}
 
+	std::vector<std::string> encode_ownership(const stored::ownership& row, std::size_t max_row_bytes,
+											  std::size_t max_rows)
+	{
+		if (auto whole = encode(row); whole.size() <= max_row_bytes)
+			return {std::move(whole)};
+		auto base = row;
+		base.depths.clear();
+		base.room = {};
+		std::vector<std::string> further;
+		if (!append_depths(further, row.depths, max_row_bytes) || further.size() >= max_rows)
+		{
+			further.clear();
+			base.loaded = false;
+		}
+		stored::ownership forecast;
+		forecast.room = row.room;
+		if (auto text = encode(forecast); text.size() <= max_row_bytes && further.size() + 1 < max_rows)
+			further.push_back(std::move(text));
+		std::vector<std::string> out{encode(base)};
+		std::move(further.begin(), further.end(), std::back_inserter(out));
+		return out;
+	}
+
+	absl::Status decode_further_ownership(stored::ownership& row, std::string_view further)
+	{
+		auto decoded = decode<stored::ownership>(further);
+		if (!decoded.ok())
+			return decoded.status();
+		std::move(decoded->depths.begin(), decoded->depths.end(), std::back_inserter(row.depths));
+		if (decoded->room.made_ms != 0)
+			row.room = std::move(decoded->room);
+		return absl::OkStatus();
+	}
+
 	std::string encode_cancelled_id(std::int64_t expires_ms)
 	{
 		return absl::StrCat(expires_ms);
--- a/tests/progress_rows.cpp
+++ b/tests/progress_rows.cpp
@@ -66,6 +66,8 @@
 TEST_CASE("the progress of a job with as many tasks as allowed fits into one transaction", "[jobs]")
 {
 	auto job = running_job(max_tasks_per_job);
+	for (auto& task : job.tasks)
+		task.checkpoint = std::string(16, 'c'); // as workers usually give them; not all fit
 	const auto rows = encode_progress(job, progress_limits{});
 	REQUIRE(rows.ok());
 	row_transaction change;
@@ -75,7 +77,8 @@
 	std::vector<row_value> put;
 	for (std::size_t i = 0; i < rows->values.size(); ++i)
 		put.push_back({{progress_table, progress_key(job.id, i)}, rows->values[i]});
-	put.push_back({{owner_table, owner_key}, std::string(limits.value_bytes, 'o')});
+	for (std::size_t i = 0; i < 3; ++i) // the most that the owner writes for itself
+		put.push_back({{owner_table, ownership_key(i)}, std::string(limits.value_bytes, 'o')});
 	CHECK(add_if_fits(change, space, std::move(put)));
 	CHECK(check_limits(change, limits).ok());
 }
--- a/tests/rejected_transactions.cpp
+++ b/tests/rejected_transactions.cpp
@@ -57,3 +57,22 @@
 	CHECK(starts_of(fixture, first_job) == 0);
 	CHECK(!fixture.term_over);
 }
+
+TEST_CASE("an owner keeps its lease although the store rejects its counts of waiting jobs", "[jobs]")
+{
+	scene fixture;
+	fixture.store.limits.value_bytes = 1'000;
+	for (std::size_t i = 0; i < 10; ++i)
+	{
+		auto queue = some_queue();
+		queue.queue = queue_id{std::string(200, 'q') + std::to_string(i)};
+		queue.service = service_id{"absent"};
+		const job_id id{absl::StrFormat("%016x", 0x1000 + i)};
+		fixture.store.put(submission_partition(id), submissions_table, id.str(), encode_submission(queue, one_task()));
+	}
+	fixture.begin_term();
+	fixture.submit(first_job, one_task());
+	REQUIRE(fixture.run_until([&] { return starts_of(fixture, first_job) == 1; }));
+	CHECK(!fixture.store.rejections.empty());
+	CHECK(!fixture.term_over);
+}
