Entries: a job that the store can never hold is rejected for good

What callers saw: a job whose image has a name of 70,000 characters got 503 with Retry-After after 0.43 s and eight refused transactions, each time.

Cause: commit_with_retries() repeated a rejected transaction like one that is refused for now, and no entry knew the limits of the store.

Change: 413 with the size and the limit, without Retry-After, before the store is called; the same where the store itself rejects the transaction. While an earlier call with the id may have stored a job, the outcome stays unknown.

--- a/packages/entry/include/trailjunction/entry/job_gateway.hpp
+++ b/packages/entry/include/trailjunction/entry/job_gateway.hpp
@@ -9,6 +9,7 @@
 #include <trailjunction/jobs/job_state.hpp>
 #include <trailjunction/net/process_metrics.hpp>
 #include <trailjunction/store/commit_lookup.hpp>
+#include <trailjunction/store/row_limits.hpp>
 #include <trailjunction/store/row_store.hpp>
 #include <trailjunction/store/store_contact.hpp>
 
@@ -29,6 +30,7 @@
 		done,
 		absent,  ///< Certain: the job does not exist.
 		refused, ///< Certain: nothing was done; retry_after says when to retry.
+		invalid, ///< Certain: nothing was done, and no retry of the same call succeeds.
 		unknown, ///< The call may have taken effect, or may take effect later.
 	};
 
@@ -60,7 +62,8 @@
 	class job_gateway
 	{
 	public:
-		job_gateway(boost::asio::io_context& io, row_store& store, process_metrics& metrics);
+		/// \param limits The size limits of the store; a job that exceeds them is rejected.
+		job_gateway(boost::asio::io_context& io, row_store& store, process_metrics& metrics, row_limits limits = {});
 
 		/// \brief Submits a job.
 		/// \details The outcome is done once the job is stored, also if it was stored before. A job that the capacity
@@ -108,6 +111,8 @@
 			std::vector<stored_row> conflicts; ///< The rows of the conditions if it was not applied.
 		};
 		boost::asio::awaitable<stored_change> commit_with_retries(row_transaction change, job_id id, instant deadline);
+		/// Rejects a call because of what it contains.
+		job_call_result reject_invalid(const job_id& id, std::string reason);
 		/// Refuses a submission of an id that was cancelled before.
 		job_call_result refuse_cancelled(const job_id& id);
 		/// Cancels a job that is stored.
@@ -127,6 +132,7 @@
 		boost::asio::io_context& io_;
 		row_store& store_;
 		process_metrics& metrics_;
+		row_limits limits_;
 		std::shared_ptr<const job_configuration> configuration_;
 		queue_depths depths_;
 		admission_state admission_;
--- a/packages/entry/src/process/job_entry_process.cpp
+++ b/packages/entry/src/process/job_entry_process.cpp
@@ -37,7 +37,7 @@
 		{
 			client_servers(asio::io_context& io, const job_entry_settings& settings, const entry_adapters& adapters)
 				: store{adapters.make_store(io, *settings.store)},
-				  gateway{io, *store, metrics},
+				  gateway{io, *store, metrics, settings.store_limits},
 				  callers{io, http_limits{}, adapters.make_job_handler(gateway)},
 				  readiness{io, monitoring_limits,
 							[this](http_request) -> asio::awaitable<http_response>
--- a/packages/entry/src/request/job_gateway.cpp
+++ b/packages/entry/src/request/job_gateway.cpp
@@ -7,6 +7,7 @@
 #include <trailjunction/store/commit_lookup.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace trailjunction
 {
@@ -87,10 +88,11 @@
 		}
 	}
 
-	job_gateway::job_gateway(asio::io_context& io, row_store& store, process_metrics& metrics)
+	job_gateway::job_gateway(asio::io_context& io, row_store& store, process_metrics& metrics, row_limits limits)
 		: io_{io},
 		  store_{store},
-		  metrics_{metrics}
+		  metrics_{metrics},
+		  limits_{limits}
 	{
 	}
 
@@ -106,6 +108,8 @@
 				return "absent";
 			case job_call_outcome::refused:
 				return "refused";
+			case job_call_outcome::invalid:
+				return "invalid";
 			case job_call_outcome::unknown:
 				break;
 			}
@@ -190,6 +194,11 @@
 					out.conflicts = std::move(result.rows);
 				co_return out;
 			}
+			if (result.outcome == commit_outcome::rejected && !may_be_done)
+			{
+				call_result = reject_invalid(id, result.reason);
+				co_return out;
+			}
 			may_be_done = may_be_done || result.outcome == commit_outcome::unknown;
 			const auto now = boottime_now();
 			const bool out_of_time = now + retry_delay >= deadline;
@@ -263,6 +272,15 @@
 		co_return job_call_result{job_call_outcome::refused, decision.retry_after, "there is no room in time"};
 	}
 
+	job_call_result job_gateway::reject_invalid(const job_id& id, std::string reason)
+	{
+		log_event(event::row_rejected, {{"job", id.str()}, {"reason", reason}, {"left_out", "the call"}});
+		job_call_result out;
+		out.outcome = job_call_outcome::invalid;
+		out.reason = std::move(reason);
+		return out;
+	}
+
 	job_call_result job_gateway::refuse_cancelled(const job_id& id)
 	{
 		job_call_result out;
@@ -276,17 +294,23 @@
 	asio::awaitable<job_call_result> job_gateway::submit(queue_policy queue, job_id id, job_spec spec, instant deadline)
 	{
 		const auto started_at = boottime_now();
+		row_transaction change;
+		change.partition = submission_partition(id);
+		change.conditions.push_back({submission_row(id), 0});
+		change.conditions.push_back({cancelled_id_row(id), 0});
+		change.put.push_back({submission_row(id), encode_submission(queue, spec)});
+		// An earlier call with this id may have stored a job.
+		if (const auto status = check_limits(change, limits_); !status.ok() && !is_in_doubt(id, started_at))
+		{
+			count_call("submit", job_call_outcome::invalid, started_at);
+			co_return reject_invalid(id, std::string{status.message()});
+		}
 		auto refused = co_await check_admission(queue, id, spec, deadline - response_reserve);
 		if (refused)
 		{
 			count_call("submit", refused->outcome, started_at);
 			co_return *std::move(refused);
 		}
-		row_transaction change;
-		change.partition = submission_partition(id);
-		change.conditions.push_back({submission_row(id), 0});
-		change.conditions.push_back({cancelled_id_row(id), 0});
-		change.put.push_back({submission_row(id), encode_submission(queue, spec)});
 		auto result = co_await commit_with_retries(std::move(change), id, deadline - response_reserve);
 		if (find_row(result.conflicts, submission_row(id)) == nullptr &&
 			find_row(result.conflicts, cancelled_id_row(id)) != nullptr)
