Agents: heartbeats of workers with ids beyond the platform's keys are refused

What callers saw: nothing; found while looking for rows that grow by what others choose. Ids of workers had no length, and the progress of jobs and the rows of workers and waves hold many of them.

--- a/tests/heartbeat_handler.cpp
+++ b/tests/heartbeat_handler.cpp
@@ -29,7 +29,7 @@
 	/// Sends heartbeats to the handler and records those that it accepts.
 	struct handler_fixture
 	{
-		int put(const std::string& body)
+		int put(const std::string& body, const std::string& worker = "i-1")
 		{
 			auto handler = platform::make_heartbeat_handler({[this](worker_heartbeat heartbeat)
 															 { accepted.push_back(std::move(heartbeat)); },
@@ -41,7 +41,7 @@
 				io,
 				[&]() -> boost::asio::awaitable<void>
 				{
-					http_request request{"PUT", "/instances/i-1", {}, body};
+					http_request request{"PUT", "/instances/" + worker, {}, body};
 					const auto response = co_await handler(std::move(request));
 					status = response.status;
 				},
@@ -67,6 +67,15 @@
 	CHECK(fixture.accepted[1].draining);
 }
 
+// Guards against ids that outgrow the rows in which they are stored.
+TEST_CASE("a heartbeat of a worker whose id is longer than the platform's keys is refused", "[agent]")
+{
+	handler_fixture fixture;
+	CHECK(fixture.put(valid_heartbeat, std::string(200, 'i')) == 200);
+	CHECK(fixture.put(valid_heartbeat, std::string(201, 'i')) == 400);
+	CHECK(fixture.accepted.size() == 1);
+}
+
 TEST_CASE("the start time in a heartbeat tells incarnations with the same id apart", "[agent]")
 {
 	const auto with_start = [](const std::string& start)
