Waves: one whose progress would not fit into a row is refused

What callers saw: nothing; found by reading. The request of a wave fits into a row of the store while its progress, which also names workers, need not: some 900 instances with names of 20 characters. The rejected row would have stopped the owner, and since the wave would go on without durable progress.

--- a/packages/entry/src/process/job_term_upkeep.cpp
+++ b/packages/entry/src/process/job_term_upkeep.cpp
@@ -69,8 +69,8 @@
 		{
 			wake();
 		};
-		upkeep_ = std::make_unique<upkeep_controller>(io_, *settings_.upkeep, adapter, store_, metrics_,
-													  upkeep_authority{settings_.member, owned_.row.epoch},
+		upkeep_ = std::make_unique<upkeep_controller>(io_, *settings_.upkeep, adapter, store_, settings_.store_limits,
+													  metrics_, upkeep_authority{settings_.member, owned_.row.epoch},
 													  std::move(callbacks));
 	}
 
--- a/packages/entry/src/upkeep/upkeep_controller.cpp
+++ b/packages/entry/src/upkeep/upkeep_controller.cpp
@@ -5,6 +5,8 @@
 #include <trailjunction/jobs/job_tables.hpp>
 #include <trailjunction/net/coroutines.hpp>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -51,11 +53,13 @@
 	}
 
 	upkeep_controller::upkeep_controller(asio::io_context& io, const upkeep_settings& settings,
-										 const upkeep_adapter& adapter, row_store& store, process_metrics& metrics,
-										 upkeep_authority authority, upkeep_callbacks callbacks)
+										 const upkeep_adapter& adapter, row_store& store, const row_limits& limits,
+										 process_metrics& metrics, upkeep_authority authority,
+										 upkeep_callbacks callbacks)
 		: io_{io},
 		  adapter_{adapter},
 		  store_{store},
+		  limits_{limits},
 		  authority_{std::move(authority)},
 		  callbacks_{std::move(callbacks)},
 		  policy_{make_policy(settings)},
@@ -152,6 +156,14 @@
 		}
 		auto* tracked = find_wave(id);
 		const auto now = boottime_now();
+		// Compares and measures in the form in which progress is stored, where an instance that is named twice counts
+		// once.
+		const auto normalized = begin_wave(*request, 0, now);
+		if (const auto status = check_size(normalized); !status.ok())
+		{
+			refuse_request(id, row, status);
+			return;
+		}
 		if (tracked == nullptr)
 		{
 			log_event(event::wave_begun, {{"wave", id.str()},
@@ -162,8 +174,6 @@
 			mark_changed(id);
 			return;
 		}
-		// Compares in the form in which progress is stored, where an instance that is named twice counts once.
-		const auto normalized = begin_wave(*request, 0, now);
 		std::vector<instance_id> requested_instances;
 		for (const auto& upkeep : normalized.instances)
 			requested_instances.push_back(upkeep.instance);
@@ -182,6 +192,16 @@
 		mark_changed(id);
 	}
 
+	absl::Status upkeep_controller::check_size(const wave_progress& progress) const
+	{
+		const auto bytes = max_encoded_size(progress);
+		if (bytes <= limits_.value_bytes)
+			return absl::OkStatus();
+		return absl::ResourceExhaustedError(absl::StrCat("the progress of ", progress.instances.size(),
+														 " instances takes up to ", bytes, " bytes, at most ",
+														 limits_.value_bytes, " are allowed: use several waves"));
+	}
+
 	void upkeep_controller::refuse_request(const wave_id& id, const stored_row& row, const absl::Status& reason)
 	{
 		auto& status = statuses_[id];
--- a/packages/entry/src/upkeep/upkeep_controller.hpp
+++ b/packages/entry/src/upkeep/upkeep_controller.hpp
@@ -41,8 +41,8 @@
 	{
 	public:
 		upkeep_controller(boost::asio::io_context& io, const upkeep_settings& settings, const upkeep_adapter& adapter,
-						  row_store& store, process_metrics& metrics, upkeep_authority authority,
-						  upkeep_callbacks callbacks);
+						  row_store& store, const row_limits& limits, process_metrics& metrics,
+						  upkeep_authority authority, upkeep_callbacks callbacks);
 
 		/// \brief The range of the progress rows, which must be read before any task is placed.
 		[[nodiscard]] static row_range progress_range();
@@ -98,6 +98,8 @@
 		boost::asio::awaitable<void> write_statuses();
 		/// \returns Whether the row now holds the status.
 		boost::asio::awaitable<bool> write_status(wave_id wave, bool completed);
+		/// Whether the progress of a wave fits into a row of the store.
+		[[nodiscard]] absl::Status check_size(const wave_progress& progress) const;
 		void update_metrics(instant now);
 		void log_stage_changes(const wave_progress& before, const wave_progress& after);
 		void mark_changed(const wave_id& wave);
@@ -109,6 +111,7 @@
 		boost::asio::io_context& io_;
 		const upkeep_adapter& adapter_;
 		row_store& store_;
+		row_limits limits_;
 		upkeep_authority authority_;
 		upkeep_callbacks callbacks_;
 		upkeep_policy policy_;
--- a/packages/jobs/include/trailjunction/jobs/upkeep_wave.hpp
+++ b/packages/jobs/include/trailjunction/jobs/upkeep_wave.hpp
@@ -240,6 +240,10 @@
 	/// \brief Encodes the row with a wave's progress.
 	[[nodiscard]] std::string encode_wave_progress(const wave_progress& progress);
 
+	/// \brief Maximum size of the row with a wave's progress until the wave is completed, for ids of workers of usual
+	/// length.
+	[[nodiscard]] std::size_t max_encoded_size(const wave_progress& progress);
+
 	/// \brief Decodes encode_wave_progress()'s row; data_loss if it is malformed.
 	/// \details Everything that may have been ordered counts as ordered just now by another owner.
 	[[nodiscard]] absl::StatusOr<wave_progress> decode_wave_progress(const wave_id& id, std::string_view row,
--- a/packages/jobs/src/upkeep_rows.cpp
+++ b/packages/jobs/src/upkeep_rows.cpp
@@ -12,6 +12,8 @@
 	namespace
 	{
 		constexpr std::size_t fields_of_instance = 4;
+		/// Maximum length of the ids that workers usually have.
+		constexpr std::size_t usual_worker_id_bytes = 40;
 
 		/// Encodes [instance, stage, worker, dropped].
 		json::array encode_instance(const instance_upkeep& entry)
@@ -50,6 +52,11 @@
 											{"instances", std::move(instances)}});
 	}
 
+	std::size_t max_encoded_size(const wave_progress& progress)
+	{
+		return encode_wave_progress(progress).size() + progress.instances.size() * usual_worker_id_bytes;
+	}
+
 	absl::StatusOr<wave_progress> decode_wave_progress(const wave_id& id, std::string_view row,
 													   const upkeep_policy& policy, instant now)
 	{
