--- a/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
+++ b/packages/entry/include/trailjunction/entry/job_entry_settings.hpp
@@ -40,7 +40,7 @@
 		/// Whether the owner forecasts the free capacity of its workers, and entries refuse jobs that by this forecast
 		/// certainly end too late for their caller.
 		bool forecast_room{};
-		row_limits store_limits; ///< Rows that exceed them are not written.
+		row_limits store_limits;               ///< Rows that exceed them are not written.
 		std::optional<upkeep_settings> upkeep; ///< Absent: waves of upkeep are not carried out.
 	};
 
--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -45,7 +45,7 @@
 		/// Maximum number of upkeep wave rows in one transaction, so that they leave room for jobs.
 		constexpr std::size_t max_wave_rows = 4;
 		/// Maximum number of rows in one transaction for the owner, its depths and its forecast, so that they leave
-		/// room for jobs.
+		/// room for the progress of the largest job.
 		constexpr std::size_t max_owner_rows = 3;
 		/// Minimum interval between two forecasts. A forecast iterates over all waiting and running tasks, and entries
 		/// receive it twice per second.
--- a/packages/entry/src/process/job_term_rejections.cpp
+++ b/packages/entry/src/process/job_term_rejections.cpp
@@ -15,11 +15,12 @@
 	void job_term::isolate_rejected(batch& rejected, std::string_view reason, instant now)
 	{
 		const auto changes = rejected.changes();
-		log_event(event::row_rejected,
-				  {{"reason", reason},
-				   {"changes", changes},
-				   {"bytes", encoded_size(rejected.change)},
-				   {"within_limits", check_limits(rejected.change, settings_.store_limits).ToString()}});
+		if (!rejected.is_reduced) // the owner row alone is repeated until the store accepts it
+			log_event(event::row_rejected,
+					  {{"reason", reason},
+					   {"changes", changes},
+					   {"bytes", encoded_size(rejected.change)},
+					   {"within_limits", check_limits(rejected.change, settings_.store_limits).ToString()}});
 		metrics_.counter("job_commits_rejected", "Transactions of the owner that the store rejected for good.")
 			.Increment();
 		if (changes == 1 && !rejected.has_statistics)
--- a/packages/testkit/include/trailjunction/testkit/memory_store.hpp
+++ b/packages/testkit/include/trailjunction/testkit/memory_store.hpp
@@ -58,10 +58,10 @@
 										const std::string& key) const;
 
 		store_faults faults;
-		row_limits limits; ///< A transaction that exceeds them is rejected.
+		row_limits limits;                   ///< A transaction that exceeds them is rejected.
 		std::vector<std::string> rejections; ///< Why transactions were rejected, in order.
-		int held_commits{}; ///< Number of transactions that store_faults::hold_commits holds now.
-		int lost_reads{};   ///< Number of reads that got no response or will get none.
+		int held_commits{};                  ///< Number of transactions that store_faults::hold_commits holds now.
+		int lost_reads{};                    ///< Number of reads that got no response or will get none.
 		std::vector<row_transaction> requested_commits; ///< Every requested transaction, in order.
 
 	private:
