Jobs: stored jobs of more than 10,000 tasks are still read

What callers would have seen: a job of 10,001 to 20,000 tasks that an earlier version had accepted is not read by the next owner (E436) and never runs.

Change: stored jobs may have 20,000 tasks, new ones 10,000.

Evidence: a new test; it was written with the change and not run without it.

--- a/packages/jobs/include/trailjunction/jobs/job_spec.hpp
+++ b/packages/jobs/include/trailjunction/jobs/job_spec.hpp
@@ -66,7 +66,10 @@
 	/// unless its runs crash, and that of all tasks has to fit into progress_limits::total_bytes.
 	inline constexpr std::uint64_t max_tasks_per_job = 10'000;
 
+	/// \brief The most tasks that a stored job may have; earlier versions accepted as many.
+	inline constexpr std::uint64_t max_tasks_per_stored_job = 20'000;
+
 	/// \brief Rejects what no queue could run: a graph in the wrong order, no tasks, too many tasks.
 	/// \returns invalid_argument that names the group and the fault.
-	[[nodiscard]] absl::Status validate(const job_spec& spec);
+	[[nodiscard]] absl::Status validate(const job_spec& spec, std::uint64_t max_tasks = max_tasks_per_job);
 }
--- a/packages/jobs/src/job_rows.cpp
+++ b/packages/jobs/src/job_rows.cpp
@@ -104,7 +104,7 @@
 		spec.occurrences = spec.repeated ? static_cast<std::uint32_t>(stored->occurrences) : 1;
 		spec.first_due_ms = stored->first_due_ms;
 		spec.interval = millis{stored->interval_ms};
-		if (const auto status = validate(spec); !status.ok())
+		if (const auto status = validate(spec, max_tasks_per_stored_job); !status.ok())
 			return absl::DataLossError(status.message());
 		return make_job(id, from_stored(stored->route), std::move(spec), now);
 	}
--- a/packages/jobs/src/job_spec.cpp
+++ b/packages/jobs/src/job_spec.cpp
@@ -27,7 +27,7 @@
 		}
 	}
 
-	absl::Status validate(const job_spec& spec)
+	absl::Status validate(const job_spec& spec, std::uint64_t max_tasks)
 	{
 		if (spec.groups.empty())
 			return absl::InvalidArgumentError("the job has no groups");
@@ -40,10 +40,10 @@
 				return status;
 			tasks += spec.groups[i].count;
 		}
-		if (tasks > max_tasks_per_job / spec.occurrences)
+		if (tasks > max_tasks / spec.occurrences)
 			return absl::InvalidArgumentError(absl::StrCat("the job has ", tasks, " tasks in each of ",
-														   spec.occurrences, " occurrences, at most ",
-														   max_tasks_per_job, " are allowed in all"));
+														   spec.occurrences, " occurrences, at most ", max_tasks,
+														   " are allowed in all"));
 		return absl::OkStatus();
 	}
 }
--- a/tests/progress_rows.cpp
+++ b/tests/progress_rows.cpp
@@ -83,6 +83,18 @@
 	CHECK(check_limits(change, limits).ok());
 }
 
+// Guards against the loss of jobs that earlier versions accepted.
+TEST_CASE("a stored job of more tasks than are accepted now is read", "[jobs]")
+{
+	const auto now = boottime_now();
+	CHECK(validate(small_tasks(max_tasks_per_job)).ok());
+	const auto earlier = small_tasks(max_tasks_per_stored_job);
+	CHECK(absl::IsInvalidArgument(validate(earlier)));
+	CHECK(decode_submission(job_id{first_job}, encode_submission(some_queue(), earlier), now).ok());
+	const auto too_many = small_tasks(max_tasks_per_stored_job + 1);
+	CHECK(!decode_submission(job_id{first_job}, encode_submission(some_queue(), too_many), now).ok());
+}
+
 TEST_CASE("a job ends in its first row as soon as none of its tasks is placed", "[jobs]")
 {
 	auto job = running_job(many_tasks);
