Owner: a change is given up only after the store has accepted the owner row without it

What callers would have seen: while the store rejects every transaction for a while, a job that was written alone just then fails. Found by reading.

Cause: the rejection of a single change was taken for a fault of the change.

Change: the change is kept as suspect until the owner row alone is accepted; if that is rejected, too, the change is pending again.

Evidence: the new test failed before this change (after 20 s without starts).

--- a/packages/entry/src/process/job_term.cpp
+++ b/packages/entry/src/process/job_term.cpp
@@ -436,7 +436,7 @@
 			}
 			store_monitor_.record_failure("commit", result.reason);
 			if (result.outcome == commit_outcome::rejected)
-				isolate_rejected(pending, result.reason, boottime_now());
+				isolate_rejected(pending, result.reason);
 			// The pause also follows an immediate failure: a store that resets connections would otherwise get hundreds
 			// of requests.
 			co_await pause_for(io_, retry_backoff);
@@ -455,6 +455,8 @@
 	void job_term::on_committed(const batch& durable_batch, instant now)
 	{
 		const busy_scope scope{meter_, owner_duty::acting};
+		if (durable_batch.suspect)
+			discard_change(*durable_batch.suspect, now);
 		if (upkeep_)
 			upkeep_->record_saved();
 		for (const auto& job : durable_batch.saved)
--- a/packages/entry/src/process/job_term.hpp
+++ b/packages/entry/src/process/job_term.hpp
@@ -114,6 +114,8 @@
 			std::vector<job_id> removed;                      ///< Jobs whose progress is removed.
 			bool has_statistics{};                            ///< The owner row has depths and a forecast.
 			bool is_reduced{};                                ///< The store has rejected what else it held.
+			/// The only change that the store has rejected; given up once it has accepted the owner row without it.
+			std::shared_ptr<const batch> suspect;
 			instant sent{};
 
 			/// Number of changes besides the owner row; each is written or left out as a whole.
@@ -166,7 +168,9 @@
 		/// \brief Reduces a rejected transaction to the owner row, so that the lease is renewed all the same.
 		/// \details Its other changes are pending again, and the following transactions hold fewer of them until only
 		/// the one that the store rejects is left out.
-		void isolate_rejected(batch& rejected, std::string_view reason, instant now);
+		void isolate_rejected(batch& rejected, std::string_view reason);
+		/// The latest transaction with the owner row alone, without statistics.
+		[[nodiscard]] batch make_reduced_batch();
 		/// Makes the changes of a batch other than the owner row pending again.
 		void restore_changes(const batch& rejected);
 		/// Gives up the only change of a batch.
--- a/packages/entry/src/process/job_term_rejections.cpp
+++ b/packages/entry/src/process/job_term_rejections.cpp
@@ -6,13 +6,16 @@
 #include "../upkeep/upkeep_controller.hpp"
 
 #include <trailjunction/core/event.hpp>
+#include <trailjunction/jobs/job_tables.hpp>
 
 #include <algorithm>
 #include <iterator>
+#include <memory>
+#include <utility>
 
 namespace trailjunction
 {
-	void job_term::isolate_rejected(batch& rejected, std::string_view reason, instant now)
+	void job_term::isolate_rejected(batch& rejected, std::string_view reason)
 	{
 		const auto changes = rejected.changes();
 		if (!rejected.is_reduced) // the owner row alone is repeated until the store accepts it
@@ -23,26 +26,29 @@
 					   {"within_limits", check_limits(rejected.change, settings_.store_limits).ToString()}});
 		metrics_.counter("job_commits_rejected", "Transactions of the owner that the store rejected for good.")
 			.Increment();
-		if (changes == 1 && !rejected.has_statistics)
-			discard_change(rejected, now);
-		else
+		if (rejected.suspect)
+			restore_changes(*rejected.suspect); // the store also rejects the owner row without the change
+		else if (changes > 1 || rejected.has_statistics)
 			restore_changes(rejected);
 		max_changes_ = std::max<std::size_t>(1, changes / 2);
-		// The owner row is the first.
+		const bool is_isolated = changes == 1 && !rejected.has_statistics;
+		auto reduced = make_reduced_batch();
+		reduced.sent = rejected.sent;
+		reduced.suspect = is_isolated ? std::make_shared<const batch>(std::move(rejected)) : nullptr;
+		rejected = std::move(reduced);
+	}
+
+	job_term::batch job_term::make_reduced_batch()
+	{
 		owned_.row.loaded = false;
 		owned_.row.depths.clear();
 		owned_.row.room = {};
-		rejected.change.put.resize(1);
-		rejected.change.put.front().value = encode_ownership(owned_.row);
-		rejected.change.remove.clear();
-		rejected.saved.clear();
-		rejected.starts.clear();
-		rejected.ends.clear();
-		rejected.workers.clear();
-		rejected.waves = 0;
-		rejected.removed.clear();
-		rejected.has_statistics = false;
-		rejected.is_reduced = true;
+		batch out;
+		out.change.partition = job_partition;
+		out.change.conditions.push_back({{owner_table, owner_key}, owned_.version});
+		out.change.put.push_back({{owner_table, owner_key}, encode_ownership(owned_.row)});
+		out.is_reduced = true;
+		return out;
 	}
 
 	void job_term::restore_changes(const batch& rejected)
--- a/tests/rejected_transactions.cpp
+++ b/tests/rejected_transactions.cpp
@@ -76,3 +76,23 @@
 	CHECK(!fixture.store.rejections.empty());
 	CHECK(!fixture.term_over);
 }
+
+// Guards against jobs that are given up because the store rejects everything for a while.
+TEST_CASE("a job is not given up while the store rejects the owner row without it, too", "[jobs]")
+{
+	constexpr std::uint32_t tasks = 100;
+	scene fixture;
+	fixture.store.limits.value_bytes = 1'000;
+	fixture.submit(first_job, small_tasks(tasks));
+	fixture.begin_term();
+	const auto rejections = [&]
+	{
+		return fixture.store.rejections.size();
+	};
+	REQUIRE(fixture.run_until([&] { return rejections() >= 2; })); // the job alone is rejected
+	fixture.store.limits.value_bytes = 0;
+	REQUIRE(fixture.run_until([&] { return rejections() >= 4; }));
+	fixture.store.limits = {};
+	REQUIRE(fixture.run_until([&] { return starts_of(fixture, first_job) == tasks; }));
+	CHECK(!fixture.term_over);
+}
