--- a/tests/progress_rows.cpp
+++ b/tests/progress_rows.cpp
@@ -79,7 +79,8 @@
 		put.push_back({{progress_table, progress_key(job.id, i)}, rows->values[i]});
 	for (std::size_t i = 0; i < 3; ++i) // the most that the owner writes for itself
 		put.push_back({{owner_table, ownership_key(i)}, std::string(limits.value_bytes, 'o')});
-	CHECK(add_if_fits(change, space, std::move(put)));
+	const bool added = add_if_fits(change, space, std::move(put));
+	CHECK(added);
 	CHECK(check_limits(change, limits).ok());
 }
 
